--- /dev/null
+++ b/internal/planner/types.go
@@ -0,0 +1,102 @@
+// Package planner decides which waiting jobs of one availability zone start
+// where, and which running ones make room. It is a pure function from a
+// snapshot to a plan and does no I/O.
+package planner
+
+import (
+	"time"
+
+	"github.com/samphirepath/samphirepath/api"
+)
+
+// WorkerState tells whether the planner may place tasks on a worker.
+type WorkerState string
+
+// States of a worker.
+const (
+	WorkerLive        WorkerState = "live"
+	WorkerLeaving     WorkerState = "leaving"
+	WorkerSilent      WorkerState = "silent"
+	WorkerQuarantined WorkerState = "quarantined"
+)
+
+// Worker is a worker of the zone.
+type Worker struct {
+	ID               string
+	Rack             string
+	State            WorkerState
+	Cores            int
+	MemoryMB         int64
+	Accelerators     int
+	AcceleratorModel string
+	// Foreign lists what reported tasks hold that are in no job row. They
+	// occupy their place until the worker says that they have ended.
+	Foreign []Occupation
+}
+
+// Occupation is what one task holds on a worker.
+type Occupation struct {
+	Resources    api.Resources
+	Accelerators []int
+}
+
+// Snapshot is the input of a plan. The planner does not change it.
+type Snapshot struct {
+	Now       time.Time
+	Zone      string
+	ZoneState api.ZoneState
+	Catalogue api.Catalogue
+	Workers   []Worker
+	// Jobs holds the waiting jobs that the zone may run and all jobs whose
+	// placement it holds (placed, running, stopping).
+	Jobs []api.Job
+	// UsageElsewhere gives the accelerators that each team and organisation holds
+	// in other zones, for quotas.
+	TeamUsageElsewhere         map[string]int
+	OrganisationUsageElsewhere map[string]int
+}
+
+// Placement reserves places for all tasks of a waiting job.
+type Placement struct {
+	JobID   string
+	Tasks   []api.TaskPlacement
+	Covered bool // inside the guarantee of its organisation
+}
+
+// Preemption ends a running job to make room.
+type Preemption struct {
+	JobID  string
+	For    string // job that needs the place
+	Reason string
+}
+
+// Refusal ends a job that can never run.
+type Refusal struct {
+	JobID  string
+	Reason string
+}
+
+// Shortfall says whose guarantee cannot be met by the live workers, and by how much.
+type Shortfall struct {
+	Organisation        string
+	MissingTasks        int
+	MissingAccelerators int
+	Reason              string
+}
+
+// Reservation is the concrete place of a guaranteed shape.
+type Reservation struct {
+	Organisation string
+	Tasks        []api.TaskPlacement
+}
+
+// Plan is the outcome of one planning round.
+type Plan struct {
+	Placements   []Placement
+	Preemptions  []Preemption
+	Refusals     []Refusal
+	Reservations []Reservation
+	Shortfalls   []Shortfall
+	// Reasons says in a plain sentence why each job that still waits does so.
+	Reasons map[string]string
+}
