Add the command-line tool

Cause: operators and callers need a tool beside the daemon. Ruled out: hand-written HTTP calls; the client generated from the schema is used, so that paths and bodies cannot drift.

--- /dev/null
+++ b/internal/command/request.go
@@ -0,0 +1,95 @@
+package command
+
+import (
+	"io"
+	"os"
+	"time"
+
+	"github.com/samphirepath/samphirepath/api"
+)
+
+type requestCommands struct {
+	Send requestSend `cmd:"" help:"Send a request and print the answer."`
+	Get  requestGet  `cmd:"" help:"Fetch the result of a non-idempotent request by its key."`
+}
+
+type requestSend struct {
+	Entry         string        `arg:"" help:"Catalogue entry of kind service."`
+	Key           string        `help:"Idempotency key, unique in the organisation." required:""`
+	NonIdempotent bool          `help:"The request runs at most once."`
+	Deadline      time.Duration `help:"Longest wait for the answer; the limit of the entry by default."`
+	Data          string        `help:"Payload." xor:"payload"`
+	File          string        `help:"File that holds the payload; - reads standard input." xor:"payload"`
+}
+
+// Run sends the request.
+func (c *requestSend) Run(env *environment) error {
+	body, err := c.payload()
+	if err != nil {
+		return err
+	}
+	result, err := decode[api.RequestResult](env.api.SubmitRequest(env.ctx, api.RequestSubmit{
+		Entry: c.Entry, Key: c.Key, NonIdempotent: c.NonIdempotent,
+		DeadlineMs: c.Deadline.Milliseconds(), Body: body,
+	}))
+	if err != nil {
+		return err
+	}
+	return env.showResult(result)
+}
+
+func (c *requestSend) payload() ([]byte, error) {
+	switch c.File {
+	case "":
+		return []byte(c.Data), nil
+	case "-":
+		return io.ReadAll(os.Stdin)
+	default:
+		return os.ReadFile(c.File)
+	}
+}
+
+type requestGet struct {
+	Key string `arg:"" help:"Key of the request."`
+}
+
+// Run fetches the result.
+func (c *requestGet) Run(env *environment) error {
+	result, err := decode[api.RequestResult](env.api.GetRequest(env.ctx, c.Key))
+	if err != nil {
+		return err
+	}
+	return env.showResult(result)
+}
+
+func (e *environment) showResult(result api.RequestResult) error {
+	if e.asJSON {
+		if err := e.showJSON(result); err != nil {
+			return err
+		}
+	} else {
+		e.showResultText(result)
+	}
+	if code := outcomeCode(result.Outcome); code != exitDone {
+		return &silentExit{code}
+	}
+	return nil
+}
+
+func (e *environment) showResultText(result api.RequestResult) {
+	if result.InProgress {
+		e.say("%s: in progress", result.Key)
+		return
+	}
+	line := result.Key + ": " + string(result.Outcome)
+	if result.Minion != "" {
+		line += " on minion " + result.Minion
+	}
+	if result.Reason != "" {
+		line += ": " + result.Reason
+	}
+	e.say("%s", line)
+	if len(result.Body) > 0 {
+		e.say("%s", result.Body)
+	}
+}
--- a/internal/tools/deps.go
+++ b/internal/tools/deps.go
@@ -14,6 +14,7 @@
 	_ "github.com/onsi/ginkgo/v2"
 	_ "github.com/onsi/gomega"
 	_ "github.com/pelletier/go-toml/v2"
+	_ "github.com/pmezard/go-difflib/difflib"
 	_ "github.com/rotisserie/eris"
 	_ "github.com/uber-go/tally/v4"
 	_ "github.com/uber-go/tally/v4/prometheus"
