--- /dev/null
+++ b/table/memory.go
@@ -0,0 +1,170 @@
+package table
+
+import (
+	"bytes"
+	"context"
+	"slices"
+	"sort"
+	"strings"
+	"sync"
+
+	"github.com/rotisserie/eris"
+)
+
+// minCompactChanges is the length of the change log below which it is never compacted.
+const minCompactChanges = 1024
+
+// change records that a commit wrote or deleted a key.
+type change struct {
+	version int64
+	key     string
+}
+
+// Memory is a Store that lives in the memory of one process. It keeps the
+// version of every deletion for its whole life, so List is exact for any since.
+type Memory struct {
+	mu      sync.Mutex
+	rows    map[string]Row
+	deleted map[string]int64 // key to the version of its deletion
+	changes []change         // ordered by version; outdated entries are skipped
+	version int64
+}
+
+// NewMemory returns an empty store.
+func NewMemory() *Memory {
+	return &Memory{rows: map[string]Row{}, deleted: map[string]int64{}}
+}
+
+// Get returns the row and whether it exists.
+func (m *Memory) Get(ctx context.Context, key string) (Row, bool, error) {
+	if err := ctx.Err(); err != nil {
+		return Row{}, false, eris.Wrap(err, "get row")
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	row, ok := m.rows[key]
+	row.Value = bytes.Clone(row.Value)
+	return row, ok, nil
+}
+
+// List returns what changed below the prefix after version since, in key
+// order; 0 returns all rows and no deletions.
+func (m *Memory) List(ctx context.Context, prefix string, since int64) (Listing, error) {
+	if err := ctx.Err(); err != nil {
+		return Listing{}, eris.Wrap(err, "list rows")
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	listing := Listing{Version: m.version}
+	if since <= 0 {
+		m.addAll(&listing, prefix)
+	} else {
+		m.addChanged(&listing, prefix, since)
+	}
+	sort.Slice(listing.Rows, func(i, j int) bool { return listing.Rows[i].Key < listing.Rows[j].Key })
+	sort.Strings(listing.Deleted)
+	return listing, nil
+}
+
+func (m *Memory) addAll(listing *Listing, prefix string) {
+	for key, row := range m.rows {
+		if strings.HasPrefix(key, prefix) {
+			row.Value = bytes.Clone(row.Value)
+			listing.Rows = append(listing.Rows, row)
+		}
+	}
+}
+
+func (m *Memory) addChanged(listing *Listing, prefix string, since int64) {
+	first := sort.Search(len(m.changes), func(i int) bool { return m.changes[i].version > since })
+	for _, c := range m.changes[first:] {
+		if !strings.HasPrefix(c.key, prefix) || !m.current(c) {
+			continue
+		}
+		row, ok := m.rows[c.key]
+		if !ok {
+			listing.Deleted = append(listing.Deleted, c.key)
+			continue
+		}
+		row.Value = bytes.Clone(row.Value)
+		listing.Rows = append(listing.Rows, row)
+	}
+}
+
+// current tells whether the change is the last one of its key.
+func (m *Memory) current(c change) bool {
+	if row, ok := m.rows[c.key]; ok {
+		return row.Version == c.version
+	}
+	return m.deleted[c.key] == c.version
+}
+
+// Commit applies all writes if all conditions hold, else none. Of several
+// writes to one key the last counts. A commit without writes only checks the
+// conditions and answers with the current version.
+func (m *Memory) Commit(ctx context.Context, conditions []Condition, writes []Write) CommitResult {
+	if err := ctx.Err(); err != nil {
+		return CommitResult{Status: Unavailable, Err: eris.Wrap(err, "commit")}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if failed := m.failedConditions(conditions); len(failed) > 0 {
+		return CommitResult{Status: Conflict, Conflicts: failed}
+	}
+	if len(writes) > 0 {
+		m.version++
+		m.apply(lastWrites(writes))
+		m.compact()
+	}
+	return CommitResult{Status: Committed, Version: m.version}
+}
+
+func (m *Memory) failedConditions(conditions []Condition) []string {
+	var failed []string
+	for _, c := range conditions {
+		if m.rows[c.Key].Version != c.Version && !slices.Contains(failed, c.Key) {
+			failed = append(failed, c.Key)
+		}
+	}
+	return failed
+}
+
+// lastWrites drops all but the last write of each key.
+func lastWrites(writes []Write) map[string]Write {
+	last := make(map[string]Write, len(writes))
+	for _, w := range writes {
+		last[w.Key] = w
+	}
+	return last
+}
+
+func (m *Memory) apply(writes map[string]Write) {
+	for key, w := range writes {
+		if w.Delete {
+			m.remove(key)
+			continue
+		}
+		delete(m.deleted, key)
+		m.rows[key] = Row{Key: key, Value: bytes.Clone(w.Value), Version: m.version}
+		m.changes = append(m.changes, change{m.version, key})
+	}
+}
+
+// remove deletes a row. The deletion of a missing row changes nothing.
+func (m *Memory) remove(key string) {
+	if _, ok := m.rows[key]; !ok {
+		return
+	}
+	delete(m.rows, key)
+	m.deleted[key] = m.version
+	m.changes = append(m.changes, change{m.version, key})
+}
+
+// compact drops outdated changes once they outnumber the current ones, so that
+// the log stays in proportion to the keys.
+func (m *Memory) compact() {
+	if len(m.changes) < minCompactChanges || len(m.changes) < 2*(len(m.rows)+len(m.deleted)) {
+		return
+	}
+	m.changes = slices.DeleteFunc(m.changes, func(c change) bool { return !m.current(c) })
+}
