Add the HTTP clients of the platform's services

Cause: the daemon reaches the table service, the object store, the VM list, workers and minions only through internal/platform, which had interfaces only. Ruled out: judging "not sent" by the kind of error, because a reset on a reused connection looks the same before and after the first byte. Retries by the client itself, because only the callers know what may be repeated. Change: one client per service over a bounded pool. Each connection counts its writes, so a failed call knows exactly whether a byte may have left. Conclusion: other parts can be wired against the constructors.

--- /dev/null
+++ b/internal/platform/caller.go
@@ -0,0 +1,158 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+)
+
+// Call durations are counted in buckets from 0.5 ms to 16 s, each twice the one before.
+const (
+	firstDurationBucket = 500 * time.Microsecond
+	durationBuckets     = 16
+)
+
+// ErrAnswerTooLarge is the cause when the body of an answer exceeds the limit.
+var ErrAnswerTooLarge = eris.New("answer exceeds the size limit")
+
+// CallError is a call that got no usable answer.
+type CallError struct {
+	// Sent is false when certainly nothing was sent or the server says that
+	// the call took no effect.
+	Sent  bool
+	cause error
+}
+
+// Error returns the cause.
+func (e *CallError) Error() string { return e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *CallError) Unwrap() error { return e.cause }
+
+// NotSent tells whether the failed call certainly took no effect.
+func NotSent(err error) bool {
+	var call *CallError
+	return errors.As(err, &call) && !call.Sent
+}
+
+// call is one HTTP request.
+type call struct {
+	name   string // for metrics and traces
+	method string
+	url    string
+	header http.Header
+	body   []byte
+}
+
+// answer is a whole HTTP answer.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// notRun tells whether the server says that the call took no effect.
+func (a answer) notRun() bool {
+	return a.status == http.StatusServiceUnavailable && a.header.Get(HeaderNotRun) == HeaderTrue
+}
+
+// absent tells whether the server says that the row or object does not exist.
+func (a answer) absent() bool {
+	return a.status == http.StatusNotFound && a.header.Get(HeaderAbsent) == HeaderTrue
+}
+
+// refusal is the error of an answer with an unexpected status.
+func (a answer) refusal() error {
+	return &CallError{Sent: !a.notRun(), cause: eris.Errorf("server answered with status %d", a.status)}
+}
+
+// caller makes HTTP calls with the limits of a Config.
+type caller struct {
+	config    Config
+	transport *http.Transport
+	buckets   tally.DurationBuckets
+}
+
+func newCaller(c Config) *caller {
+	return &caller{
+		config:    c,
+		transport: newTransport(c),
+		buckets:   tally.MustMakeExponentialDurationBuckets(firstDurationBucket, 2, durationBuckets),
+	}
+}
+
+// Close closes idle connections. Calls in flight are not cut off.
+func (c *caller) Close() { c.transport.CloseIdleConnections() }
+
+// do makes a call and reads the whole answer. Every error is a *CallError.
+func (c *caller) do(ctx context.Context, request call) (answer, error) {
+	started := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, c.config.Timeout)
+	defer cancel()
+	ctx, span := c.config.Tracer.Start(ctx, request.name, trace.WithSpanKind(trace.SpanKindClient))
+	defer span.End()
+	var tracker sentTracker
+	result, err := c.exchange(tracker.attach(ctx), request)
+	c.record(request.name, result.status, err, time.Since(started))
+	if err != nil {
+		span.SetStatus(codes.Error, err.Error())
+		return answer{}, &CallError{Sent: tracker.sent(), cause: eris.Wrap(err, request.name)}
+	}
+	return result, nil
+}
+
+func (c *caller) exchange(ctx context.Context, request call) (answer, error) {
+	r, err := http.NewRequestWithContext(ctx, request.method, request.url, bytes.NewReader(request.body))
+	if err != nil {
+		return answer{}, err
+	}
+	for name, values := range request.header {
+		r.Header[name] = values
+	}
+	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(r.Header))
+	response, err := c.transport.RoundTrip(r)
+	if err != nil {
+		return answer{}, err
+	}
+	defer response.Body.Close()
+	body, err := readBounded(response.Body, response.ContentLength, c.config.MaxAnswerBytes)
+	if err != nil {
+		return answer{}, eris.Wrap(err, "read answer")
+	}
+	return answer{status: response.StatusCode, header: response.Header, body: body}, nil
+}
+
+// readBounded reads a body of at most limit bytes. length is -1 when it is not announced.
+func readBounded(body io.Reader, length, limit int64) ([]byte, error) {
+	if length > limit {
+		return nil, ErrAnswerTooLarge
+	}
+	data, err := io.ReadAll(io.LimitReader(body, limit+1))
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(data)) > limit {
+		return nil, ErrAnswerTooLarge
+	}
+	return data, nil
+}
+
+func (c *caller) record(name string, status int, err error, took time.Duration) {
+	outcome := "error"
+	if err == nil {
+		outcome = strconv.Itoa(status)
+	}
+	scope := c.config.Scope.Tagged(map[string]string{"call": name})
+	scope.Tagged(map[string]string{"outcome": outcome}).Counter("calls").Inc(1)
+	scope.Histogram("call_duration", c.buckets).RecordDuration(took)
+}
--- /dev/null
+++ b/internal/platform/connection.go
@@ -0,0 +1,91 @@
+package platform
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	maxIdleConnections     = 1024             // over all addresses of one client
+	idleConnectionTimeout  = 90 * time.Second // shorter than the usual limits of servers
+	maxAnswerHeaderBytes   = 64 << 10
+	connectionWriteBuffer  = 16 << 10
+	connectionReadBuffer   = 16 << 10
+	keepAliveProbeInterval = 15 * time.Second
+)
+
+// countedConn counts the writes to a connection. The count rises before the
+// write, so an unchanged count on a closed connection proves that nothing was sent.
+type countedConn struct {
+	net.Conn
+	writes atomic.Int64
+}
+
+func (c *countedConn) Write(b []byte) (int, error) {
+	c.writes.Add(1)
+	return c.Conn.Write(b)
+}
+
+// newTransport returns a pool of connections with the limits of the config.
+func newTransport(c Config) *http.Transport {
+	dialer := &net.Dialer{Timeout: c.DialTimeout, KeepAlive: keepAliveProbeInterval}
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &countedConn{Conn: conn}, nil
+		},
+		MaxConnsPerHost:        c.Connections,
+		MaxIdleConnsPerHost:    c.Connections,
+		MaxIdleConns:           maxIdleConnections,
+		IdleConnTimeout:        idleConnectionTimeout,
+		MaxResponseHeaderBytes: maxAnswerHeaderBytes,
+		WriteBufferSize:        connectionWriteBuffer,
+		ReadBufferSize:         connectionReadBuffer,
+		DisableCompression:     true,
+	}
+}
+
+// sentTracker tells whether a call may have sent bytes.
+type sentTracker struct {
+	mu    sync.Mutex
+	marks []sentMark
+}
+
+// sentMark is the count of writes of a connection when the call got it.
+type sentMark struct {
+	conn   *countedConn
+	writes int64
+}
+
+func (t *sentTracker) attach(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		conn, ok := info.Conn.(*countedConn)
+		if !ok {
+			panic("platform: connection that was not made by the transport's dialer")
+		}
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		t.marks = append(t.marks, sentMark{conn, conn.writes.Load()})
+	}})
+}
+
+// sent tells whether a byte may have left. It is exact once the call has
+// failed, because the transport closes the connection of a failed call.
+func (t *sentTracker) sent() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, m := range t.marks {
+		if m.conn.writes.Load() != m.writes {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/platform/table.go
@@ -0,0 +1,112 @@
+package platform
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/samphirepath/samphirepath/api"
+	"github.com/samphirepath/samphirepath/table"
+)
+
+// TableClient is the client of the table service.
+type TableClient struct {
+	*caller
+	base string
+}
+
+var _ table.Store = (*TableClient)(nil)
+
+// NewTable returns a client of the table service.
+func NewTable(c Config) (*TableClient, error) {
+	base, err := baseURL(c.URL)
+	if err != nil {
+		return nil, err
+	}
+	c = c.withDefaults("table", DefaultTimeout, DefaultServiceConnections, defaultTableAnswerBytes)
+	return &TableClient{caller: newCaller(c), base: base}, nil
+}
+
+// Get returns the row and whether it exists.
+func (t *TableClient) Get(ctx context.Context, key string) (table.Row, bool, error) {
+	query := url.Values{ParamKey: {key}}
+	got, err := t.get(ctx, "table get", t.base+PathRow+"?"+query.Encode())
+	if err != nil {
+		return table.Row{}, false, err
+	}
+	switch {
+	case got.status == http.StatusOK:
+		row, err := decodeRow(got.body, key)
+		return row, err == nil, err
+	case got.absent():
+		return table.Row{}, false, nil
+	default:
+		return table.Row{}, false, got.refusal()
+	}
+}
+
+// List returns what changed below the prefix after version since; 0 returns all rows.
+func (t *TableClient) List(ctx context.Context, prefix string, since int64) (table.Listing, error) {
+	query := url.Values{ParamPrefix: {prefix}, ParamSince: {strconv.FormatInt(since, 10)}}
+	got, err := t.get(ctx, "table list", t.base+PathRows+"?"+query.Encode())
+	if err != nil {
+		return table.Listing{}, err
+	}
+	if got.status != http.StatusOK {
+		return table.Listing{}, got.refusal()
+	}
+	return decodeListing(got.body, prefix, since)
+}
+
+// Commit applies all writes if all conditions hold, else none.
+func (t *TableClient) Commit(ctx context.Context, conditions []table.Condition, writes []table.Write) table.CommitResult {
+	got, err := t.postJSON(ctx, "table commit", t.base+PathCommit, wireCommit(conditions, writes))
+	if err != nil {
+		return failedCommit(err)
+	}
+	return commitResult(got)
+}
+
+// wireCommit gives the message of a commit.
+func wireCommit(conditions []table.Condition, writes []table.Write) api.TableCommit {
+	message := api.TableCommit{
+		Conditions: make([]api.TableCondition, 0, len(conditions)),
+		Writes:     make([]api.TableWrite, 0, len(writes)),
+	}
+	for _, c := range conditions {
+		message.Conditions = append(message.Conditions, api.TableCondition(c))
+	}
+	for _, w := range writes {
+		message.Writes = append(message.Writes, api.TableWrite{Key: w.Key, Value: w.Value, Delete: w.Delete})
+	}
+	return message
+}
+
+// commitResult maps the answer to a commit. An answer that can't be read as
+// committed, conflict or not run leaves the outcome unknown.
+func commitResult(got answer) table.CommitResult {
+	switch got.status {
+	case http.StatusOK:
+		version, err := decodeCommitted(got.body)
+		if err != nil {
+			return failedCommit(lost(err))
+		}
+		return table.CommitResult{Status: table.Committed, Version: version}
+	case http.StatusConflict:
+		keys, err := decodeConflict(got.body)
+		if err != nil {
+			return failedCommit(lost(err))
+		}
+		return table.CommitResult{Status: table.Conflict, Conflicts: keys}
+	default:
+		return failedCommit(got.refusal())
+	}
+}
+
+func failedCommit(err error) table.CommitResult {
+	if NotSent(err) {
+		return table.CommitResult{Status: table.Unavailable, Err: err}
+	}
+	return table.CommitResult{Status: table.Unknown, Err: err}
+}
--- /dev/null
+++ b/internal/platform/workers.go
@@ -0,0 +1,94 @@
+package platform
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/samphirepath/samphirepath/api"
+)
+
+// WorkersClient calls workers.
+type WorkersClient struct{ *caller }
+
+var _ Workers = (*WorkersClient)(nil)
+
+// NewWorkers returns a client of workers.
+func NewWorkers(c Config) *WorkersClient {
+	c = c.withDefaults("workers", DefaultTimeout, DefaultWorkerConnections, defaultWorkerAnswerBytes)
+	return &WorkersClient{newCaller(c)}
+}
+
+// Report returns capacity, tasks and usage of a worker.
+func (w *WorkersClient) Report(ctx context.Context, address string) (api.WorkerReport, error) {
+	url, err := addressURL(address, PathReport)
+	if err != nil {
+		return api.WorkerReport{}, &CallError{cause: err}
+	}
+	got, err := w.get(ctx, "worker report", url)
+	if err != nil {
+		return api.WorkerReport{}, err
+	}
+	if got.status != http.StatusOK {
+		return api.WorkerReport{}, got.refusal()
+	}
+	report, err := decodeReport(got.body)
+	if err != nil {
+		return api.WorkerReport{}, lost(err)
+	}
+	return report, nil
+}
+
+// Start starts a task. An error leaves open whether the task has started,
+// unless NotSent tells that it has not.
+func (w *WorkersClient) Start(ctx context.Context, address string, task api.StartTask) (api.StartReply, error) {
+	body, err := w.post(ctx, "worker start", address, PathStart, task)
+	if err != nil {
+		return api.StartReply{}, err
+	}
+	reply, err := decodeStart(body, task.TaskID)
+	if err != nil {
+		return api.StartReply{}, lost(err)
+	}
+	return reply, nil
+}
+
+// Renew moves the lease expiry of several tasks and returns their states.
+func (w *WorkersClient) Renew(ctx context.Context, address string, leases []api.TaskLease) ([]api.TaskReport, error) {
+	if leases == nil {
+		leases = []api.TaskLease{}
+	}
+	return w.tasks(ctx, "worker renew", address, PathRenew, api.RenewTasks{Leases: leases})
+}
+
+// Act releases, checkpoints, throttles or stops several tasks and returns their states.
+func (w *WorkersClient) Act(ctx context.Context, address string, action api.TaskAction) ([]api.TaskReport, error) {
+	return w.tasks(ctx, "worker "+string(action.Action), address, PathActions, action)
+}
+
+// tasks posts a message that is answered with task reports.
+func (w *WorkersClient) tasks(ctx context.Context, name, address, path string, message any) ([]api.TaskReport, error) {
+	body, err := w.post(ctx, name, address, path, message)
+	if err != nil {
+		return nil, err
+	}
+	reports, err := decodeTasks(body)
+	if err != nil {
+		return nil, lost(err)
+	}
+	return reports, nil
+}
+
+func (w *WorkersClient) post(ctx context.Context, name, address, path string, message any) ([]byte, error) {
+	url, err := addressURL(address, path)
+	if err != nil {
+		return nil, &CallError{cause: err}
+	}
+	got, err := w.postJSON(ctx, name, url, message)
+	if err != nil {
+		return nil, err
+	}
+	if got.status != http.StatusOK {
+		return nil, got.refusal()
+	}
+	return got.body, nil
+}
