Add the stand-in for the platform

Cause: tests and the demo need the services that the daemon talks to, with faults that can be switched on and read-outs that show what really ran. Ruled out: a timer per task, because a paused process would then end tasks late; the state of a task follows from the time alone instead. Conclusion: a first usable version, not yet covered by tests.

--- /dev/null
+++ b/internal/standin/config.go
@@ -0,0 +1,191 @@
+// Package standin is a small stand-in for the platform, for tests and the demo:
+// table service, object store, lagging VM list, workers and minions, with fault
+// switches and read-outs through an admin listener.
+package standin
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"path/filepath"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/rotisserie/eris"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"github.com/samphirepath/samphirepath/api"
+)
+
+// Defaults of a minion and of the listeners.
+const (
+	DefaultSlots       = 8
+	DefaultConnections = 64
+	DefaultListen      = "127.0.0.1:0"
+)
+
+// Config says what one process hosts. A service without a section is not hosted.
+type Config struct {
+	// Seed makes the random faults repeatable.
+	Seed  uint64 `toml:"seed" json:"seed"`
+	Admin Listen `toml:"admin" json:"admin"`
+
+	Table   *Listen    `toml:"table" json:"table"`
+	Objects *Listen    `toml:"objects" json:"objects"`
+	VMs     *VMsConfig `toml:"vms" json:"vms"`
+
+	// ObjectsURL is the object store of the workers when this process hosts none.
+	ObjectsURL string         `toml:"objects_url" json:"objects_url"`
+	Workers    []WorkerConfig `toml:"workers" json:"workers"`
+	Minions    []MinionConfig `toml:"minions" json:"minions"`
+
+	Logger *zap.Logger `toml:"-" json:"-"`
+	Scope  tally.Scope `toml:"-" json:"-"`
+}
+
+// Listen is the address of a listener; port 0 takes a free one.
+type Listen struct {
+	Listen string `toml:"listen" json:"listen"`
+}
+
+// VMsConfig describes the VM list. Hosted workers and minions are added to it.
+type VMsConfig struct {
+	Listen string       `toml:"listen" json:"listen"`
+	Lag    api.Duration `toml:"lag" json:"lag"`
+	// Initial are further VMs, such as entry VMs.
+	Initial []VMConfig `toml:"initial" json:"initial"`
+}
+
+// VMConfig is a VM of the initial list.
+type VMConfig struct {
+	ID       string     `toml:"id" json:"id"`
+	Kind     api.VMKind `toml:"kind" json:"kind"`
+	Zone     string     `toml:"zone" json:"zone"`
+	Rack     string     `toml:"rack" json:"rack"`
+	Address  string     `toml:"address" json:"address"`
+	Instance string     `toml:"instance" json:"instance"`
+}
+
+// WorkerConfig describes a worker, or with Count a group of equal ones.
+type WorkerConfig struct {
+	ID           string `toml:"id" json:"id"`
+	Listen       string `toml:"listen" json:"listen"`
+	Zone         string `toml:"zone" json:"zone"`
+	Rack         string `toml:"rack" json:"rack"`
+	Cores        int    `toml:"cores" json:"cores"`
+	MemoryMB     int64  `toml:"memory_mb" json:"memory_mb"`
+	Accelerators int    `toml:"accelerators" json:"accelerators"`
+	Model        string `toml:"model" json:"model"`
+	// Count makes workers ID-1 to ID-Count.
+	Count int `toml:"count" json:"count"`
+	// PerRack puts so many workers of the group into each of the racks Rack-1, Rack-2, ...
+	PerRack int `toml:"per_rack" json:"per_rack"`
+}
+
+// MinionConfig describes a minion, or with Count a group of equal ones.
+type MinionConfig struct {
+	ID          string `toml:"id" json:"id"`
+	Listen      string `toml:"listen" json:"listen"`
+	Zone        string `toml:"zone" json:"zone"`
+	Rack        string `toml:"rack" json:"rack"`
+	Slots       int    `toml:"slots" json:"slots"`
+	Connections int    `toml:"connections" json:"connections"`
+	// Count makes minions ID-1 to ID-Count.
+	Count int `toml:"count" json:"count"`
+}
+
+// ParseConfig reads a config in JSON if the file name ends in .json, else in TOML.
+// Unknown keys are errors.
+func ParseConfig(name string, data []byte) (Config, error) {
+	var c Config
+	var err error
+	if filepath.Ext(name) == ".json" {
+		decoder := json.NewDecoder(bytes.NewReader(data))
+		decoder.DisallowUnknownFields()
+		err = decoder.Decode(&c)
+	} else {
+		err = toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields().Decode(&c)
+	}
+	if err != nil {
+		return Config{}, eris.Wrapf(err, "read config %s", name)
+	}
+	return c, nil
+}
+
+// expanded returns the config with groups resolved, checked for double identifiers.
+func (c Config) expanded() (Config, error) {
+	var workers []WorkerConfig
+	for _, w := range c.Workers {
+		workers = append(workers, w.expand()...)
+	}
+	var minions []MinionConfig
+	for _, m := range c.Minions {
+		minions = append(minions, m.expand()...)
+	}
+	c.Workers, c.Minions = workers, minions
+	return c, c.checkIDs()
+}
+
+func (c Config) checkIDs() error {
+	seen := map[string]bool{}
+	check := func(id string) error {
+		if id == "" || seen[id] {
+			return eris.Errorf("VM identifier %q is empty or used twice", id)
+		}
+		seen[id] = true
+		return nil
+	}
+	for _, w := range c.Workers {
+		if err := check(w.ID); err != nil {
+			return err
+		}
+	}
+	for _, m := range c.Minions {
+		if err := check(m.ID); err != nil {
+			return err
+		}
+	}
+	if c.VMs == nil {
+		return nil
+	}
+	for _, vm := range c.VMs.Initial {
+		if err := check(vm.ID); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (w WorkerConfig) expand() []WorkerConfig {
+	w.Listen = cmp.Or(w.Listen, DefaultListen)
+	if w.Count == 0 {
+		return []WorkerConfig{w}
+	}
+	group := make([]WorkerConfig, 0, w.Count)
+	for i := range w.Count {
+		one := w
+		one.Count, one.ID = 0, fmt.Sprintf("%s-%d", w.ID, i+1)
+		if w.PerRack > 0 {
+			one.Rack = fmt.Sprintf("%s-%d", w.Rack, i/w.PerRack+1)
+		}
+		group = append(group, one)
+	}
+	return group
+}
+
+func (m MinionConfig) expand() []MinionConfig {
+	m.Listen = cmp.Or(m.Listen, DefaultListen)
+	m.Slots = cmp.Or(m.Slots, DefaultSlots)
+	m.Connections = cmp.Or(m.Connections, DefaultConnections)
+	if m.Count == 0 {
+		return []MinionConfig{m}
+	}
+	group := make([]MinionConfig, 0, m.Count)
+	for i := range m.Count {
+		one := m
+		one.Count, one.ID = 0, fmt.Sprintf("%s-%d", m.ID, i+1)
+		group = append(group, one)
+	}
+	return group
+}
--- /dev/null
+++ b/internal/standin/vms.go
@@ -0,0 +1,134 @@
+package standin
+
+import (
+	"maps"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/labstack/echo/v4"
+	"github.com/rotisserie/eris"
+
+	"github.com/samphirepath/samphirepath/api"
+	"github.com/samphirepath/samphirepath/internal/platform"
+)
+
+// vmService serves a list of VMs as it was some time ago.
+type vmService struct {
+	service
+	lag time.Duration
+	now func() time.Time
+
+	mu     sync.Mutex
+	states []vmsAt // ordered by time; the first one is older than the lag
+}
+
+// vmsAt is the list since a time.
+type vmsAt struct {
+	time time.Time
+	vms  map[string]api.VM
+}
+
+func newVMService(s service, lag time.Duration, vms []api.VM) *vmService {
+	initial := make(map[string]api.VM, len(vms))
+	for _, vm := range vms {
+		initial[vm.ID] = vm
+	}
+	return &vmService{service: s, lag: lag, now: time.Now, states: []vmsAt{{vms: initial}}}
+}
+
+func (v *vmService) routes() http.Handler {
+	e := echo.New()
+	e.GET(platform.PathVMs, v.read(func(*http.Request, []byte) reply {
+		return jsonReply(http.StatusOK, v.lagging())
+	}))
+	return e
+}
+
+// lagging returns the list as it was before the lag.
+func (v *vmService) lagging() api.VMList {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	at := v.now().Add(-v.lag)
+	for len(v.states) > 1 && !v.states[1].time.After(at) {
+		v.states = v.states[1:]
+	}
+	return vmList(v.states[0].vms, at)
+}
+
+// current returns the list without the lag.
+func (v *vmService) current() api.VMList {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return vmList(v.states[len(v.states)-1].vms, v.now())
+}
+
+func vmList(vms map[string]api.VM, at time.Time) api.VMList {
+	list := api.VMList{Vms: make([]api.VM, 0, len(vms)), AsOfMs: at.UnixMilli()}
+	for _, id := range slices.Sorted(maps.Keys(vms)) {
+		list.Vms = append(list.Vms, vms[id])
+	}
+	return list
+}
+
+// change appends a new state of the list.
+func (v *vmService) change(apply func(map[string]api.VM) error) error {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	vms := maps.Clone(v.states[len(v.states)-1].vms)
+	if err := apply(vms); err != nil {
+		return err
+	}
+	v.states = append(v.states, vmsAt{v.now(), vms})
+	return nil
+}
+
+// put adds or replaces a VM.
+func (v *vmService) put(vm api.VM) error {
+	if vm.ID == "" || !vm.Kind.Valid() || vm.Zone == "" || vm.Address == "" {
+		return eris.Errorf("VM %q lacks its identifier, kind, zone or address", vm.ID)
+	}
+	if vm.State == "" {
+		vm.State = api.Live
+	}
+	if vm.Instance == "" {
+		vm.Instance = uuid.NewString()
+	}
+	return v.change(func(vms map[string]api.VM) error {
+		vms[vm.ID] = vm
+		return nil
+	})
+}
+
+// setState sets the state of a VM.
+func (v *vmService) setState(id string, state api.VMState) error {
+	if !state.Valid() {
+		return eris.Errorf("VM state %q is not known", state)
+	}
+	return v.update(id, func(vm *api.VM) { vm.State = state })
+}
+
+func (v *vmService) update(id string, apply func(*api.VM)) error {
+	return v.change(func(vms map[string]api.VM) error {
+		vm, ok := vms[id]
+		if !ok {
+			return eris.Errorf("VM %q is not in the list", id)
+		}
+		apply(&vm)
+		vms[id] = vm
+		return nil
+	})
+}
+
+// remove drops a VM from the list.
+func (v *vmService) remove(id string) error {
+	return v.change(func(vms map[string]api.VM) error {
+		if _, ok := vms[id]; !ok {
+			return eris.Errorf("VM %q is not in the list", id)
+		}
+		delete(vms, id)
+		return nil
+	})
+}
--- /dev/null
+++ b/internal/standin/worker_http.go
@@ -0,0 +1,117 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/rotisserie/eris"
+
+	"github.com/samphirepath/samphirepath/api"
+	"github.com/samphirepath/samphirepath/internal/platform"
+)
+
+func (w *worker) routes() http.Handler {
+	e := echo.New()
+	e.GET(platform.PathReport, w.read(func(*http.Request, []byte) reply {
+		return jsonReply(http.StatusOK, w.report())
+	}))
+	e.POST(platform.PathStart, w.change(w.serveStart))
+	e.POST(platform.PathRenew, w.change(w.serveRenew))
+	e.POST(platform.PathActions, w.change(w.serveAction))
+	return e
+}
+
+func (w *worker) serveStart(_ *http.Request, body []byte) reply {
+	var spec api.StartTask
+	if err := json.Unmarshal(body, &spec); err != nil {
+		return errorReply(http.StatusBadRequest, err)
+	}
+	if spec.TaskID == "" {
+		return errorReply(http.StatusBadRequest, eris.New("start without a task identifier"))
+	}
+	return jsonReply(http.StatusOK, w.start(w.life, spec))
+}
+
+func (w *worker) serveRenew(_ *http.Request, body []byte) reply {
+	var message api.RenewTasks
+	if err := json.Unmarshal(body, &message); err != nil {
+		return errorReply(http.StatusBadRequest, err)
+	}
+	return jsonReply(http.StatusOK, api.TaskReports{Tasks: w.renew(message.Leases)})
+}
+
+func (w *worker) serveAction(_ *http.Request, body []byte) reply {
+	var action api.TaskAction
+	if err := json.Unmarshal(body, &action); err != nil {
+		return errorReply(http.StatusBadRequest, err)
+	}
+	if !action.Action.Valid() {
+		return errorReply(http.StatusBadRequest, eris.Errorf("action %q is not known", action.Action))
+	}
+	return jsonReply(http.StatusOK, api.TaskReports{Tasks: w.act(w.life, action)})
+}
+
+// checkpoint writes an object for each running task among ids. A task whose
+// object can't be written keeps its last checkpoint.
+func (w *worker) checkpoint(ctx context.Context, ids []string) {
+	if w.objects == nil {
+		return
+	}
+	longest := time.Duration(0)
+	for _, id := range ids {
+		longest = max(longest, w.checkpointTime(id))
+	}
+	if !sleep(ctx, longest) {
+		return
+	}
+	for _, id := range ids {
+		key, content, ok := w.prepareCheckpoint(id)
+		if !ok {
+			continue
+		}
+		if _, err := w.objects.Put(ctx, key, content, false); err == nil {
+			w.finishCheckpoint(id, key)
+		}
+	}
+}
+
+func (w *worker) checkpointTime(id string) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	t := w.live[id]
+	if t == nil {
+		return 0
+	}
+	ms, _ := milliseconds(t.spec, ParamCheckpointMs)
+	return time.Duration(ms) * time.Millisecond
+}
+
+// prepareCheckpoint gives key and content of the next checkpoint of a running task.
+func (w *worker) prepareCheckpoint(id string) (string, []byte, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := w.advance()
+	t := w.live[id]
+	if t == nil || t.state != api.TaskStateRunning {
+		return "", nil, false
+	}
+	w.objectNo++
+	key := fmt.Sprintf("checkpoints/%s/%s-%d", t.spec.JobID, id, w.objectNo)
+	content, err := json.Marshal(checkpoint{TaskID: id, ProgressMs: t.progressAt(now)})
+	if err != nil {
+		panic(eris.Wrap(err, "standin: encode checkpoint"))
+	}
+	return key, content, true
+}
+
+func (w *worker) finishCheckpoint(id, key string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if t := w.find(id); t != nil {
+		t.object = key
+	}
+}
