--- /dev/null
+++ b/internal/platform/table_test.go
@@ -0,0 +1,187 @@
+package platform_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/samphirepath/samphirepath/internal/platform"
+	"github.com/samphirepath/samphirepath/internal/standin"
+	"github.com/samphirepath/samphirepath/table"
+	"github.com/samphirepath/samphirepath/table/tabletest"
+)
+
+func hostTable() *standin.Standin {
+	return host(standin.Config{Seed: 7, Table: &standin.Listen{}})
+}
+
+func tableClient(address string, timeout time.Duration) *platform.TableClient {
+	ginkgo.GinkgoHelper()
+	client, err := platform.NewTable(platform.Config{URL: "http://" + address, Timeout: timeout})
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	closeAfter(client)
+	return client
+}
+
+var oneWrite = []table.Write{{Key: "a", Value: []byte("1")}}
+
+var _ = ginkgo.Describe("TableClient", func() {
+	ctx := context.Background()
+
+	tabletest.Contract(func() table.Store { return tableClient(hostTable().Addresses().Table, 0) })
+
+	// Guards against a commit that is reported as not applied although it was, or
+	// the reverse.
+	ginkgo.DescribeTable("tells what is known of a commit when the table fails",
+		func(faults standin.Faults, status table.CommitStatus, applied bool) {
+			s := hostTable()
+			client := tableClient(s.Addresses().Table, shortTimeout)
+			setFaults(s, standin.TargetTable, faults)
+			result := client.Commit(ctx, []table.Condition{{Key: "a"}}, oneWrite)
+			gomega.Expect(result.Status).To(gomega.Equal(status))
+			gomega.Expect(result.Err).To(gomega.HaveOccurred())
+			setFaults(s, standin.TargetTable, standin.Faults{})
+			exists := func() bool {
+				_, ok, err := client.Get(ctx, "a")
+				gomega.Expect(err).NotTo(gomega.HaveOccurred())
+				return ok
+			}
+			if applied {
+				gomega.Eventually(exists, "3s").Should(gomega.BeTrue())
+			} else {
+				gomega.Consistently(exists, "100ms").Should(gomega.BeFalse())
+			}
+		},
+		ginkgo.Entry("refused connection", standin.Faults{Refuse: true}, table.Unavailable, false),
+		ginkgo.Entry("down", standin.Faults{Down: true}, table.Unavailable, false),
+		ginkgo.Entry("lost answer", standin.Faults{LoseEvery: 1}, table.Unknown, true),
+		ginkgo.Entry("truncated answer", standin.Faults{Truncate: true}, table.Unknown, true),
+		ginkgo.Entry("slower than the timeout", standin.Faults{DelayMs: 600}, table.Unknown, true),
+		ginkgo.Entry("paused until after the timeout", standin.Faults{Silent: true}, table.Unknown, true),
+	)
+
+	ginkgo.DescribeTable("reports failed reads as errors, never as absence",
+		func(faults standin.Faults) {
+			s := hostTable()
+			client := tableClient(s.Addresses().Table, shortTimeout)
+			gomega.Expect(client.Commit(ctx, nil, oneWrite).Status).To(gomega.Equal(table.Committed))
+			setFaults(s, standin.TargetTable, faults)
+			_, _, err := client.Get(ctx, "a")
+			gomega.Expect(err).To(gomega.HaveOccurred())
+			_, err = client.List(ctx, "", 0)
+			gomega.Expect(err).To(gomega.HaveOccurred())
+		},
+		ginkgo.Entry("refused connection", standin.Faults{Refuse: true}),
+		ginkgo.Entry("down", standin.Faults{Down: true}),
+		ginkgo.Entry("truncated answer", standin.Faults{Truncate: true}),
+		ginkgo.Entry("paused", standin.Faults{Silent: true}),
+	)
+
+	ginkgo.It("is slow but right below the timeout", func() {
+		s := hostTable()
+		setFaults(s, standin.TargetTable, standin.Faults{DelayMs: 100})
+		result := tableClient(s.Addresses().Table, 5*time.Second).Commit(ctx, nil, oneWrite)
+		gomega.Expect(result.Status).To(gomega.Equal(table.Committed))
+	})
+
+	// Guards against a false "unavailable" when a pooled connection breaks at the
+	// moment at which it is used again.
+	ginkgo.It("never says unavailable of a commit that took effect while the table comes and goes", func() {
+		s := hostTable()
+		client := tableClient(s.Addresses().Table, 2*time.Second)
+		stop := make(chan struct{})
+		toggled := make(chan error, 1)
+		go func() { toggled <- toggle(s, stop) }()
+		results := map[string]table.CommitStatus{}
+		for i := range 600 {
+			key := fmt.Sprint(i)
+			results[key] = client.Commit(ctx, []table.Condition{{Key: key}}, []table.Write{{Key: key}}).Status
+		}
+		close(stop)
+		gomega.Expect(<-toggled).NotTo(gomega.HaveOccurred())
+		seen := map[table.CommitStatus]int{}
+		for key, status := range results {
+			seen[status]++
+			_, ok, err := client.Get(ctx, key)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			if status == table.Unavailable {
+				gomega.Expect(ok).To(gomega.BeFalse(), key)
+			}
+			if status == table.Committed {
+				gomega.Expect(ok).To(gomega.BeTrue(), key)
+			}
+		}
+		ginkgo.GinkgoWriter.Println("commits by status:", seen)
+		gomega.Expect(seen).To(gomega.And(gomega.HaveKey(table.Committed), gomega.HaveKey(table.Unavailable)))
+	})
+
+	ginkgo.DescribeTable("takes no answer for more than it says",
+		func(answer string, status table.CommitStatus) {
+			client := tableClient(rawServer(answer), time.Second)
+			gomega.Expect(client.Commit(ctx, nil, oneWrite).Status).To(gomega.Equal(status))
+			_, ok, err := client.Get(ctx, "a")
+			gomega.Expect(ok).To(gomega.BeFalse())
+			gomega.Expect(err).To(gomega.HaveOccurred())
+			_, err = client.List(ctx, "", 0)
+			gomega.Expect(err).To(gomega.HaveOccurred())
+		},
+		ginkgo.Entry("empty object", raw("200 OK", "", "{}"), table.Unknown),
+		ginkgo.Entry("no JSON", raw("200 OK", "", "hello"), table.Unknown),
+		ginkgo.Entry("two values", raw("200 OK", "", `{"version":1}{"version":1}`), table.Unknown),
+		ginkgo.Entry("conflict without keys", raw("409 Conflict", "", "{}"), table.Unknown),
+		ginkgo.Entry("404 of a missing path", raw("404 Not Found", "", ""), table.Unknown),
+		ginkgo.Entry("500", raw("500 Internal Server Error", "", ""), table.Unknown),
+		ginkgo.Entry("503 that does not say not run", raw("503 Service Unavailable", "", ""), table.Unknown),
+		ginkgo.Entry("503 that says not run", raw("503 Service Unavailable", "X-Not-Run: true\r\n", ""), table.Unavailable),
+		ginkgo.Entry("redirect", raw("307 Temporary Redirect", "Location: /v1/commit\r\n", ""), table.Unknown),
+		ginkgo.Entry("no HTTP", "hello\r\n\r\n", table.Unknown),
+		ginkgo.Entry("closed without an answer", "", table.Unknown),
+	)
+
+	ginkgo.It("bounds the size of an answer with and without a length", func() {
+		body := strings.Repeat("x", 2000)
+		for _, answer := range []string{raw("200 OK", "", body), "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + body} {
+			client, err := platform.NewTable(platform.Config{URL: "http://" + rawServer(answer), MaxAnswerBytes: 1000})
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			closeAfter(client)
+			_, _, err = client.Get(ctx, "a")
+			gomega.Expect(errors.Is(err, platform.ErrAnswerTooLarge)).To(gomega.BeTrue())
+		}
+	})
+
+	ginkgo.It("accepts only http URLs with an IP address", func() {
+		for _, url := range []string{"", "http://localhost:1", "https://127.0.0.1:1", "http://127.0.0.1", "http://127.0.0.1:1/?a=b", "127.0.0.1:1"} {
+			_, err := platform.NewTable(platform.Config{URL: url})
+			gomega.Expect(err).To(gomega.HaveOccurred(), url)
+		}
+		_, err := platform.NewTable(platform.Config{URL: "http://[::1]:8080/"})
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	})
+})
+
+// raw gives an HTTP answer with a length.
+func raw(status, header, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %s\r\n%sContent-Length: %d\r\n\r\n%s", status, header, len(body), body)
+}
+
+// toggle closes and opens the listener of the table until stopped, and leaves it open.
+func toggle(s *standin.Standin, stop <-chan struct{}) error {
+	for {
+		for _, refuse := range []bool{true, false} {
+			if err := s.SetFaults(standin.TargetTable, standin.Faults{Refuse: refuse}); err != nil {
+				return err
+			}
+			time.Sleep(2 * time.Millisecond)
+		}
+		select {
+		case <-stop:
+			return nil
+		default:
+		}
+	}
+}
--- /dev/null
+++ b/internal/platform/vms_test.go
@@ -0,0 +1,124 @@
+package platform_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/samphirepath/samphirepath/api"
+	"github.com/samphirepath/samphirepath/internal/platform"
+	"github.com/samphirepath/samphirepath/internal/standin"
+)
+
+const listLag = 300 * time.Millisecond
+
+func hostVMs() *standin.Standin {
+	return host(standin.Config{
+		VMs: &standin.VMsConfig{
+			Lag:     api.Duration(listLag),
+			Initial: []standin.VMConfig{{ID: "e1", Kind: api.VMKindEntry, Zone: "z1", Address: "127.0.0.1:7001"}},
+		},
+		Workers: []standin.WorkerConfig{{ID: "w", Zone: "z1", Rack: "r", Count: 3, PerRack: 2}},
+		Minions: []standin.MinionConfig{{ID: "m1", Zone: "z1"}},
+	})
+}
+
+func vmsClient(address string) *platform.VMsClient {
+	ginkgo.GinkgoHelper()
+	client, err := platform.NewVMs(platform.Config{URL: "http://" + address, Timeout: shortTimeout})
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	closeAfter(client)
+	return client
+}
+
+// adminCall makes a call to the admin listener.
+func adminCall(s *standin.Standin, method, path string, value any) {
+	ginkgo.GinkgoHelper()
+	body, err := json.Marshal(value)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	r, err := http.NewRequest(method, "http://"+s.Addresses().Admin+path, bytes.NewReader(body))
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	r.Header.Set("Content-Type", "application/json")
+	r.Close = true
+	response, err := http.DefaultTransport.RoundTrip(r)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	defer response.Body.Close()
+	gomega.Expect(response.StatusCode).To(gomega.Equal(http.StatusNoContent))
+}
+
+func byID(list api.VMList) map[string]api.VM {
+	vms := map[string]api.VM{}
+	for _, vm := range list.Vms {
+		vms[vm.ID] = vm
+	}
+	return vms
+}
+
+var _ = ginkgo.Describe("VMsClient", func() {
+	ctx := context.Background()
+
+	ginkgo.It("lists the hosted endpoints with their listeners and the VMs of the config", func() {
+		s := hostVMs()
+		list, err := vmsClient(s.Addresses().VMs).List(ctx)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		vms := byID(list)
+		gomega.Expect(vms).To(gomega.HaveLen(5))
+		gomega.Expect(vms["e1"].Address).To(gomega.Equal("127.0.0.1:7001"))
+		gomega.Expect(vms["m1"].Address).To(gomega.Equal(s.Addresses().Minions["m1"]))
+		gomega.Expect(vms["w-3"].Address).To(gomega.Equal(s.Addresses().Workers["w-3"]))
+		gomega.Expect([]string{vms["w-1"].Rack, vms["w-2"].Rack, vms["w-3"].Rack}).To(gomega.Equal([]string{"r-1", "r-1", "r-2"}))
+		gomega.Expect(list.AsOfMs).To(gomega.BeNumerically("~", time.Now().Add(-listLag).UnixMilli(), 1000))
+	})
+
+	ginkgo.It("shows changes only after the lag, in their order", func() {
+		s := hostVMs()
+		client := vmsClient(s.Addresses().VMs)
+		state := func() api.VM {
+			list, err := client.List(ctx)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			return byID(list)["m1"]
+		}
+		first := state()
+		changed := time.Now()
+		adminCall(s, http.MethodPut, "/vms/m1/state", map[string]string{"state": "leaving"})
+		gomega.Expect(state().State).To(gomega.Equal(api.Live))
+		gomega.Eventually(func() api.VMState { return state().State }, "3s", "10ms").Should(gomega.Equal(api.Leaving))
+		gomega.Expect(time.Since(changed)).To(gomega.BeNumerically(">=", listLag))
+		adminCall(s, http.MethodPut, "/vms/m1", api.VM{Kind: api.VMKindMinion, Zone: "z1", Address: "127.0.0.1:7002"})
+		gomega.Eventually(func() string { return state().Address }, "3s", "10ms").Should(gomega.Equal("127.0.0.1:7002"))
+		gomega.Expect(state().Instance).NotTo(gomega.Equal(first.Instance))
+		adminCall(s, http.MethodDelete, "/vms/m1", nil)
+		gomega.Eventually(func() string { return state().ID }, "3s", "10ms").Should(gomega.BeEmpty())
+	})
+
+	ginkgo.DescribeTable("reports a list that can't be read as an error, never as an empty list",
+		func(faults standin.Faults) {
+			s := hostVMs()
+			setFaults(s, standin.TargetVMs, faults)
+			_, err := vmsClient(s.Addresses().VMs).List(ctx)
+			gomega.Expect(err).To(gomega.HaveOccurred())
+		},
+		ginkgo.Entry("refused connection", standin.Faults{Refuse: true}),
+		ginkgo.Entry("down", standin.Faults{Down: true}),
+		ginkgo.Entry("truncated answer", standin.Faults{Truncate: true}),
+		ginkgo.Entry("paused", standin.Faults{Silent: true}),
+	)
+
+	// Guards against a malformed entry that looks like a VM which has left.
+	ginkgo.DescribeTable("refuses a list with a malformed entry",
+		func(body string) {
+			_, err := vmsClient(rawServer(raw("200 OK", "", body))).List(ctx)
+			gomega.Expect(err).To(gomega.HaveOccurred())
+		},
+		ginkgo.Entry("empty object", `{}`),
+		ginkgo.Entry("unknown kind", `{"vms":[{"id":"a","kind":"x","zone":"z","address":"127.0.0.1:1","state":"live","instance":"i"}]}`),
+		ginkgo.Entry("unknown state", `{"vms":[{"id":"a","kind":"entry","zone":"z","address":"127.0.0.1:1","state":"x","instance":"i"}]}`),
+		ginkgo.Entry("name instead of an IP address", `{"vms":[{"id":"a","kind":"entry","zone":"z","address":"host:1","state":"live","instance":"i"}]}`),
+		ginkgo.Entry("listed twice", `{"vms":[{"id":"a","kind":"entry","zone":"z","address":"127.0.0.1:1","state":"live","instance":"i"},{"id":"a","kind":"entry","zone":"z","address":"127.0.0.1:2","state":"live","instance":"i"}]}`),
+	)
+})
