Add the HTTP server and the handlers of requests

Cause: callers and operators need two listeners with token checks and one form of error. Ruled out: taking over the request identifier of the caller, because two callers may choose the same and forwards are told apart by it.

--- /dev/null
+++ b/internal/entry/decode.go
@@ -0,0 +1,54 @@
+package entry
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+	"github.com/rotisserie/eris"
+)
+
+// DecodeStrict reads one JSON value. Unknown fields and trailing data are errors.
+func DecodeStrict(r io.Reader, into any) error {
+	decoder := json.NewDecoder(r)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		return eris.Wrap(err, "malformed body")
+	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return eris.New("malformed body: data after the JSON value")
+	}
+	return nil
+}
+
+// strictSerializer makes Bind strict in all handlers.
+type strictSerializer struct{ echo.DefaultJSONSerializer }
+
+// Deserialize implements echo.JSONSerializer.
+func (strictSerializer) Deserialize(c echo.Context, into any) error {
+	if err := DecodeStrict(c.Request().Body, into); err != nil {
+		problem := decodeProblem(err)
+		return echo.NewHTTPError(problem.Status, problem.Detail).SetInternal(err)
+	}
+	return nil
+}
+
+// handleError answers errors that handlers return as problems.
+func handleError(err error, c echo.Context) {
+	if c.Response().Committed {
+		return
+	}
+	status, detail := http.StatusInternalServerError, "the request could not be handled"
+	var httpError *echo.HTTPError
+	if eris.As(err, &httpError) {
+		status = httpError.Code
+		if text, ok := httpError.Message.(string); ok {
+			detail = text
+		}
+	}
+	p := NewProblem(status, outcomeOfStatus(status), detail)
+	if writeErr := refuse(c, p); writeErr != nil {
+		c.Logger().Debug(writeErr)
+	}
+}
--- /dev/null
+++ b/internal/entry/requests.go
@@ -0,0 +1,209 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+	"unicode/utf8"
+
+	"github.com/google/uuid"
+	"github.com/labstack/echo/v4"
+	"github.com/rotisserie/eris"
+
+	"github.com/samphirepath/samphirepath/api"
+	"github.com/samphirepath/samphirepath/internal/configuration"
+	"github.com/samphirepath/samphirepath/internal/router"
+)
+
+const (
+	defaultDeadlineMs   = 30_000
+	defaultMaxBodyBytes = 1 << 20
+	defaultMaxQueued    = 256
+	maxKeyCharacters    = 128
+)
+
+// Requests runs requests; *router.Router does.
+type Requests interface {
+	Submit(ctx context.Context, request router.Request) router.Reply
+	Lookup(ctx context.Context, organisation, key string) (api.RequestResult, bool, error)
+}
+
+// RequestHandlers serve the routes of requests.
+type RequestHandlers struct {
+	requests Requests
+	view     configuration.View
+}
+
+// NewRequestHandlers returns handlers that pass requests on.
+func NewRequestHandlers(requests Requests, view configuration.View) *RequestHandlers {
+	return &RequestHandlers{requests: requests, view: view}
+}
+
+// SubmitRequest runs a request and answers with its result.
+func (h *RequestHandlers) SubmitRequest(c echo.Context) error {
+	submit, err := DecodeRequest(c.Request().Body)
+	if err != nil {
+		return refuse(c, decodeProblem(err))
+	}
+	request, problem := h.resolve(CallerOf(c), submit)
+	if problem != nil {
+		return refuse(c, *problem)
+	}
+	if id := requestID(c); id != "" {
+		request.ID = id
+	}
+	return writeReply(c, h.requests.Submit(c.Request().Context(), request))
+}
+
+// GetRequest answers with the result of a non-idempotent request by its key.
+func (h *RequestHandlers) GetRequest(c echo.Context, key string) error {
+	caller := CallerOf(c)
+	if caller.Organisation == "" {
+		return refuse(c, NewProblem(http.StatusForbidden, api.OutcomeUnknown, "requests are looked up with the token of their organisation"))
+	}
+	if problem := checkKey(key); problem != nil {
+		return refuse(c, *problem)
+	}
+	result, exists, err := h.requests.Lookup(c.Request().Context(), caller.Organisation, key)
+	if err != nil {
+		p := NewProblem(http.StatusServiceUnavailable, api.OutcomeUnknown, "the table service cannot be read now")
+		p.RetryAfterMs = time.Second.Milliseconds()
+		return refuse(c, p)
+	}
+	if !exists {
+		return refuse(c, NewProblem(http.StatusNotFound, api.OutcomeUnknown, "no non-idempotent request with this key is known"))
+	}
+	return c.JSON(http.StatusOK, result)
+}
+
+// DecodeRequest reads a submitted request. Unknown and missing fields, and
+// anything after the object, are errors.
+func DecodeRequest(r io.Reader) (api.RequestSubmit, error) {
+	var submit api.RequestSubmit
+	if err := DecodeStrict(r, &submit); err != nil {
+		return api.RequestSubmit{}, err
+	}
+	switch {
+	case submit.Entry == "":
+		return api.RequestSubmit{}, eris.New("entry is missing")
+	case submit.Body == nil:
+		return api.RequestSubmit{}, eris.New("body is missing")
+	case submit.DeadlineMs < 0:
+		return api.RequestSubmit{}, eris.New("deadline_ms is negative")
+	}
+	if problem := checkKey(submit.Key); problem != nil {
+		return api.RequestSubmit{}, eris.New(problem.Detail)
+	}
+	return submit, nil
+}
+
+func checkKey(key string) *api.Problem {
+	if n := utf8.RuneCountInString(key); n >= 1 && n <= maxKeyCharacters {
+		return nil
+	}
+	p := NewProblem(http.StatusBadRequest, api.OutcomeNotRun, "key must have 1 to 128 characters")
+	return &p
+}
+
+func decodeProblem(err error) api.Problem {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return NewProblem(http.StatusRequestEntityTooLarge, api.OutcomeNotRun, "the body is too large")
+	}
+	return NewProblem(http.StatusBadRequest, api.OutcomeNotRun, err.Error())
+}
+
+// resolve checks a request against the catalogue.
+func (h *RequestHandlers) resolve(caller Caller, submit api.RequestSubmit) (router.Request, *api.Problem) {
+	no := func(status int, detail string) (router.Request, *api.Problem) {
+		p := NewProblem(status, api.OutcomeNotRun, detail)
+		return router.Request{}, &p
+	}
+	catalogue := h.view.Current().Catalogue
+	entry, known := findEntry(catalogue, submit.Entry)
+	switch {
+	case caller.Organisation == "":
+		return no(http.StatusForbidden, "requests are sent with the token of an organisation")
+	case !known:
+		return no(http.StatusNotFound, "no service of this name is in the catalogue")
+	case !mayUse(entry, caller.Organisation):
+		return no(http.StatusForbidden, "the organisation may not use this entry")
+	case int64(len(submit.Body)) > orDefault(entry.Limits.MaxBodyBytes, defaultMaxBodyBytes):
+		return no(http.StatusRequestEntityTooLarge, "the body exceeds the limit of the entry")
+	}
+	wait := orDefault(entry.Limits.DeadlineMs, defaultDeadlineMs)
+	if submit.DeadlineMs > 0 {
+		wait = min(wait, submit.DeadlineMs)
+	}
+	return router.Request{
+		ID: uuid.NewString(), Organisation: caller.Organisation, Submit: submit,
+		Urgency:   urgencyOf(catalogue, entry.Class),
+		Deadline:  time.Now().Add(time.Duration(wait) * time.Millisecond),
+		MaxQueued: orDefault(entry.Limits.MaxQueued, defaultMaxQueued),
+	}, nil
+}
+
+func findEntry(catalogue api.Catalogue, name string) (api.Entry, bool) {
+	i := slices.IndexFunc(catalogue.Entries, func(e api.Entry) bool {
+		return e.Name == name && e.Kind == api.EntryKindService
+	})
+	if i < 0 {
+		return api.Entry{}, false
+	}
+	return catalogue.Entries[i], true
+}
+
+func mayUse(entry api.Entry, organisation string) bool {
+	return entry.Owner == organisation || slices.Contains(entry.Callers, organisation) || slices.Contains(entry.Callers, "*")
+}
+
+func urgencyOf(catalogue api.Catalogue, class string) api.Urgency {
+	for _, c := range catalogue.Classes {
+		if c.Name == class {
+			return c.Urgency
+		}
+	}
+	return api.Standard
+}
+
+func orDefault[T int | int64](v, d T) T {
+	if v <= 0 {
+		return d
+	}
+	return v
+}
+
+// writeReply answers 200 only when a whole answer of a minion has arrived or the
+// request is in progress.
+func writeReply(c echo.Context, reply router.Reply) error {
+	result := reply.Result
+	if result.Outcome == api.OutcomeRan || result.InProgress {
+		return c.JSON(http.StatusOK, result)
+	}
+	p := NewProblem(statusOf(reply), result.Outcome, result.Reason)
+	p.RequestID = result.RequestID
+	p.RetryAfterMs = reply.RetryAfter.Milliseconds()
+	return WriteProblem(c, p)
+}
+
+func statusOf(reply router.Reply) int {
+	switch reply.Refusal {
+	case router.Overloaded:
+		return http.StatusTooManyRequests
+	case router.Unavailable:
+		return http.StatusServiceUnavailable
+	case router.KeyReused:
+		return http.StatusConflict
+	}
+	switch reply.Result.Outcome {
+	case api.OutcomeFailed:
+		return http.StatusBadGateway
+	case api.OutcomeNotRun:
+		return http.StatusServiceUnavailable
+	default:
+		return http.StatusGatewayTimeout
+	}
+}
