Add tests of failures and the measurement of the router

Cause: the claims, forwards and queues of the router need tests of each fault. Ruled out: nothing. Change: a cluster of daemons in one process with fake minions, tables of faults, and three measurements.

--- /dev/null
+++ b/internal/router/cluster_test.go
@@ -0,0 +1,341 @@
+package router_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/samphirepath/samphirepath/api"
+	"github.com/samphirepath/samphirepath/claim"
+	"github.com/samphirepath/samphirepath/internal/configuration"
+	"github.com/samphirepath/samphirepath/internal/peers"
+	"github.com/samphirepath/samphirepath/internal/platform"
+	"github.com/samphirepath/samphirepath/internal/router"
+	"github.com/samphirepath/samphirepath/retry"
+	"github.com/samphirepath/samphirepath/table"
+)
+
+var errDown = errors.New("down")
+
+// cluster is a set of daemons in one process with fake minions, table service,
+// VM list and links.
+type cluster struct {
+	mu      sync.Mutex
+	daemons []*daemon
+	minions map[string]*fakeMinion
+	vms     []api.VM
+	rows    map[string]table.Row
+	version int64
+	zones   []api.Zone
+	slots   int
+	stop    context.CancelFunc
+	group   sync.WaitGroup
+	// storeFault and callFault decide the fault of an operation; nil means none.
+	storeFault func(d *daemon) string
+	callFault  func(from, to *daemon) string
+}
+
+type daemon struct {
+	cluster     *cluster
+	vm, zone    string
+	incarnation string
+	router      *router.Router
+	handlers    map[peers.Kind]peers.Handler
+	dead        chan struct{}
+	draining    atomic.Bool
+	// onSend runs around each request to a minion.
+	onSend func(send func() platform.MinionReply) platform.MinionReply
+}
+
+// newCluster starts daemons named d0, d1 ... in the given zones and minions m0,
+// m1 ... in theirs.
+func newCluster(daemonZones, minionZones []string) *cluster {
+	c := &cluster{minions: map[string]*fakeMinion{}, rows: map[string]table.Row{}, slots: 8}
+	for i, zone := range minionZones {
+		m := &fakeMinion{id: fmt.Sprint("m", i), slots: c.slots, runs: map[string]int{}}
+		c.minions[m.id] = m
+		c.vms = append(c.vms, api.VM{ID: m.id, Kind: api.VMKindMinion, Zone: zone, Address: m.id, State: api.Live, Instance: "1"})
+	}
+	for i, zone := range daemonZones {
+		c.daemons = append(c.daemons, &daemon{cluster: c, vm: fmt.Sprint("d", i), zone: zone,
+			incarnation: fmt.Sprint("incarnation ", i), handlers: map[peers.Kind]peers.Handler{}, dead: make(chan struct{})})
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	c.stop = stop
+	for _, d := range c.daemons {
+		claims := claim.New(claim.Config{Store: d, VM: d.vm, Incarnation: d.incarnation,
+			Backoff: retry.Backoff{Base: time.Millisecond, Max: 10 * time.Millisecond}})
+		d.router = router.New(router.Config{VMs: c, Minions: d, Network: d, View: c, Claims: claims,
+			Limits:   api.LimitSettings{MinionSlots: c.slots, MinionConnections: 64, MaxQueuedRequests: 1024, RetryBudgetPercent: 10},
+			Timing:   api.TimingSettings{VMListEvery: api.Duration(10 * time.Millisecond), LateAnswerWait: api.Duration(2 * time.Second)},
+			Ejection: 200 * time.Millisecond})
+		c.group.Go(func() { _ = d.router.Run(ctx) })
+	}
+	time.Sleep(60 * time.Millisecond) // one poll of the VM list and one tick
+	return c
+}
+
+func (c *cluster) close() {
+	c.stop()
+	c.group.Wait()
+}
+
+func (d *daemon) submit(key, body string, nonIdempotent bool, wait time.Duration) router.Reply {
+	return d.submitAs(api.Standard, key, body, nonIdempotent, wait)
+}
+
+func (d *daemon) submitAs(urgency api.Urgency, key, body string, nonIdempotent bool, wait time.Duration) router.Reply {
+	return d.router.Submit(context.Background(), router.Request{ID: key + "/" + body + "/" + d.vm, Organisation: "o", Urgency: urgency,
+		Deadline: time.Now().Add(wait),
+		Submit:   api.RequestSubmit{Entry: "service", Key: key, Body: []byte(body), NonIdempotent: nonIdempotent}})
+}
+
+// runs returns how often minions ran a body.
+func (c *cluster) runs(body string) int {
+	n := 0
+	for _, m := range c.minions {
+		m.mu.Lock()
+		n += m.runs[body]
+		m.mu.Unlock()
+	}
+	return n
+}
+
+func (d *daemon) kill() { close(d.dead) }
+
+func (d *daemon) isDead() bool {
+	select {
+	case <-d.dead:
+		return true
+	default:
+		return false
+	}
+}
+
+// List implements platform.VMs.
+func (c *cluster) List(context.Context) (api.VMList, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return api.VMList{Vms: append([]api.VM(nil), c.vms...)}, nil
+}
+
+func (c *cluster) setVM(i int, change func(*api.VM)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	change(&c.vms[i])
+}
+
+// Current implements configuration.View.
+func (c *cluster) Current() api.Configuration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return api.Configuration{Head: api.ConfigurationHead{Revision: 1, Zones: c.zones}}
+}
+
+func (c *cluster) ConfirmZone(context.Context, string, time.Duration) (configuration.Confirmation, error) {
+	return configuration.Confirmation{}, errDown
+}
+
+func (c *cluster) Changed() <-chan struct{} { return nil }
+
+// Self implements peers.Network.
+func (d *daemon) Self() peers.Member {
+	return peers.Member{VM: d.vm, Zone: d.zone, Incarnation: d.incarnation, State: peers.Live}
+}
+
+func (d *daemon) Members() []peers.Member {
+	var out []peers.Member
+	for _, other := range d.cluster.daemons {
+		if other != d {
+			m := other.Self()
+			m.FreeSlots = other.router.FreeSlots()
+			if other.isDead() {
+				m.State = peers.Silent
+			} else if other.draining.Load() {
+				m.State = peers.Draining
+			}
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+func (d *daemon) LiveVMs(zone string) []string {
+	var out []string
+	for _, other := range d.cluster.daemons {
+		if other.zone == zone && !other.isDead() && !other.draining.Load() {
+			out = append(out, other.vm)
+		}
+	}
+	return out
+}
+
+func (d *daemon) Handle(kind peers.Kind, handler peers.Handler) { d.handlers[kind] = handler }
+func (d *daemon) Notify(string, api.PeerEnvelope) bool          { return true }
+
+// Call encodes both messages, so that daemons share no memory.
+func (d *daemon) Call(ctx context.Context, vm string, message api.PeerEnvelope) (*api.PeerEnvelope, peers.CallStatus) {
+	var to *daemon
+	for _, other := range d.cluster.daemons {
+		if other.vm == vm {
+			to = other
+		}
+	}
+	fault := ""
+	if d.cluster.callFault != nil {
+		fault = d.cluster.callFault(d, to)
+	}
+	if fault == "not sent" || to.isDead() {
+		return nil, peers.NotSent
+	}
+	if fault == "call lost" {
+		return nil, peers.Lost
+	}
+	answers := make(chan *api.PeerEnvelope, 1)
+	go func() {
+		answers <- copyEnvelope(to.handlers[peers.KindRequestForward](context.WithoutCancel(ctx), d.Self(), copyEnvelope(&message)))
+	}()
+	select {
+	case answer := <-answers:
+		return spoil(answer, fault)
+	case <-to.dead:
+	case <-ctx.Done():
+	}
+	return nil, peers.Lost
+}
+
+func spoil(answer *api.PeerEnvelope, fault string) (*api.PeerEnvelope, peers.CallStatus) {
+	switch result := answer.RequestResult; fault {
+	case "answer lost":
+		return nil, peers.Lost
+	case "truncated":
+		result.Result.Body = result.Result.Body[:len(result.Result.Body)-1]
+	case "altered":
+		result.Result.Body[0] ^= 1
+	case "crossed":
+		result.RequestID, result.Result.RequestID = "other", "other"
+	}
+	return answer, peers.Answered
+}
+
+func copyEnvelope(in *api.PeerEnvelope) *api.PeerEnvelope {
+	data, err := cbor.Marshal(in)
+	if err != nil {
+		panic(err)
+	}
+	var out api.PeerEnvelope
+	if err := cbor.Unmarshal(data, &out); err != nil {
+		panic(err)
+	}
+	return &out
+}
+
+// Get implements table.Store; a dead daemon reaches nothing.
+func (d *daemon) Get(_ context.Context, key string) (table.Row, bool, error) {
+	c := d.cluster
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if d.isDead() || c.storeFault != nil && c.storeFault(d) == "unavailable" {
+		return table.Row{}, false, errDown
+	}
+	row, ok := c.rows[key]
+	return row, ok, nil
+}
+
+func (d *daemon) List(context.Context, string, int64) (table.Listing, error) {
+	return table.Listing{}, errDown
+}
+
+func (d *daemon) Commit(_ context.Context, conditions []table.Condition, writes []table.Write) table.CommitResult {
+	c := d.cluster
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	fault := ""
+	if c.storeFault != nil {
+		fault = c.storeFault(d)
+	}
+	if d.isDead() || fault == "unavailable" {
+		return table.CommitResult{Status: table.Unavailable, Err: errDown}
+	}
+	for _, k := range conditions {
+		if c.rows[k.Key].Version != k.Version {
+			return table.CommitResult{Status: table.Conflict, Conflicts: []string{k.Key}}
+		}
+	}
+	c.version++
+	for _, w := range writes {
+		c.rows[w.Key] = table.Row{Key: w.Key, Value: w.Value, Version: c.version}
+	}
+	if fault == "answer lost" {
+		return table.CommitResult{Status: table.Unknown, Err: errDown}
+	}
+	return table.CommitResult{Status: table.Committed, Version: c.version}
+}
+
+// Send implements platform.Minions.
+func (d *daemon) Send(ctx context.Context, address string, request platform.MinionRequest) platform.MinionReply {
+	send := func() platform.MinionReply { return d.cluster.minions[address].run(ctx, request) }
+	if d.onSend != nil {
+		return d.onSend(send)
+	}
+	return send()
+}
+
+// fakeMinion runs requests on a limited number of slots.
+type fakeMinion struct {
+	mu      sync.Mutex
+	id      string
+	slots   int
+	busy    int
+	most    int
+	calls   int
+	service time.Duration
+	mode    string // "", "fails", "broken", "refuses", "unreachable"
+	runs    map[string]int
+}
+
+func (m *fakeMinion) run(ctx context.Context, request platform.MinionRequest) platform.MinionReply {
+	m.mu.Lock()
+	m.calls++
+	mode, service := m.mode, m.service
+	if mode == "unreachable" || m.busy >= m.slots {
+		m.mu.Unlock()
+		return platform.MinionReply{Status: platform.MinionNotRun, Err: errDown}
+	}
+	m.busy++
+	m.most = max(m.most, m.busy)
+	m.runs[string(request.Body)]++
+	m.mu.Unlock()
+	defer func() {
+		m.mu.Lock()
+		m.busy--
+		m.mu.Unlock()
+	}()
+	select {
+	case <-time.After(service):
+	case <-ctx.Done():
+		return platform.MinionReply{Status: platform.MinionUnknown, Err: ctx.Err()}
+	}
+	switch mode {
+	case "fails":
+		return platform.MinionReply{Status: platform.MinionFailed, Code: 503}
+	case "refuses":
+		return platform.MinionReply{Status: platform.MinionFailed, Code: 422, Body: []byte("no")}
+	case "broken":
+		return platform.MinionReply{Status: platform.MinionUnknown, Err: errDown}
+	}
+	return platform.MinionReply{Status: platform.MinionRan, Code: 200, Body: append([]byte("answer to "), request.Body...)}
+}
+
+func (c *cluster) eachMinion(change func(*fakeMinion)) {
+	for _, m := range c.minions {
+		m.mu.Lock()
+		change(m)
+		m.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/internal/router/faults_test.go
@@ -0,0 +1,238 @@
+package router_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+
+	"github.com/samphirepath/samphirepath/api"
+	"github.com/samphirepath/samphirepath/internal/platform"
+	"github.com/samphirepath/samphirepath/internal/router"
+)
+
+func TestMain(m *testing.M) {
+	// Ginkgo keeps one goroutine of its own after the suite.
+	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction(
+		"github.com/onsi/ginkgo/v2/internal/interrupt_handler.(*InterruptHandler).registerForInterrupts.func2"))
+}
+
+func TestRouter(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "router")
+}
+
+// once returns a fault for the first call only.
+func once(fault string) func(*daemon, *daemon) string {
+	var used atomic.Bool
+	return func(*daemon, *daemon) string {
+		if used.CompareAndSwap(false, true) {
+			return fault
+		}
+		return ""
+	}
+}
+
+const wait = 400 * time.Millisecond
+
+var _ = Describe("faults", func() {
+	var c *cluster
+	// d0 has no minions and forwards to d1 and d2.
+	BeforeEach(func() { c = newCluster([]string{"a", "b", "b"}, []string{"b", "b", "b", "b", "b", "b"}) })
+	AfterEach(func() { c.close() })
+
+	// Guards against a second run, a wrong answer or an untrue outcome when the
+	// link between two daemons fails.
+	DescribeTable("of a link", func(fault string, nonIdempotent bool, outcome api.Outcome, runs int) {
+		c.callFault = once(fault)
+		reply := c.daemons[0].submit("k", "body", nonIdempotent, wait)
+		Expect(reply.Result.Outcome).To(Equal(outcome), reply.Result.Reason)
+		Expect(string(reply.Result.Body)).To(Equal("answer to body"))
+		Expect(c.runs("body")).To(Equal(runs))
+	},
+		Entry("none", "", true, api.OutcomeRan, 1),
+		Entry("not sent, claimed", "not sent", true, api.OutcomeRan, 1),
+		Entry("call lost, claimed", "call lost", true, api.OutcomeRan, 1),
+		Entry("answer lost, claimed", "answer lost", true, api.OutcomeRan, 1),
+		Entry("answer truncated, claimed", "truncated", true, api.OutcomeRan, 1),
+		Entry("answer altered, claimed", "altered", true, api.OutcomeRan, 1),
+		Entry("answer crossed, claimed", "crossed", true, api.OutcomeRan, 1),
+		Entry("call lost, idempotent", "call lost", false, api.OutcomeRan, 1),
+		Entry("answer lost, idempotent", "answer lost", false, api.OutcomeRan, 2),
+		Entry("answer truncated, idempotent", "truncated", false, api.OutcomeRan, 2),
+		Entry("answer crossed, idempotent", "crossed", false, api.OutcomeRan, 2),
+	)
+
+	// Guards against a second dispatch of a request whose daemon died, and against
+	// not_run for one that may have run.
+	DescribeTable("death of the dispatching daemon", func(afterDispatch bool, runs int) {
+		for _, d := range c.daemons[1:] {
+			d.onSend = func(send func() platform.MinionReply) platform.MinionReply {
+				if afterDispatch {
+					send()
+				}
+				d.kill()
+				return platform.MinionReply{Status: platform.MinionUnknown, Err: errDown}
+			}
+		}
+		reply := c.daemons[0].submit("k", "body", true, wait)
+		Expect(reply.Result.Outcome).To(Equal(api.OutcomeUnknown))
+		for _, d := range c.daemons[1:] {
+			d.onSend = nil
+		}
+		again := c.daemons[0].submit("k", "body", true, wait)
+		Expect(again.Result.Outcome).To(Equal(api.OutcomeUnknown))
+		Expect(again.Result.InProgress).To(BeFalse())
+		Expect(c.runs("body")).To(Equal(runs))
+	},
+		Entry("between claim and dispatch", false, 0),
+		Entry("after dispatch", true, 1),
+	)
+
+	// Guards against wrong outcomes when the table service fails.
+	DescribeTable("of the table service", func(fault string, nonIdempotent bool, outcome api.Outcome, runs int) {
+		c.storeFault = func(*daemon) string { return fault }
+		reply := c.daemons[1].submit("k", "body", nonIdempotent, wait)
+		Expect(reply.Result.Outcome).To(Equal(outcome), reply.Result.Reason)
+		Expect(c.runs("body")).To(Equal(runs))
+	},
+		Entry("unreachable, claimed", "unavailable", true, api.OutcomeNotRun, 0),
+		Entry("unreachable, idempotent", "unavailable", false, api.OutcomeRan, 1),
+		Entry("answers lost, claimed", "answer lost", true, api.OutcomeRan, 1),
+	)
+
+	// Guards against retries of requests that may have run, and against giving up
+	// requests that another minion can run.
+	DescribeTable("of minions", func(mode string, bad int, nonIdempotent bool, outcome, otherwise api.Outcome, mostRuns int) {
+		n := 0
+		c.eachMinion(func(m *fakeMinion) {
+			if n++; n <= bad {
+				m.mode = mode
+			}
+		})
+		for i := range 6 {
+			body := fmt.Sprint("body ", i)
+			reply := c.daemons[1].submit(fmt.Sprint("k", i), body, nonIdempotent, wait)
+			Expect(c.runs(body)).To(BeNumerically("<=", mostRuns))
+			Expect(reply.Result.Outcome).To(Or(Equal(outcome), Equal(otherwise)), reply.Result.Reason)
+			if reply.Result.Outcome == api.OutcomeNotRun {
+				Expect(c.runs(body)).To(BeZero())
+			}
+		}
+	},
+		Entry("all refuse the request itself", "refuses", 6, false, api.OutcomeFailed, api.OutcomeFailed, 1),
+		Entry("some fail, idempotent", "fails", 1, false, api.OutcomeRan, api.OutcomeRan, 2),
+		Entry("all fail, claimed", "fails", 6, true, api.OutcomeFailed, api.OutcomeFailed, 1),
+		Entry("some broken, claimed", "broken", 3, true, api.OutcomeUnknown, api.OutcomeRan, 1),
+		Entry("some unreachable, claimed", "unreachable", 1, true, api.OutcomeRan, api.OutcomeRan, 1),
+		Entry("all unreachable, claimed", "unreachable", 6, true, api.OutcomeNotRun, api.OutcomeNotRun, 0),
+	)
+
+	// Guards against answers that differ between daemons for one key.
+	It("gives the stored answer through another daemon and refuses another body", func() {
+		first := c.daemons[1].submit("k", "body", true, wait)
+		Expect(first.Result.Outcome).To(Equal(api.OutcomeRan))
+		for _, d := range c.daemons {
+			again := d.submit("k", "body", true, wait)
+			Expect(again.Result.Body).To(Equal(first.Result.Body))
+			Expect(again.Result.Outcome).To(Equal(api.OutcomeRan))
+			Expect(d.submit("k", "other", true, wait).Refusal).To(Equal(router.KeyReused))
+		}
+		Expect(c.runs("body")).To(Equal(1))
+		Expect(c.runs("other")).To(BeZero())
+	})
+
+	// Guards against the loss of answers that come after the deadline.
+	It("keeps a late answer and reports it as in progress until then", func() {
+		c.eachMinion(func(m *fakeMinion) { m.service = 200 * time.Millisecond })
+		Expect(c.daemons[1].submit("k", "body", true, 50*time.Millisecond).Result.Outcome).To(Equal(api.OutcomeUnknown))
+		Expect(c.daemons[2].submit("k", "body", true, wait).Result.InProgress).To(BeTrue())
+		Eventually(func() api.Outcome {
+			result, _, err := c.daemons[0].router.Lookup(context.Background(), "o", "k")
+			Expect(err).NotTo(HaveOccurred())
+			return result.Outcome
+		}).Should(Equal(api.OutcomeRan))
+		Expect(c.runs("body")).To(Equal(1))
+	})
+
+	// Guards against in-flight requests that a planned stop cuts off.
+	It("drains", func() {
+		c.eachMinion(func(m *fakeMinion) { m.service = 100 * time.Millisecond })
+		d := c.daemons[1]
+		var group sync.WaitGroup
+		for i := range 40 {
+			group.Go(func() {
+				defer GinkgoRecover()
+				Expect(d.submit(fmt.Sprint(i), fmt.Sprint(i), i%2 == 0, 2*time.Second).Result.Outcome).To(Equal(api.OutcomeRan))
+			})
+		}
+		time.Sleep(20 * time.Millisecond)
+		d.draining.Store(true)
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		Expect(d.router.Drain(ctx)).To(Succeed())
+		group.Wait()
+		refused := d.submit("new", "new", false, wait)
+		Expect(refused.Result.Outcome).To(Equal(api.OutcomeNotRun))
+		Expect(refused.RetryAfter).To(BeNumerically(">", 0))
+	})
+
+	// Guards against new work for minions that leave or whose zone is out.
+	It("sends nothing to minions that are leaving, even if listed live again", func() {
+		for i := range 6 {
+			c.setVM(i, func(vm *api.VM) { vm.State = api.Leaving })
+		}
+		time.Sleep(50 * time.Millisecond)
+		for i := range 6 {
+			c.setVM(i, func(vm *api.VM) { vm.State = api.Live })
+		}
+		time.Sleep(50 * time.Millisecond)
+		Expect(c.daemons[1].submit("k", "body", false, wait).Result.Outcome).To(Equal(api.OutcomeNotRun))
+		c.setVM(0, func(vm *api.VM) { vm.Instance = "2" })
+		time.Sleep(80 * time.Millisecond)
+		Expect(c.daemons[0].submit("k", "body", false, wait).Result.Outcome).To(Equal(api.OutcomeRan))
+		c.mu.Lock()
+		c.zones = []api.Zone{{Name: "b", State: api.Out}}
+		c.mu.Unlock()
+		time.Sleep(50 * time.Millisecond)
+		Expect(c.daemons[0].submit("k2", "out", false, wait).Result.Outcome).To(Equal(api.OutcomeNotRun))
+		Expect(c.runs("out")).To(BeZero())
+	})
+
+	// Guards against more requests on a minion than it has slots, and against
+	// requests that time out in a queue instead of being refused early.
+	It("refuses early under overload", func() {
+		c.eachMinion(func(m *fakeMinion) { m.service = 50 * time.Millisecond })
+		for i := range 60 {
+			c.daemons[i%3].submit(fmt.Sprint("warm", i), "warm", false, wait)
+		}
+		var group sync.WaitGroup
+		var early, ran atomic.Int64
+		for i := range 600 {
+			group.Go(func() {
+				defer GinkgoRecover()
+				started := time.Now()
+				reply := c.daemons[i%3].submit(fmt.Sprint(i), "load", false, 200*time.Millisecond)
+				switch reply.Result.Outcome {
+				case api.OutcomeRan:
+					ran.Add(1)
+				case api.OutcomeNotRun:
+					Expect(reply.RetryAfter).To(BeNumerically(">", 0))
+					if time.Since(started) < 50*time.Millisecond {
+						early.Add(1)
+					}
+				}
+			})
+		}
+		group.Wait()
+		Expect(early.Load()).To(BeNumerically(">", 200))
+		Expect(ran.Load()).To(BeNumerically(">=", 96))
+		c.eachMinion(func(m *fakeMinion) { Expect(m.most).To(BeNumerically("<=", m.slots)) })
+	})
+})
--- /dev/null
+++ b/internal/router/measure_test.go
@@ -0,0 +1,145 @@
+package router_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	. "github.com/onsi/gomega"
+
+	"github.com/samphirepath/samphirepath/api"
+	"github.com/samphirepath/samphirepath/internal/router"
+)
+
+// load is an open stream of requests with exponential gaps, spread evenly over
+// the daemons as the load balancer does.
+type load struct {
+	rate     int // requests per second
+	duration time.Duration
+	deadline time.Duration
+	urgency  api.Urgency
+}
+
+// outcome of a load: answers that came in time, and their times.
+type measured struct {
+	mu      sync.Mutex
+	sent    int
+	ran     int
+	refused int
+	late    int
+	times   *hdrhistogram.Histogram
+}
+
+func (m *measured) add(reply router.Reply, took time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.sent++
+	switch reply.Result.Outcome {
+	case api.OutcomeRan:
+		m.ran++
+		_ = m.times.RecordValue(took.Microseconds())
+	case api.OutcomeNotRun:
+		m.refused++
+	default:
+		m.late++
+	}
+}
+
+func (m *measured) p99() time.Duration {
+	return time.Duration(m.times.ValueAtQuantile(99)) * time.Microsecond
+}
+
+func (c *cluster) drive(l load) *measured {
+	out := &measured{times: hdrhistogram.New(1, 60_000_000, 3)}
+	var group sync.WaitGroup
+	started := time.Now()
+	next := started
+	for i := 0; time.Since(started) < l.duration; i++ {
+		next = next.Add(time.Duration(rand.ExpFloat64() * float64(time.Second) / float64(l.rate)))
+		time.Sleep(time.Until(next))
+		group.Go(func() {
+			sent := time.Now()
+			reply := c.daemons[i%len(c.daemons)].submitAs(l.urgency, fmt.Sprint(l.urgency, i), "body", false, l.deadline)
+			out.add(reply, time.Since(sent))
+		})
+	}
+	group.Wait()
+	return out
+}
+
+const (
+	measureService  = 40 * time.Millisecond
+	measureMinions  = 12
+	measureCapacity = measureMinions * 8 * int(time.Second/measureService)
+)
+
+// measureCluster has three daemons and twelve minions of eight slots.
+func measureCluster() *cluster {
+	zones := make([]string, measureMinions)
+	for i := range zones {
+		zones[i] = "a"
+	}
+	c := newCluster([]string{"a", "a", "a"}, zones)
+	c.eachMinion(func(m *fakeMinion) { m.service = measureService })
+	return c
+}
+
+// Guards against a collapse of goodput under overload.
+func TestMeasureGoodputAtTwiceCapacity(t *testing.T) {
+	g := NewWithT(t)
+	run := func(rate int) *measured {
+		c := measureCluster()
+		defer c.close()
+		c.drive(load{rate: measureCapacity / 2, duration: 300 * time.Millisecond, deadline: 400 * time.Millisecond})
+		m := c.drive(load{rate: rate, duration: 3 * time.Second, deadline: 400 * time.Millisecond})
+		t.Logf("offered %d/s: sent %d, ran %d, refused %d, late %d, p99 %s", rate, m.sent, m.ran, m.refused, m.late, m.p99())
+		return m
+	}
+	at, twice := run(measureCapacity), run(2*measureCapacity)
+	share := 100 * float64(twice.ran) / float64(at.ran)
+	t.Logf("goodput at twice capacity: %.1f %% of goodput at capacity", share)
+	g.Expect(share).To(BeNumerically(">=", 95))
+}
+
+// Guards against retry storms when many minions fail.
+func TestMeasureRetryAmplification(t *testing.T) {
+	g := NewWithT(t)
+	c := measureCluster()
+	defer c.close()
+	for i := range measureMinions / 4 {
+		m := c.minions[fmt.Sprint("m", i)]
+		m.mu.Lock()
+		m.mode, m.service = "fails", time.Millisecond
+		m.mu.Unlock()
+	}
+	m := c.drive(load{rate: measureCapacity / 2, duration: 3 * time.Second, deadline: 400 * time.Millisecond})
+	calls := 0
+	c.eachMinion(func(m *fakeMinion) { calls += m.calls })
+	amplification := float64(calls) / float64(m.sent-m.refused)
+	t.Logf("sent %d, ran %d, refused %d, failed %d, dispatches %d: amplification %.3f", m.sent, m.ran, m.refused, m.late, calls, amplification)
+	g.Expect(amplification).To(BeNumerically("<=", 1.1))
+	g.Expect(m.ran).To(BeNumerically(">=", m.sent*95/100))
+}
+
+// Guards against urgent requests that wait behind a burst of others.
+func TestMeasureUrgentUnderBurst(t *testing.T) {
+	g := NewWithT(t)
+	c := measureCluster()
+	defer c.close()
+	urgent := load{rate: measureCapacity / 20, duration: 3 * time.Second, deadline: 400 * time.Millisecond, urgency: api.Urgent}
+	unloaded := c.drive(urgent)
+	var group sync.WaitGroup
+	group.Go(func() {
+		c.drive(load{rate: 2 * measureCapacity, duration: 3200 * time.Millisecond, deadline: 400 * time.Millisecond, urgency: api.Batch})
+	})
+	time.Sleep(100 * time.Millisecond)
+	burst := c.drive(urgent)
+	group.Wait()
+	ratio := float64(burst.p99()) / float64(unloaded.p99())
+	t.Logf("urgent p99 unloaded %s, under burst %s: ratio %.2f; refused %d of %d", unloaded.p99(), burst.p99(), ratio, burst.refused, burst.sent)
+	g.Expect(ratio).To(BeNumerically("<=", 2))
+	g.Expect(burst.refused).To(BeNumerically("<=", burst.sent/100))
+}
