Add reservations of guaranteed shapes and victim selection

Cause: invariant 1 (a guaranteed shape can always be reclaimed) needs a concrete place for every shape that no other reservation overlaps.

Ruled out: reservations that are stored and patched on each change. They go stale when workers come and go while no daemon plans, and need rows of their own. Recomputing them from the covered placements needs no state.

Change: guarantee.Reserve puts covered placements into the shapes of their organisation first and completes the shapes around them, hardest first; when some are short it retries with those in front. A shape that no longer fits around a covered placement moves and the placement counts as a borrower. guarantee.Check refuses a catalogue change only if it makes a guarantee short. guarantee.Victims selects borrowers by least lost work. internal/packing places gangs on workers and racks for this and the planner.

--- /dev/null
+++ b/guarantee/check.go
@@ -0,0 +1,65 @@
+package guarantee
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/samphirepath/samphirepath/api"
+)
+
+// Verdict is the outcome of a check of a catalogue change.
+type Verdict struct {
+	Accepted   bool
+	Reason     string // why the change is refused
+	Shortfalls []Shortfall
+}
+
+// Check tells whether the workers, when empty, hold all guarantees that the
+// proposed catalogue gives in the zone. A guarantee that is short already is no
+// reason to refuse a change that does not make it worse, so that operators can
+// edit the catalogue while workers are lost. Free, Ending and Loss of the
+// workers are not used.
+func Check(zone string, current, proposed api.Catalogue, workers []Worker) Verdict {
+	after := empty(workers, Of(proposed, zone))
+	if len(after.Shortfalls) == 0 {
+		return Verdict{Accepted: true}
+	}
+	before := missingByOrganisation(empty(workers, Of(current, zone)).Shortfalls)
+	var worse []string
+	for org, missing := range missingByOrganisation(after.Shortfalls) {
+		if b := before[org]; missing.tasks > b.tasks || missing.accelerators > b.accelerators {
+			worse = append(worse, org)
+		}
+	}
+	if len(worse) == 0 {
+		return Verdict{Accepted: true, Shortfalls: after.Shortfalls}
+	}
+	var reasons []string
+	for _, s := range after.Shortfalls {
+		if slices.Contains(worse, s.Guarantee.Organisation) {
+			reasons = append(reasons, s.Reason)
+		}
+	}
+	return Verdict{Reason: strings.Join(reasons, "; "), Shortfalls: after.Shortfalls}
+}
+
+type missingTotal struct{ tasks, accelerators int }
+
+func missingByOrganisation(shortfalls []Shortfall) map[string]missingTotal {
+	out := make(map[string]missingTotal)
+	for _, s := range shortfalls {
+		m := out[s.Guarantee.Organisation]
+		m.tasks += s.MissingTasks
+		m.accelerators += s.MissingAccelerators
+		out[s.Guarantee.Organisation] = m
+	}
+	return out
+}
+
+func empty(workers []Worker, guarantees []Guarantee) Result {
+	cleared := slices.Clone(workers)
+	for i := range cleared {
+		cleared[i].Free, cleared[i].Ending, cleared[i].Loss = cleared[i].Usable, cleared[i].Usable, nil
+	}
+	return Reserve(cleared, guarantees, nil)
+}
--- /dev/null
+++ b/guarantee/guarantee.go
@@ -0,0 +1,91 @@
+// Package guarantee computes where the guaranteed shapes of organisations lie
+// in an availability zone: a concrete reservation of workers and accelerators
+// for each shape, without overlap. It also checks catalogue changes and selects
+// the victims of a reclaim. All functions are pure and deterministic.
+package guarantee
+
+import (
+	"github.com/samphirepath/samphirepath/api"
+	"github.com/samphirepath/samphirepath/internal/packing"
+)
+
+// Room is an amount of cores and memory and a set of accelerators of a worker.
+type Room = packing.Room
+
+// Set is a set of accelerator indices of one worker, at most 64.
+type Set = packing.Set
+
+// Worker is a worker on which reservations may lie.
+type Worker struct {
+	ID               string
+	Rack             string
+	AcceleratorModel string
+	// Usable is what reservations may use. It leaves out what unknown tasks hold.
+	Usable Room
+	// Free is the part of Usable that no task holds. Reservations prefer it.
+	Free Room
+	// Ending is Free and what is held by tasks that are being stopped.
+	Ending Room
+	// Loss is the work that is lost if an accelerator is taken from the borrower
+	// that holds it, by accelerator index; nil means that nothing is lost.
+	Loss []int64
+}
+
+// NewWorker returns an empty worker.
+func NewWorker(id, rack, model string, cores int, memoryMB int64, accelerators int) Worker {
+	room := Room{Cores: cores, MemoryMB: memoryMB, Accelerators: packing.FirstN(accelerators)}
+	return Worker{ID: id, Rack: rack, AcceleratorModel: model, Usable: room, Free: room, Ending: room}
+}
+
+// Guarantee is one guaranteed shape of an organisation.
+type Guarantee struct {
+	Organisation string
+	Shape        api.Shape
+}
+
+// Covered is a placement inside the guarantee of its organisation.
+type Covered struct {
+	JobID        string
+	Organisation string
+	Resources    api.Resources // of each task
+	Tasks        []api.TaskPlacement
+}
+
+// Reservation is the place of one guaranteed shape. It holds fewer tasks than
+// the shape if the workers do not suffice.
+type Reservation struct {
+	Guarantee Guarantee
+	Tasks     []api.TaskPlacement
+}
+
+// Shortfall says whose guarantee the workers do not hold, and by how much.
+type Shortfall struct {
+	Guarantee           Guarantee
+	MissingTasks        int
+	MissingAccelerators int
+	Reason              string
+}
+
+// Result is the outcome of Reserve.
+type Result struct {
+	// Reservations has one entry for each guarantee, in the same order.
+	Reservations []Reservation
+	Shortfalls   []Shortfall
+	// Demoted lists the jobs whose covered placement lies outside the new
+	// reservations, in the order of the input.
+	Demoted []string
+}
+
+// Of returns the guaranteed shapes of a zone, in the order of the catalogue.
+func Of(catalogue api.Catalogue, zone string) []Guarantee {
+	var out []Guarantee
+	for i := range catalogue.Organisations {
+		o := &catalogue.Organisations[i]
+		for _, s := range o.Guarantees {
+			if s.Zone == zone && s.Tasks > 0 {
+				out = append(out, Guarantee{Organisation: o.Name, Shape: s})
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/guarantee/pins.go
@@ -0,0 +1,240 @@
+package guarantee
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/samphirepath/samphirepath/api"
+	"github.com/samphirepath/samphirepath/internal/packing"
+)
+
+// pinAll puts the covered placements into the shapes of their organisations.
+// Those that fit into none are demoted.
+func (r *reserver) pinAll(a *attempt) {
+	for c := range r.covered {
+		if !r.pinJob(a, c) {
+			a.demoted[c] = true
+		}
+	}
+}
+
+// pinJob pins all tasks of a placement or none.
+func (r *reserver) pinJob(a *attempt, c int) bool {
+	job := &r.covered[c]
+	shapes := r.byOrg[job.Organisation]
+	if len(shapes) == 0 || len(job.Tasks) == 0 {
+		return false
+	}
+	saved := r.save(a, job, shapes)
+	for _, t := range job.Tasks {
+		if !r.pinTask(a, c, t, shapes) {
+			saved.restore(a)
+			return false
+		}
+	}
+	return true
+}
+
+// savedState undoes the pins of a placement.
+type savedState struct {
+	shapes  []int
+	areas   []area
+	workers []int
+	rooms   []Room
+}
+
+func (r *reserver) save(a *attempt, job *Covered, shapes []int) savedState {
+	s := savedState{shapes: shapes}
+	for _, g := range shapes {
+		s.areas = append(s.areas, area{parts: slices.Clone(a.areas[g].parts), tasks: a.areas[g].tasks})
+	}
+	for _, t := range job.Tasks {
+		if w, ok := r.index[t.Worker]; ok {
+			s.workers = append(s.workers, w)
+			s.rooms = append(s.rooms, a.rooms[w])
+		}
+	}
+	return s
+}
+
+func (s savedState) restore(a *attempt) {
+	for i, g := range s.shapes {
+		a.areas[g] = s.areas[i]
+	}
+	for i, w := range s.workers {
+		a.rooms[w] = s.rooms[i]
+	}
+}
+
+// pinTask pins a task to the shape that needs the fewest additional tasks for
+// it, and among those to the one whose tasks are closest in size.
+func (r *reserver) pinTask(a *attempt, c int, t api.TaskPlacement, shapes []int) bool {
+	w, ok := r.index[t.Worker]
+	if !ok {
+		return false
+	}
+	task := packing.RoomOf(r.covered[c].Resources, 1, packing.SetOf(t.Accelerators))
+	type option struct{ shape, extra, waste int }
+	var options []option
+	for _, g := range shapes {
+		extra, ok := r.extraTasks(a, g, w, task)
+		if !ok {
+			continue
+		}
+		waste := r.guarantees[g].Shape.Resources.Accelerators - task.Accelerators.Len()
+		options = append(options, option{g, extra, max(waste, -waste)})
+	}
+	slices.SortStableFunc(options, func(x, y option) int {
+		return cmp.Or(cmp.Compare(x.extra, y.extra), cmp.Compare(x.waste, y.waste))
+	})
+	for _, o := range options {
+		if r.pinTo(a, o.shape, w, o.extra, c, task) {
+			return true
+		}
+	}
+	return false
+}
+
+// extraTasks returns how many more tasks of a shape must lie on the worker so
+// that the task fits inside, or false if the shape does not allow it.
+func (r *reserver) extraTasks(a *attempt, g, w int, task Room) (int, bool) {
+	shape := r.guarantees[g].Shape
+	if shape.AcceleratorModel != "" && task.Accelerators != 0 && shape.AcceleratorModel != r.fleet.Models[w] {
+		return 0, false
+	}
+	have := a.areas[g].peek(w)
+	need, ok := tasksToHold(have.pinned.Add(task), shape.Resources)
+	if !ok {
+		return 0, false
+	}
+	extra := max(0, need-have.tasks)
+	if a.areas[g].tasks+extra > shape.Tasks || !r.adjacent(a.areas[g], shape.Adjacency, w) {
+		return 0, false
+	}
+	return extra, true
+}
+
+// tasksToHold returns how many tasks of a shape cover a room.
+func tasksToHold(room Room, per api.Resources) (int, bool) {
+	n := 0
+	for _, dimension := range [][2]int64{
+		{int64(room.Cores), int64(per.Cores)},
+		{room.MemoryMB, per.MemoryMb},
+		{int64(room.Accelerators.Len()), int64(per.Accelerators)},
+	} {
+		used, size := dimension[0], dimension[1]
+		if used == 0 {
+			continue
+		}
+		if size <= 0 {
+			return 0, false
+		}
+		n = max(n, int((used+size-1)/size))
+	}
+	return max(n, 1), true
+}
+
+func (r *reserver) adjacent(a area, adjacency api.Adjacency, w int) bool {
+	if len(a.parts) == 0 {
+		return true
+	}
+	first := a.parts[0].worker
+	switch adjacency {
+	case api.AdjacencyWorker:
+		return first == w
+	case api.AdjacencyRack:
+		return r.fleet.Racks[first] == r.fleet.Racks[w]
+	default:
+		return true
+	}
+}
+
+// pinTo grows the area of a shape on a worker so that it holds the task.
+func (r *reserver) pinTo(a *attempt, g, w, extra, c int, task Room) bool {
+	shape := r.guarantees[g].Shape
+	room := a.rooms[w]
+	own := a.areas[g].peek(w)
+	if task.Accelerators&^(room.Accelerators|own.room.Accelerators) != 0 ||
+		task.Accelerators&own.pinned.Accelerators != 0 {
+		return false
+	}
+	// Accelerators of the area that no task holds can be exchanged for those
+	// that the task holds.
+	spare := own.room.Accelerators &^ own.pinned.Accelerators &^ task.Accelerators
+	size := (own.tasks + extra) * shape.Resources.Accelerators
+	must := own.pinned.Accelerators | task.Accelerators
+	available := (room.Accelerators | spare) &^ must
+	if size < must.Len() || available.Len() < size-must.Len() {
+		return false
+	}
+	added := packing.RoomOf(shape.Resources, extra, 0)
+	if !room.Covers(added) {
+		return false
+	}
+	set := must | r.pick(w, available, size-must.Len())
+	all := room.Accelerators | own.room.Accelerators
+	room = room.Sub(added)
+	room.Accelerators = all &^ set
+	a.rooms[w] = room
+	own.worker = w
+	own.room = own.room.Add(added)
+	own.room.Accelerators = set
+	own.pinned = own.pinned.Add(task)
+	own.pins = append(slices.Clone(own.pins), c)
+	own.tasks += extra
+	*a.areas[g].part(w) = own
+	a.areas[g].tasks += extra
+	return true
+}
+
+// cost prices n tasks on a worker: nothing where it is free, little where tasks
+// are being stopped, and the lost work of the borrowers elsewhere.
+func (r *reserver) cost(a *attempt, w, n int, per api.Resources) int64 {
+	room, worker := a.rooms[w], &r.workers[w]
+	if n <= worker.Free.Min(room).Tasks(per, n) {
+		return 0
+	}
+	if n <= worker.Ending.Min(room).Tasks(per, n) {
+		return 1
+	}
+	cost := int64(2)
+	if per.Accelerators == 0 {
+		for _, l := range worker.Loss {
+			cost += l
+		}
+		return cost
+	}
+	picked := r.pick(w, room.Accelerators, n*per.Accelerators) &^ worker.Ending.Accelerators
+	for _, i := range picked.Indices() {
+		if i < len(worker.Loss) {
+			cost += worker.Loss[i]
+		}
+	}
+	return cost
+}
+
+// pick takes free accelerators first, then those of tasks that are being
+// stopped, then those whose borrowers lose the least work.
+func (r *reserver) pick(w int, available Set, n int) Set {
+	worker := &r.workers[w]
+	return PickCheapest(available, n, worker.Free.Accelerators, worker.Ending.Accelerators, worker.Loss)
+}
+
+// PickCheapest takes n available accelerators: free ones first, then ending
+// ones, then those with the least loss; equal ones by index.
+func PickCheapest(available Set, n int, free, ending Set, loss []int64) Set {
+	out := (available & free).Lowest(n)
+	out |= (available & ending &^ out).Lowest(n - out.Len())
+	rest := (available &^ out).Indices()
+	if n -= out.Len(); n <= 0 {
+		return out
+	}
+	lossOf := func(i int) int64 {
+		if i < len(loss) {
+			return loss[i]
+		}
+		return 0
+	}
+	slices.SortStableFunc(rest, func(x, y int) int { return cmp.Compare(lossOf(x), lossOf(y)) })
+	return out | packing.SetOf(rest[:min(n, len(rest))])
+}
--- /dev/null
+++ b/internal/packing/room.go
@@ -0,0 +1,126 @@
+// Package packing places gangs of equal tasks on workers in racks. It knows
+// rooms (cores, memory, accelerators) and nothing about jobs or organisations.
+package packing
+
+import (
+	"math/bits"
+
+	"github.com/samphirepath/samphirepath/api"
+)
+
+// MaxAccelerators is the largest number of accelerators of a worker that is
+// used; a Set has one bit for each.
+const MaxAccelerators = 64
+
+// Set is a set of accelerator indices of one worker.
+type Set uint64
+
+// SetOf returns the set of the given indices; indices out of range are left out.
+func SetOf(indices []int) Set {
+	var s Set
+	for _, i := range indices {
+		if i >= 0 && i < MaxAccelerators {
+			s |= 1 << i
+		}
+	}
+	return s
+}
+
+// FirstN returns the set of the indices 0 to n-1.
+func FirstN(n int) Set {
+	if n >= MaxAccelerators {
+		return ^Set(0)
+	}
+	if n <= 0 {
+		return 0
+	}
+	return 1<<n - 1
+}
+
+// Len returns the number of indices in the set.
+func (s Set) Len() int { return bits.OnesCount64(uint64(s)) }
+
+// Indices returns the indices in ascending order.
+func (s Set) Indices() []int {
+	out := make([]int, 0, s.Len())
+	for ; s != 0; s &= s - 1 {
+		out = append(out, bits.TrailingZeros64(uint64(s)))
+	}
+	return out
+}
+
+// Lowest returns the n lowest indices of the set.
+func (s Set) Lowest(n int) Set {
+	var out Set
+	for ; n > 0 && s != 0; n-- {
+		low := s & -s
+		out |= low
+		s &^= low
+	}
+	return out
+}
+
+// Room is an amount of cores and memory and a set of accelerators of a worker.
+type Room struct {
+	Cores        int
+	MemoryMB     int64
+	Accelerators Set
+}
+
+// RoomOf returns the room that n tasks with the given accelerators take.
+func RoomOf(r api.Resources, n int, accelerators Set) Room {
+	return Room{Cores: n * r.Cores, MemoryMB: int64(n) * r.MemoryMb, Accelerators: accelerators}
+}
+
+// Empty tells whether the room holds nothing.
+func (r Room) Empty() bool { return r == Room{} }
+
+// Sub returns the room without other, never below zero.
+func (r Room) Sub(other Room) Room {
+	return Room{
+		Cores:        max(0, r.Cores-other.Cores),
+		MemoryMB:     max(0, r.MemoryMB-other.MemoryMB),
+		Accelerators: r.Accelerators &^ other.Accelerators,
+	}
+}
+
+// Add returns the union of both rooms.
+func (r Room) Add(other Room) Room {
+	return Room{
+		Cores:        r.Cores + other.Cores,
+		MemoryMB:     r.MemoryMB + other.MemoryMB,
+		Accelerators: r.Accelerators | other.Accelerators,
+	}
+}
+
+// Min returns what both rooms have.
+func (r Room) Min(other Room) Room {
+	return Room{
+		Cores:        min(r.Cores, other.Cores),
+		MemoryMB:     min(r.MemoryMB, other.MemoryMB),
+		Accelerators: r.Accelerators & other.Accelerators,
+	}
+}
+
+// Covers tells whether the room has all of other.
+func (r Room) Covers(other Room) bool {
+	return r.Cores >= other.Cores && r.MemoryMB >= other.MemoryMB && other.Accelerators&^r.Accelerators == 0
+}
+
+// Tasks returns how many tasks with the given resources fit, at most limit.
+func (r Room) Tasks(need api.Resources, limit int) int {
+	n := limit
+	if need.Accelerators > 0 {
+		n = min(n, r.Accelerators.Len()/need.Accelerators)
+	}
+	if need.Cores > 0 && n > 0 {
+		n = min(n, r.Cores/need.Cores)
+	}
+	if need.MemoryMb > 0 && n > 0 {
+		n = min(n, int(r.MemoryMB/need.MemoryMb))
+	}
+	return max(n, 0)
+}
+
+// First returns the lowest index of the set, 64 if it is empty.
+func (s Set) First() int { return bits.TrailingZeros64(uint64(s)) }
