Add the planner

Ruled out: one pass in the order of urgency. An urgent borrower would take places that were just reclaimed for a covered job, which would reclaim them again in the next round. Covered jobs are therefore placed first.

Change: planner.Compute with quotas, covered placements and reclaim, best fit for borrowers outside unused reservations, urgent preemption of batch borrowers, backfill holds that no declared run time can defeat, refusals and reasons.

Conclusion: specs pass with -race.

--- /dev/null
+++ b/internal/planner/admit.go
@@ -0,0 +1,177 @@
+package planner
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/samphirepath/samphirepath/api"
+	"github.com/samphirepath/samphirepath/internal/packing"
+)
+
+const (
+	// maxFailingWorkers is the number of different workers on which a job may
+	// fail before it is refused.
+	maxFailingWorkers = 3
+	// defaultMaxTasks is the largest gang if the entry sets no limit.
+	defaultMaxTasks = 32
+)
+
+// admit returns the waiting jobs in the order of the plan, without those that
+// can never run, which it refuses or gives a reason.
+func (r *round) admit() []*waitingJob {
+	var waiting []*waitingJob
+	for i := range r.s.Jobs {
+		job := &r.s.Jobs[i]
+		if job.State != api.JobStateWaiting || !r.allowedHere(job) {
+			continue
+		}
+		if job.CancelRequested {
+			r.plan.Reasons[job.ID] = "The job has been cancelled and is about to end."
+			continue
+		}
+		if reason := r.neverAnywhere(job); reason != "" {
+			r.refuse(job, reason)
+			continue
+		}
+		w := newWaitingJob(r, job)
+		if reason := r.neverHere(w); reason != "" {
+			if r.onlyHere(job) {
+				r.refuse(job, reason)
+			} else {
+				r.plan.Reasons[job.ID] = reason + " It can start in another zone only."
+			}
+			continue
+		}
+		w.need.Avoid = r.avoided(w)
+		waiting = append(waiting, w)
+	}
+	slices.SortFunc(waiting, compareWaiting)
+	return waiting
+}
+
+func (r *round) refuse(job *api.Job, reason string) {
+	r.plan.Refusals = append(r.plan.Refusals, Refusal{JobID: job.ID, Reason: reason})
+}
+
+func (r *round) allowedHere(job *api.Job) bool {
+	return len(job.Spec.Zones) == 0 || slices.Contains(job.Spec.Zones, r.s.Zone)
+}
+
+// onlyHere tells whether no other zone may run the job.
+func (r *round) onlyHere(job *api.Job) bool {
+	return len(job.Spec.Zones) == 1 && job.Spec.Zones[0] == r.s.Zone
+}
+
+// neverAnywhere says why the catalogue or its failures keep the job from
+// running in any zone.
+func (r *round) neverAnywhere(job *api.Job) string {
+	if failed := r.failedWorkers(job); len(failed) >= maxFailingWorkers {
+		last := job.Failures[len(job.Failures)-1]
+		return fmt.Sprintf("The job failed on %d different workers and is not tried again; the last failure was on %s: %s.",
+			len(failed), last.Worker, last.Reason)
+	}
+	if reason := r.overLimits(job); reason != "" {
+		return reason
+	}
+	return r.usage.never(job)
+}
+
+// overLimits checks the limits of the catalogue entry. An entry that is gone
+// sets none, since the job was accepted under it.
+func (r *round) overLimits(job *api.Job) string {
+	if job.Spec.Tasks <= 0 {
+		return "The job has no tasks."
+	}
+	e := r.entries[job.Spec.Entry]
+	if e == nil {
+		return ""
+	}
+	limit := e.Limits.MaxTasks
+	if limit == 0 {
+		limit = defaultMaxTasks
+	}
+	if job.Spec.Tasks > limit {
+		return fmt.Sprintf("The job has %d tasks; entry %s allows %d.", job.Spec.Tasks, e.Name, limit)
+	}
+	n := job.Spec.Tasks * job.Spec.Resources.Accelerators
+	if e.Limits.MaxAccelerators > 0 && n > e.Limits.MaxAccelerators {
+		return fmt.Sprintf("The job needs %s; entry %s allows %d.",
+			packing.Count(n, "accelerator"), e.Name, e.Limits.MaxAccelerators)
+	}
+	if e.Limits.MaxRunS > 0 && job.Spec.RunTimeS > e.Limits.MaxRunS {
+		return fmt.Sprintf("The job declares %d s of run time; entry %s allows %d s.",
+			job.Spec.RunTimeS, e.Name, e.Limits.MaxRunS)
+	}
+	return ""
+}
+
+// failedWorkers lists the different workers on which the job failed. A worker
+// in quarantine fails whatever it is given, so that it is not the job's fault.
+func (r *round) failedWorkers(job *api.Job) []string {
+	var out []string
+	for _, f := range job.Failures {
+		if f.Worker == "" || slices.Contains(out, f.Worker) {
+			continue
+		}
+		if i, ok := r.index[f.Worker]; ok && r.s.Workers[i].State == WorkerQuarantined {
+			continue
+		}
+		out = append(out, f.Worker)
+	}
+	return out
+}
+
+// neverHere says why the zone could not hold the job even if it were empty and
+// all its workers were live.
+func (r *round) neverHere(w *waitingJob) string {
+	if r.s.Incomplete || len(r.s.Workers) == 0 {
+		return ""
+	}
+	for i := range r.s.Workers {
+		if r.capacity[i] == (packing.Room{}) {
+			return "" // a worker that has not yet reported might hold it
+		}
+	}
+	if r.fitsEmpty(w, nil) {
+		return ""
+	}
+	text := packing.Describe(w.need.Tasks, w.need.Resources, w.need.Adjacency, w.need.Model)
+	single := *w
+	single.need.Tasks, single.key.tasks = 1, 1
+	if !r.fitsEmpty(&single, nil) {
+		return fmt.Sprintf("The job needs %s, and no worker of zone %s could hold one such task (%d cores, %d MiB).",
+			text, r.s.Zone, w.need.Resources.Cores, w.need.Resources.MemoryMb)
+	}
+	return fmt.Sprintf("The job needs %s; that is more than zone %s has even when it is empty.", text, r.s.Zone)
+}
+
+func (r *round) fitsEmpty(w *waitingJob, avoid []int) bool {
+	if avoid == nil && r.fitted[w.key] {
+		return true
+	}
+	need := w.need
+	need.Avoid = avoid
+	_, ok := r.packer.Place(packing.Query{Need: need, Rooms: r.capacity, Candidates: r.fleet.All})
+	if avoid == nil && ok {
+		r.fitted[w.key] = true
+	}
+	return ok
+}
+
+// avoided lists the workers on which the job has failed, unless the zone could
+// not hold it without them.
+func (r *round) avoided(w *waitingJob) []int {
+	if len(w.job.Failures) == 0 {
+		return nil
+	}
+	var out []int
+	for _, f := range w.job.Failures {
+		if i, ok := r.index[f.Worker]; ok && !slices.Contains(out, i) {
+			out = append(out, i)
+		}
+	}
+	if len(out) == 0 || !r.fitsEmpty(w, out) {
+		return nil
+	}
+	return out
+}
--- /dev/null
+++ b/internal/planner/order.go
@@ -0,0 +1,112 @@
+package planner
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/samphirepath/samphirepath/api"
+)
+
+const (
+	// holdAfter is the wait after which a job gets a backfill hold: most jobs run
+	// for hours, so a few minutes are no long wait, and short enough that a day's
+	// work still fits in the daylight.
+	holdAfter = 5 * time.Minute
+	// starveAfter is the wait after which jobs of other classes except urgent
+	// ones no longer go first, and nothing is backfilled on the held places.
+	// Declared run times can be wrong without end; this bounds what that costs.
+	starveAfter = 30 * time.Minute
+)
+
+// Ranks of waiting jobs; lower ones go first.
+const (
+	rankUrgent = iota
+	rankStarving
+	rankStandard
+	rankBatch
+)
+
+func (r *round) waited(job *api.Job) time.Duration {
+	return r.s.Now.Sub(time.UnixMilli(job.SubmittedMs))
+}
+
+func (r *round) rank(job *api.Job) int {
+	switch {
+	case job.Urgency == api.Urgent:
+		return rankUrgent
+	case r.waited(job) >= starveAfter:
+		return rankStarving
+	case job.Urgency == api.Standard:
+		return rankStandard
+	default:
+		return rankBatch
+	}
+}
+
+func compareAge(a, b *api.Job) int {
+	return cmp.Or(cmp.Compare(a.SubmittedMs, b.SubmittedMs), cmp.Compare(a.ID, b.ID))
+}
+
+// compareWaiting orders by rank, then jobs with a backfill hold first, then by age.
+func compareWaiting(a, b *waitingJob) int {
+	if c := cmp.Compare(a.rank, b.rank); c != 0 {
+		return c
+	}
+	if a.overdue != b.overdue {
+		if a.overdue {
+			return -1
+		}
+		return 1
+	}
+	return compareAge(a.job, b.job)
+}
+
+// eachFair calls f for the waiting jobs that are not done: by rank, overdue
+// ones by age, and the others by turns, the organisation with the smallest
+// share of its guarantee or quota first. Shares change while f places jobs.
+func (r *round) eachFair(waiting []*waitingJob, f func(*waitingJob)) {
+	waiting = slices.DeleteFunc(waiting, func(w *waitingJob) bool { return w.done })
+	for len(waiting) > 0 {
+		n := 1
+		for n < len(waiting) && waiting[n].rank == waiting[0].rank && waiting[n].overdue == waiting[0].overdue {
+			n++
+		}
+		group := waiting[:n]
+		waiting = waiting[n:]
+		if group[0].overdue {
+			for _, w := range group {
+				f(w)
+			}
+			continue
+		}
+		r.byTurns(group, f)
+	}
+}
+
+// byTurns calls f for the jobs of a group, which are in the order of age.
+func (r *round) byTurns(group []*waitingJob, f func(*waitingJob)) {
+	var names []string
+	queues := make(map[string][]*waitingJob)
+	for _, w := range group {
+		o := w.job.Organisation
+		if len(queues[o]) == 0 {
+			names = append(names, o)
+		}
+		queues[o] = append(queues[o], w)
+	}
+	for len(names) > 0 {
+		best := 0
+		for i := 1; i < len(names); i++ {
+			c := r.usage.compareShare(names[i], names[best])
+			if c < 0 || c == 0 && compareAge(queues[names[i]][0].job, queues[names[best]][0].job) < 0 {
+				best = i
+			}
+		}
+		o := names[best]
+		f(queues[o][0])
+		if queues[o] = queues[o][1:]; len(queues[o]) == 0 {
+			names = slices.Delete(names, best, best+1)
+		}
+	}
+}
--- a/internal/planner/types.go
+++ b/internal/planner/types.go
@@ -54,6 +54,12 @@
 	// in other zones, for quotas.
 	TeamUsageElsewhere         map[string]int
 	OrganisationUsageElsewhere map[string]int
+	// Incomplete says that workers of the zone may be missing from Workers (after
+	// a start, or while a rack is lost). No job is refused for lack of capacity.
+	Incomplete bool
+	// LastCheckpoint gives the time of the newest checkpoint by job, where it is
+	// known. Without it the time is estimated from the progress of the job.
+	LastCheckpoint map[string]time.Time
 }
 
 // Placement reserves places for all tasks of a waiting job.
@@ -66,10 +72,17 @@
 // Preemption ends a running job to make room.
 type Preemption struct {
 	JobID  string
-	For    string // job that needs the place
-	Reason string
+	For    string // job that needs the place; empty if the worker or the zone goes
+	Reason string // one of the PreemptionReason constants
+	Detail string // plain sentence
 }
 
+// Reasons of preemptions, which are also the stop reasons of jobs.
+const (
+	PreemptionPreempted = "preempted"
+	PreemptionZoneOut   = "zone_out"
+)
+
 // Refusal ends a job that can never run.
 type Refusal struct {
 	JobID  string
@@ -97,6 +110,10 @@
 	Refusals     []Refusal
 	Reservations []Reservation
 	Shortfalls   []Shortfall
+	// Demoted lists jobs that are marked as covered, but lie outside the
+	// reservations of this plan, because workers or guarantees have changed. They
+	// count as borrowers: preemptions of this plan may name them.
+	Demoted []string
 	// Reasons says in a plain sentence why each job that still waits does so.
 	Reasons map[string]string
 }
