Add bookkeeping of failing workers and failing jobs

Cause: workers that fail every task and jobs that can never succeed must be told apart, and neither may be blamed for the failures of the other.

Ruled out: counting failures of a worker. One job that is retried on the same worker would quarantine it.

Change: internal/health quarantines a worker on which 3 different jobs fail within an hour, with a backoff that doubles until a task succeeds there. Jobs that failed on 3 other workers do not count against a worker, and failures of a quarantined worker do not count against a job. The record is rebuilt from job rows, so an attempt counts once.

Conclusion: table tests pass with -race.

--- /dev/null
+++ b/internal/health/health_test.go
@@ -0,0 +1,113 @@
+package health_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/samphirepath/samphirepath/internal/health"
+)
+
+func TestHealth(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "health")
+}
+
+var start = time.UnixMilli(1_700_000_000_000)
+
+// fail is a failure of a job on a worker, some minutes after the start.
+type fail struct {
+	job, worker string
+	minute      int
+}
+
+func record(t *health.Tracker, failures ...fail) {
+	for i, f := range failures {
+		t.Failed(health.Failure{Job: f.job, Attempt: i + 1, Worker: f.worker, At: minute(f.minute)})
+	}
+}
+
+func minute(n int) time.Time { return start.Add(time.Duration(n) * time.Minute) }
+
+var _ = Describe("a tracker", func() {
+	DescribeTable("tells failing workers from failing jobs",
+		func(quarantined []string, failing []string, failures ...fail) {
+			t := health.New(health.Config{})
+			record(t, failures...)
+			last := minute(failures[len(failures)-1].minute)
+			for _, w := range []string{"w1", "w2", "w3", "w4"} {
+				_, got := t.Quarantined(w, last)
+				Expect(got).To(Equal(slices.Contains(quarantined, w)), w)
+			}
+			for _, j := range []string{"a", "b", "c"} {
+				Expect(t.Failing(j)).To(Equal(slices.Contains(failing, j)), j)
+			}
+		},
+		Entry("three jobs fail on one worker", []string{"w1"}, nil,
+			fail{"a", "w1", 0}, fail{"b", "w1", 1}, fail{"c", "w1", 2}),
+		Entry("one job fails many times on one worker", nil, nil,
+			fail{"a", "w1", 0}, fail{"a", "w1", 1}, fail{"a", "w1", 2}, fail{"a", "w1", 3}),
+		Entry("two jobs are not enough", nil, nil, fail{"a", "w1", 0}, fail{"b", "w1", 1}, fail{"a", "w1", 2}),
+		Entry("failures outside of the window do not add up", nil, nil,
+			fail{"a", "w1", 0}, fail{"b", "w1", 1}, fail{"c", "w1", 62}),
+		Entry("a job fails on three workers", nil, []string{"a"},
+			fail{"a", "w1", 0}, fail{"a", "w2", 1}, fail{"a", "w3", 2}),
+		Entry("failing jobs do not quarantine a worker", nil, []string{"a", "b"},
+			fail{"a", "w2", 0}, fail{"a", "w3", 1}, fail{"a", "w4", 2}, fail{"b", "w2", 3}, fail{"b", "w3", 4}, fail{"b", "w4", 5},
+			fail{"a", "w1", 6}, fail{"b", "w1", 7}, fail{"c", "w1", 8}),
+		Entry("a worker that fails everything does not make a job failing", []string{"w1"}, nil,
+			fail{"b", "w1", 0}, fail{"c", "w1", 1}, fail{"a", "w1", 2}, fail{"a", "w1", 3}, fail{"a", "w2", 4}, fail{"a", "w3", 5}))
+
+	It("doubles the quarantine each time, up to a limit, until a task succeeds", func() {
+		t := health.New(health.Config{MaxBackoff: 15 * time.Minute})
+		now, attempt := start, 0
+		quarantine := func() time.Duration {
+			for _, job := range []string{"a", "b", "c"} {
+				attempt++
+				t.Failed(health.Failure{Job: job, Attempt: attempt, Worker: "w1", At: now})
+			}
+			q, ok := t.Quarantined("w1", now)
+			Expect(ok).To(BeTrue())
+			Expect(q.Reason).To(ContainSubstring("3 different jobs failed on it"))
+			d := q.Until.Sub(now)
+			now = q.Until
+			return d
+		}
+		Expect(quarantine()).To(Equal(5 * time.Minute))
+		_, still := t.Quarantined("w1", now)
+		Expect(still).To(BeFalse(), "the quarantine ends by itself")
+		Expect(quarantine()).To(Equal(10 * time.Minute))
+		Expect(quarantine()).To(Equal(15 * time.Minute))
+		t.Succeeded("w1", now)
+		Expect(quarantine()).To(Equal(5 * time.Minute))
+	})
+
+	It("does not end a quarantine when a task that started before it succeeds", func() {
+		t := health.New(health.Config{})
+		record(t, fail{"a", "w1", 0}, fail{"b", "w1", 0}, fail{"c", "w1", 0})
+		t.Succeeded("w1", minute(1))
+		_, ok := t.Quarantined("w1", minute(1))
+		Expect(ok).To(BeTrue())
+	})
+
+	It("counts an attempt once, so that the record can be rebuilt from job rows", func() {
+		t := health.New(health.Config{})
+		failures := []fail{{"a", "w1", 0}, {"b", "w1", 1}, {"c", "w1", 2}}
+		record(t, failures...)
+		record(t, failures...)
+		t.Failed(health.Failure{Job: "d", Attempt: 9, Worker: "w1", At: minute(10)})
+		_, ok := t.Quarantined("w1", minute(10))
+		Expect(ok).To(BeFalse(), "only one job failed since the quarantine")
+	})
+
+	It("forgets failures of a day ago and those of a replaced worker", func() {
+		t := health.New(health.Config{})
+		record(t, fail{"a", "w1", 0}, fail{"a", "w2", 1}, fail{"b", "w3", 25 * 60})
+		Expect(t.Blamed("a")).To(BeEmpty())
+		t.Replaced("w3")
+		Expect(t.Blamed("b")).To(BeEmpty())
+	})
+})
