Add the job rows: follower, submission, transitions and applier

Cause: planning, execution and the HTTP API need one way to read and change job rows truthfully. Change: package internal/jobs. Conclusion: usable by control, executor, keeper and the handlers.

--- /dev/null
+++ b/internal/jobs/applier.go
@@ -0,0 +1,267 @@
+package jobs
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"github.com/samphirepath/samphirepath/api"
+	"github.com/samphirepath/samphirepath/internal/planner"
+)
+
+const (
+	// Retention is how long an ended job is kept.
+	Retention = 24 * time.Hour
+	// reasonsEvery is the interval of writes of reasons why jobs wait. They are
+	// for people and may lag, so that they do not use up the write limit.
+	reasonsEvery = 5 * time.Second
+	// deletesPerRound bounds the ended jobs deleted in one round: one commit.
+	deletesPerRound = maxGroup
+)
+
+// ApplierConfig holds the dependencies of an Applier.
+type ApplierConfig struct {
+	Zone     string
+	Writer   *Writer
+	Follower *Follower
+	Now      func() time.Time
+	Log      *zap.Logger
+	Scope    tally.Scope
+}
+
+// Applier checks plans against the current rows and commits them. Its methods
+// are called by one goroutine at a time.
+type Applier struct {
+	cfg         ApplierConfig
+	reasonsNext time.Time
+}
+
+// NewApplier returns an applier for one zone.
+func NewApplier(cfg ApplierConfig) *Applier {
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	if cfg.Log == nil {
+		cfg.Log = zap.NewNop()
+	}
+	if cfg.Scope == nil {
+		cfg.Scope = tally.NoopScope
+	}
+	return &Applier{cfg: cfg}
+}
+
+// Applied counts what became of the changes of a round.
+type Applied struct {
+	Done    int
+	Dropped int // no longer valid when checked or committed
+	Failed  int // not written or unsettled; the next round sees the rows as they are
+	Fenced  bool
+}
+
+// Apply checks a plan and commits what still holds. workers are those that the
+// plan was made with.
+func (a *Applier) Apply(ctx context.Context, plan planner.Plan, workers []planner.Worker, zones []api.Zone) Applied {
+	var out Applied
+	changes := a.preemptions(plan, &out)
+	changes = append(changes, a.refusals(plan, &out)...)
+	changes = append(changes, a.placements(plan, workers, &out)...)
+	changes = append(changes, a.reasons(plan, zones, changes)...)
+	a.commit(ctx, changes, &out)
+	return out
+}
+
+func (a *Applier) placements(plan planner.Plan, workers []planner.Worker, out *Applied) []Change {
+	if len(plan.Placements) == 0 {
+		return nil
+	}
+	places := newOccupancy(workers)
+	for _, row := range a.cfg.Follower.Rows() {
+		if row.Job.Zone == a.cfg.Zone && Holds(row.Job.State) {
+			places.addJob(row.Job)
+		}
+	}
+	var changes []Change
+	for _, p := range plan.Placements {
+		row := a.cfg.Follower.Get(p.JobID)
+		if row == nil {
+			out.Dropped++
+			continue
+		}
+		job, err := Place(row.Job, a.cfg.Zone, p, a.cfg.Now())
+		if err == nil {
+			if reason := places.reserve(row.Job, p.Tasks); reason != "" {
+				a.cfg.Log.Info("placement dropped", zap.String("job", p.JobID), zap.String("reason", reason))
+				out.Dropped++
+				continue
+			}
+			changes = append(changes, Change{Job: job, Version: row.Version, Fenced: true})
+			continue
+		}
+		out.Dropped++
+	}
+	return changes
+}
+
+func (a *Applier) preemptions(plan planner.Plan, out *Applied) []Change {
+	var changes []Change
+	for _, p := range plan.Preemptions {
+		changes = a.change(changes, p.JobID, out, func(j api.Job) (api.Job, error) {
+			return BeginStop(j, StopPreempted, p.Reason, nil)
+		})
+	}
+	return changes
+}
+
+func (a *Applier) refusals(plan planner.Plan, out *Applied) []Change {
+	var changes []Change
+	for _, r := range plan.Refusals {
+		changes = a.change(changes, r.JobID, out, func(j api.Job) (api.Job, error) {
+			return Refuse(j, r.Reason, a.cfg.Now())
+		})
+	}
+	return changes
+}
+
+func (a *Applier) change(changes []Change, id string, out *Applied, f func(api.Job) (api.Job, error)) []Change {
+	row := a.cfg.Follower.Get(id)
+	if row == nil {
+		out.Dropped++
+		return changes
+	}
+	job, err := f(row.Job)
+	if err != nil {
+		out.Dropped++
+		return changes
+	}
+	return append(changes, Change{Job: job, Version: row.Version, Fenced: true})
+}
+
+// reasons returns the changed reasons of waiting jobs, one group at most. Only
+// the home zone of a job writes its reason, so that zones do not alternate.
+func (a *Applier) reasons(plan planner.Plan, zones []api.Zone, planned []Change) []Change {
+	now := a.cfg.Now()
+	if now.Before(a.reasonsNext) {
+		return nil
+	}
+	taken := map[string]bool{}
+	for _, c := range planned {
+		taken[c.Job.ID] = true
+	}
+	ids := make([]string, 0, len(plan.Reasons))
+	for id := range plan.Reasons {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	var changes []Change
+	for _, id := range ids {
+		row := a.cfg.Follower.Get(id)
+		if row == nil || taken[id] || row.Job.Reason == plan.Reasons[id] || HomeZone(row.Job, zones) != a.cfg.Zone {
+			continue
+		}
+		if job, err := Explain(row.Job, plan.Reasons[id]); err == nil && len(changes) < maxGroup {
+			changes = append(changes, Change{Job: job, Version: row.Version, Fenced: true})
+		}
+	}
+	if len(changes) > 0 {
+		a.reasonsNext = now.Add(reasonsEvery)
+	}
+	return changes
+}
+
+// Housekeep stops what must not run any more and removes what is over: jobs of a
+// zone that is out, cancelled jobs, and jobs that ended before the retention time.
+func (a *Applier) Housekeep(ctx context.Context, state api.ZoneState, zones []api.Zone) Applied {
+	var out Applied
+	var changes []Change
+	deletes := 0
+	for _, row := range a.cfg.Follower.Rows() {
+		c, ok := a.housekeepOne(row, state, zones)
+		if !ok {
+			continue
+		}
+		if c.Delete {
+			if deletes++; deletes > deletesPerRound {
+				continue
+			}
+		}
+		changes = append(changes, c)
+	}
+	a.commit(ctx, changes, &out)
+	return out
+}
+
+func (a *Applier) housekeepOne(row *Row, state api.ZoneState, zones []api.Zone) (Change, bool) {
+	job := row.Job
+	change := Change{Version: row.Version, Fenced: true}
+	var err error
+	switch {
+	case (job.State == api.JobStatePlaced || job.State == api.JobStateRunning) && job.Zone == a.cfg.Zone:
+		switch {
+		case job.CancelRequested:
+			change.Job, err = BeginStop(job, StopCancelled, "cancelled on request", nil)
+		case state == api.Out:
+			change.Job, err = BeginStop(job, StopZoneOut, "zone "+a.cfg.Zone+" was taken out of service", nil)
+		default:
+			return change, false
+		}
+	case HomeZone(job, zones) != a.cfg.Zone:
+		return change, false
+	case job.State == api.JobStateWaiting && job.CancelRequested:
+		change.Job, err = RequestCancel(job, a.cfg.Now())
+	case Terminal(job.State) && a.cfg.Now().Sub(time.UnixMilli(job.EndedMs)) > Retention:
+		change.Job, change.Delete = job, true
+	default:
+		return change, false
+	}
+	return change, err == nil
+}
+
+// Transition makes one fenced change of a row of this zone. A false result means
+// that the transition no longer applies or was not committed.
+func (a *Applier) Transition(ctx context.Context, id string, f func(api.Job) (api.Job, error)) (ChangeResult, bool) {
+	row := a.cfg.Follower.Get(id)
+	if row == nil {
+		return ChangeResult{Status: Stale}, false
+	}
+	job, err := f(row.Job)
+	if err != nil {
+		return ChangeResult{Status: Stale, Err: err}, false
+	}
+	result := a.cfg.Writer.Apply(ctx, Change{Job: job, Version: row.Version, Fenced: true})[0]
+	return result, result.Status == Done
+}
+
+// Commit makes prepared transitions of several jobs together.
+func (a *Applier) Commit(ctx context.Context, transitions map[string]func(api.Job) (api.Job, error)) Applied {
+	var out Applied
+	var changes []Change
+	for id, f := range transitions {
+		changes = a.change(changes, id, &out, f)
+	}
+	a.commit(ctx, changes, &out)
+	return out
+}
+
+func (a *Applier) commit(ctx context.Context, changes []Change, out *Applied) {
+	if len(changes) == 0 {
+		return
+	}
+	for _, r := range a.cfg.Writer.Apply(ctx, changes...) {
+		switch r.Status {
+		case Done:
+			out.Done++
+		case Stale:
+			out.Dropped++
+		case Fenced:
+			out.Fenced = true
+			out.Dropped++
+		default:
+			out.Failed++
+		}
+	}
+	a.cfg.Scope.Counter("applied").Inc(int64(out.Done))
+	a.cfg.Scope.Counter("dropped").Inc(int64(out.Dropped))
+}
--- /dev/null
+++ b/internal/jobs/follower.go
@@ -0,0 +1,258 @@
+package jobs
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"github.com/samphirepath/samphirepath/api"
+	"github.com/samphirepath/samphirepath/internal/peers"
+	"github.com/samphirepath/samphirepath/table"
+)
+
+const (
+	// DefaultPollEvery is the interval of polls of the job rows.
+	DefaultPollEvery = 500 * time.Millisecond
+	// hintSpacing is the shortest time between two reads caused by hints, so that
+	// a burst of hints costs one listing each 50 ms.
+	hintSpacing = 50 * time.Millisecond
+	// readTimeout bounds one read of the store.
+	readTimeout = 2 * time.Second
+)
+
+// FollowerConfig holds the dependencies of a Follower.
+type FollowerConfig struct {
+	Store     table.Store
+	Network   peers.Network // may be nil; job hints are handled and sent through it
+	PollEvery time.Duration
+	Log       *zap.Logger
+	Scope     tally.Scope
+}
+
+// Follower keeps a copy of all job rows.
+type Follower struct {
+	cfg  FollowerConfig
+	hint chan struct{}
+
+	mu      sync.Mutex
+	rows    map[string]*Row
+	version int64
+	reached time.Time
+	changed chan struct{}
+}
+
+// NewFollower returns a follower without rows and registers for job hints.
+func NewFollower(cfg FollowerConfig) *Follower {
+	if cfg.PollEvery <= 0 {
+		cfg.PollEvery = DefaultPollEvery
+	}
+	if cfg.Log == nil {
+		cfg.Log = zap.NewNop()
+	}
+	if cfg.Scope == nil {
+		cfg.Scope = tally.NoopScope
+	}
+	f := &Follower{cfg: cfg, hint: make(chan struct{}, 1), rows: map[string]*Row{}, changed: make(chan struct{})}
+	if cfg.Network != nil {
+		cfg.Network.Handle(peers.KindJobHint, f.onHint)
+	}
+	return f
+}
+
+func (f *Follower) onHint(context.Context, peers.Member, *api.PeerEnvelope) *api.PeerEnvelope {
+	f.Poke()
+	return nil
+}
+
+// Poke causes a read soon.
+func (f *Follower) Poke() {
+	select {
+	case f.hint <- struct{}{}:
+	default:
+	}
+}
+
+// Run follows the rows until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	tick := time.NewTicker(f.cfg.PollEvery)
+	defer tick.Stop()
+	failing := false
+	for {
+		err := f.Refresh(ctx)
+		if err != nil && !failing && ctx.Err() == nil {
+			f.cfg.Log.Warn("job rows cannot be read", zap.Error(err))
+		}
+		failing = err != nil
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(hintSpacing):
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		case <-f.hint:
+		}
+	}
+}
+
+// Refresh reads what has changed since the last read.
+func (f *Follower) Refresh(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	since := f.Version()
+	listing, err := f.cfg.Store.List(ctx, Prefix, since)
+	if err != nil {
+		return eris.Wrap(err, "list of job rows failed")
+	}
+	f.apply(listing)
+	return nil
+}
+
+func (f *Follower) apply(listing table.Listing) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reached = time.Now()
+	changed := false
+	for _, key := range listing.Deleted {
+		id := strings.TrimPrefix(key, Prefix)
+		if row := f.rows[id]; row != nil && row.Version <= listing.Version {
+			delete(f.rows, id)
+			changed = true
+		}
+	}
+	for _, stored := range listing.Rows {
+		changed = f.putLocked(stored) || changed
+	}
+	if listing.Version > f.version {
+		f.version = listing.Version
+		changed = true
+	}
+	f.cfg.Scope.Gauge("rows").Update(float64(len(f.rows)))
+	if changed {
+		f.signalLocked()
+	}
+}
+
+func (f *Follower) putLocked(stored table.Row) bool {
+	id := strings.TrimPrefix(stored.Key, Prefix)
+	if row := f.rows[id]; row != nil && row.Version >= stored.Version {
+		return false
+	}
+	job, err := decode(stored.Value)
+	if err != nil {
+		f.cfg.Log.Error("job row cannot be decoded", zap.String("job", id), zap.Error(err))
+		return false
+	}
+	f.rows[id] = &Row{Job: job, Version: stored.Version}
+	return true
+}
+
+// Observe takes a row that this daemon has written or read, ahead of the next
+// poll. An older row than the known one changes nothing.
+func (f *Follower) Observe(job api.Job, version int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	row := f.rows[job.ID]
+	if row == nil && version <= f.version {
+		return // deleted by a newer listing
+	}
+	if row != nil && row.Version >= version {
+		return
+	}
+	f.rows[job.ID] = &Row{Job: job, Version: version}
+	f.signalLocked()
+}
+
+// Forget removes a row that this daemon has deleted at a commit version.
+func (f *Follower) Forget(id string, version int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if row := f.rows[id]; row != nil && row.Version < version {
+		delete(f.rows, id)
+		f.signalLocked()
+	}
+}
+
+// Fetch reads one row from the store and takes it. It is nil when there is none.
+func (f *Follower) Fetch(ctx context.Context, id string) (*Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	stored, found, err := f.cfg.Store.Get(ctx, Key(id))
+	if err != nil {
+		return nil, eris.Wrapf(err, "read of job %s failed", id)
+	}
+	if !found {
+		return nil, nil
+	}
+	job, err := decode(stored.Value)
+	if err != nil {
+		return nil, err
+	}
+	f.Observe(job, stored.Version)
+	return &Row{Job: job, Version: stored.Version}, nil
+}
+
+// Get returns the row as last seen, or nil.
+func (f *Follower) Get(id string) *Row {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rows[id]
+}
+
+// Rows returns all rows, ordered by identifier.
+func (f *Follower) Rows() []*Row {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make([]*Row, 0, len(f.rows))
+	for _, row := range f.rows {
+		out = append(out, row)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Job.ID < out[j].Job.ID })
+	return out
+}
+
+// Version returns the commit version up to which all rows are known.
+func (f *Follower) Version() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.version
+}
+
+// Reached returns when the store last answered a listing; zero means never.
+func (f *Follower) Reached() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reached
+}
+
+// Changed returns a channel that is closed at the next change.
+func (f *Follower) Changed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
+}
+
+func (f *Follower) signalLocked() {
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// Announce tells the other daemons that the row of a job has changed.
+func (f *Follower) Announce(id string) {
+	if f.cfg.Network == nil {
+		return
+	}
+	for _, m := range f.cfg.Network.Members() {
+		if m.State == peers.Live || m.State == peers.Draining {
+			f.cfg.Network.Notify(m.VM, api.PeerEnvelope{JobHint: &api.PeerJobHint{JobID: id}})
+		}
+	}
+}
--- /dev/null
+++ b/internal/jobs/submit.go
@@ -0,0 +1,231 @@
+package jobs
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"github.com/samphirepath/samphirepath/api"
+	"github.com/samphirepath/samphirepath/internal/configuration"
+)
+
+// retryPause is the pause between two tries of a write within its deadline.
+const retryPause = 100 * time.Millisecond
+
+// SubmitStatus tells what became of a submission.
+type SubmitStatus int
+
+const (
+	// Accepted means that the job was stored.
+	Accepted SubmitStatus = iota + 1
+	// Existing means that the same submission was stored before.
+	Existing
+	// DifferentBody means that the key belongs to another submission.
+	DifferentBody
+	// MalformedSpec means that the spec is wrong whatever the catalogue says.
+	MalformedSpec
+	// Refused means that the catalogue does not allow the job.
+	Refused
+	// NotRun means that the job certainly was not and will not be stored.
+	NotRun
+	// Unknown means that the job may have been stored or may still be.
+	Unknown
+)
+
+// SubmitResult is the outcome of a submission.
+type SubmitResult struct {
+	Status SubmitStatus
+	Job    api.Job // when accepted or existing
+	Reason string  // when refused, not run or unknown
+}
+
+// ServiceConfig holds the dependencies of a Service.
+type ServiceConfig struct {
+	Writer   *Writer
+	Follower *Follower
+	View     configuration.View
+	// CanRun returns why no zone can ever run the job, or "". It may be nil.
+	CanRun func(api.Job) string
+	Now    func() time.Time
+	Log    *zap.Logger
+	Scope  tally.Scope
+}
+
+// Service accepts and cancels jobs for callers.
+type Service struct{ cfg ServiceConfig }
+
+// NewService returns a service.
+func NewService(cfg ServiceConfig) *Service {
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	if cfg.Log == nil {
+		cfg.Log = zap.NewNop()
+	}
+	if cfg.Scope == nil {
+		cfg.Scope = tally.NoopScope
+	}
+	return &Service{cfg: cfg}
+}
+
+// Submit stores a job once for each organisation and key. It tries until ctx ends.
+func (s *Service) Submit(ctx context.Context, organisation string, spec api.JobSpec) SubmitResult {
+	if reason := Malformed(spec); reason != "" {
+		return SubmitResult{Status: MalformedSpec, Reason: reason}
+	}
+	id, hash := ID(organisation, spec.Key), SpecHash(spec)
+	if row := s.cfg.Follower.Get(id); row != nil {
+		return existing(row, hash)
+	}
+	class, reason := Validate(s.cfg.View.Current(), organisation, spec)
+	job := newJob(id, hash, organisation, class, spec, s.cfg.Now())
+	if reason == "" && s.cfg.CanRun != nil {
+		reason = s.cfg.CanRun(job)
+	}
+	if reason != "" {
+		return s.refuse(ctx, id, hash, reason)
+	}
+	result := s.insert(ctx, job)
+	s.cfg.Scope.Tagged(map[string]string{"outcome": result.Status.String()}).Counter("submissions").Inc(1)
+	return result
+}
+
+// refuse refuses a submission unless the same one was accepted before, under an
+// earlier catalogue or by another daemon.
+func (s *Service) refuse(ctx context.Context, id, hash, reason string) SubmitResult {
+	row, err := s.cfg.Follower.Fetch(ctx, id)
+	if err != nil {
+		return SubmitResult{Status: Unknown, Reason: "the submission is refused (" + reason + "), but whether it was accepted earlier cannot be read"}
+	}
+	if row != nil {
+		return existing(row, hash)
+	}
+	return SubmitResult{Status: Refused, Reason: reason}
+}
+
+// insert writes the row if it is absent. The same insert is repeated until its
+// outcome is certain or ctx ends; at most one of the repetitions takes effect.
+func (s *Service) insert(ctx context.Context, job api.Job) SubmitResult {
+	maybe := false
+	for {
+		result := s.cfg.Writer.Apply(ctx, Change{Job: job})[0]
+		switch result.Status {
+		case Done:
+			return SubmitResult{Status: Accepted, Job: job}
+		case Stale:
+			row, err := s.cfg.Follower.Fetch(ctx, job.ID)
+			if err == nil && row != nil {
+				return existing(row, job.SpecHash)
+			}
+			// Unreadable, or deleted in between. The row existed, possibly by an
+			// earlier repetition, so the outcome is open until it has been read.
+			maybe = true
+		case Unsettled:
+			maybe = true
+		}
+		if !pause(ctx, retryPause) {
+			break
+		}
+	}
+	if maybe {
+		return SubmitResult{Status: Unknown, Reason: "the table service did not confirm the submission in time; repeat it with the same key"}
+	}
+	return SubmitResult{Status: NotRun, Reason: "the table service cannot be written"}
+}
+
+func existing(row *Row, hash string) SubmitResult {
+	if row.Job.SpecHash != hash {
+		return SubmitResult{Status: DifferentBody, Reason: "the key belongs to a job with another body"}
+	}
+	return SubmitResult{Status: Existing, Job: row.Job}
+}
+
+func newJob(id, hash, organisation string, class api.Class, spec api.JobSpec, now time.Time) api.Job {
+	return api.Job{
+		ID: id, Organisation: organisation, Class: class.Name, Urgency: class.Urgency, Adjacency: class.Adjacency,
+		AcceleratorModel: class.AcceleratorModel, Spec: spec, SpecHash: hash,
+		State: api.JobStateWaiting, SubmittedMs: now.UnixMilli(),
+	}
+}
+
+// pause waits, and returns false when ctx ends first.
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// String names the status for metrics and logs.
+func (s SubmitStatus) String() string {
+	names := map[SubmitStatus]string{Accepted: "accepted", Existing: "existing", DifferentBody: "different_body",
+		MalformedSpec: "malformed", Refused: "refused", NotRun: "not_run", Unknown: "unknown"}
+	return names[s]
+}
+
+// CancelStatus tells what became of a cancellation.
+type CancelStatus int
+
+const (
+	// CancelTaken means that the flag is set or the job has ended.
+	CancelTaken CancelStatus = iota + 1
+	// CancelNoJob means that there is no such job.
+	CancelNoJob
+	// CancelNotRun means that the flag certainly was not set.
+	CancelNotRun
+	// CancelUnknown means that the flag may have been set.
+	CancelUnknown
+)
+
+// CancelResult is the outcome of a cancellation.
+type CancelResult struct {
+	Status CancelStatus
+	Job    api.Job // as known last
+	Err    error
+}
+
+// Cancel sets the cancel flag of a job. visible tells whether the caller may see
+// the job; others get CancelNoJob. It tries until ctx ends.
+func (s *Service) Cancel(ctx context.Context, id string, visible func(api.Job) bool) CancelResult {
+	maybe := false
+	row := s.cfg.Follower.Get(id)
+	var err error
+	for {
+		if row == nil {
+			row, err = s.cfg.Follower.Fetch(ctx, id)
+			if err == nil && (row == nil || !visible(row.Job)) {
+				return CancelResult{Status: CancelNoJob}
+			}
+		}
+		if row != nil {
+			if !visible(row.Job) {
+				return CancelResult{Status: CancelNoJob}
+			}
+			job, stateErr := RequestCancel(row.Job, s.cfg.Now())
+			if stateErr != nil || row.Job.CancelRequested {
+				return CancelResult{Status: CancelTaken, Job: row.Job}
+			}
+			result := s.cfg.Writer.Apply(ctx, Change{Job: job, Version: row.Version})[0]
+			if result.Status == Done {
+				return CancelResult{Status: CancelTaken, Job: job}
+			}
+			maybe = maybe || result.Status == Unsettled
+			if result.Status == Stale || result.Status == Unsettled {
+				row = nil // read it again
+			}
+			err = result.Err
+		}
+		if !pause(ctx, retryPause) {
+			break
+		}
+	}
+	if maybe {
+		return CancelResult{Status: CancelUnknown, Err: eris.Wrap(err, "cancellation not confirmed")}
+	}
+	return CancelResult{Status: CancelNotRun, Err: eris.Wrap(err, "cancellation not written")}
+}
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -207,9 +207,10 @@
 	fmt.Println(result.Status == table.Committed)
 	fmt.Println(l.Release(ctx))
 	cancel()
-	<-done
+	fmt.Println(<-done)
 	// Output:
 	// true planner/kiruna/fence
 	// true
 	// <nil>
+	// <nil>
 }
