--- /dev/null
+++ b/internal/control/plan.go
@@ -0,0 +1,182 @@
+package control
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/samphirepath/samphirepath/api"
+	"github.com/samphirepath/samphirepath/internal/jobs"
+	"github.com/samphirepath/samphirepath/internal/planner"
+)
+
+// replan computes and applies a plan when one is due and the last is applied.
+func (c *Control) replan(ctx context.Context, now time.Time) {
+	if c.applying || now.Sub(c.planned) < c.cfg.PlanEvery || !c.ready(now) {
+		return
+	}
+	configured := c.cfg.View.Current()
+	version := c.cfg.Follower.Version()
+	changed := c.dirty || version != c.followed || configured.Head.Revision != c.revision
+	if !changed && now.Sub(c.planned) < planAtLeast {
+		return
+	}
+	c.dirty, c.planned, c.followed, c.revision = false, now, version, configured.Head.Revision
+	snapshot := c.snapshot(now, configured)
+	began := time.Now()
+	c.plan = c.cfg.Plan(snapshot)
+	c.cfg.Scope.Timer("plan").Record(time.Since(began))
+	c.applying = true
+	c.apply(ctx, c.plan, snapshot, configured.Head.Zones, c.transitions(now))
+}
+
+// ready tells whether enough is known to plan: all rows of earlier planners, a
+// configuration, the VM list, and a first report of each worker or a wait for it.
+func (c *Control) ready(now time.Time) bool {
+	if !c.Leading() || !c.listed || c.cfg.View.Current().Head.Revision == 0 {
+		return false
+	}
+	if now.Sub(c.since) >= gatherWait {
+		return true
+	}
+	for _, w := range c.workers {
+		if !w.asked {
+			return false
+		}
+	}
+	return true
+}
+
+// apply commits the transitions, the housekeeping and the plan on a goroutine.
+func (c *Control) apply(ctx context.Context, plan planner.Plan, s planner.Snapshot, zones []api.Zone, transitions map[string]transition) {
+	c.group.Add(1)
+	go func() {
+		defer c.group.Done()
+		ctx, span := c.cfg.Tracer.Start(ctx, "apply plan")
+		defer span.End()
+		results := []jobs.Applied{
+			c.cfg.Applier.Commit(ctx, transitions),
+			c.cfg.Applier.Housekeep(ctx, s.ZoneState, zones),
+			c.cfg.Applier.Apply(ctx, plan, s.Workers, zones),
+		}
+		c.deliver(ctx, func(_ context.Context, c *Control) { c.applied(transitions, results) })
+	}()
+}
+
+func (c *Control) applied(transitions map[string]transition, results []jobs.Applied) {
+	c.applying = false
+	now := time.Now()
+	for id := range transitions {
+		if row := c.cfg.Follower.Get(id); row == nil || !active(row.Job) {
+			c.learn(id, now)
+		}
+	}
+	for _, r := range results {
+		c.dirty = c.dirty || r.Done+r.Dropped+r.Failed > 0
+		if r.Fenced {
+			c.cfg.Log.Warn("a commit failed on the fence: another daemon plans", zap.String("zone", c.cfg.Zone))
+		}
+	}
+}
+
+// snapshot builds the input of a plan.
+func (c *Control) snapshot(now time.Time, configured api.Configuration) planner.Snapshot {
+	s := planner.Snapshot{
+		Now: now, Zone: c.cfg.Zone, ZoneState: zoneState(configured.Head.Zones, c.cfg.Zone), Catalogue: configured.Catalogue,
+		TeamUsageElsewhere: map[string]int{}, OrganisationUsageElsewhere: map[string]int{},
+	}
+	for _, w := range c.workers {
+		s.Workers = append(s.Workers, c.view(w, now))
+	}
+	sort.Slice(s.Workers, func(i, j int) bool { return s.Workers[i].ID < s.Workers[j].ID })
+	for _, row := range c.cfg.Follower.Rows() {
+		c.addJob(&s, row.Job)
+	}
+	return s
+}
+
+func (c *Control) addJob(s *planner.Snapshot, job api.Job) {
+	switch {
+	case jobs.Holds(job.State) && job.Zone == c.cfg.Zone:
+		s.Jobs = append(s.Jobs, job)
+	case jobs.Holds(job.State):
+		used := len(job.Placement) * job.Spec.Resources.Accelerators
+		s.OrganisationUsageElsewhere[job.Organisation] += used
+		if job.Spec.Team != "" {
+			s.TeamUsageElsewhere[job.Spec.Team] += used
+		}
+	case job.State == api.JobStateWaiting && !job.CancelRequested && jobs.AllowsZone(job.Spec, c.cfg.Zone):
+		s.Jobs = append(s.Jobs, job)
+	}
+}
+
+// zoneState returns the state of a zone; a zone that the configuration does not
+// name is out.
+func zoneState(zones []api.Zone, name string) api.ZoneState {
+	for _, z := range zones {
+		if z.Name == name {
+			return z.State
+		}
+	}
+	return api.Out
+}
+
+// publish makes the control state visible to other goroutines.
+func (c *Control) publish(now time.Time) {
+	status := c.cfg.Lease.Status()
+	last := c.state.Load()
+	s := &State{
+		Planning: c.epoch > 0, Epoch: c.epoch, Planner: status.Holder, Plan: c.plan, PlannedAt: c.planned,
+		Workers: last.Workers, addresses: last.addresses, daemons: last.daemons, listed: c.listed,
+	}
+	if c.relisted {
+		c.relisted = false
+		s.addresses, s.daemons = map[string]string{}, nil
+		for _, vm := range c.vms {
+			switch vm.Kind {
+			case api.VMKindWorker:
+				s.addresses[vm.ID] = vm.Address
+			case api.VMKindEntry:
+				s.daemons = append(s.daemons, vm)
+			}
+		}
+	}
+	if now.Sub(c.shown) >= statusEvery {
+		c.shown = now
+		s.Workers = c.statuses(now)
+	}
+	c.state.Store(s)
+}
+
+func (c *Control) statuses(now time.Time) []api.WorkerStatus {
+	used := map[string]int{}
+	for _, row := range c.cfg.Follower.Rows() {
+		if row.Job.Zone != c.cfg.Zone || !jobs.Holds(row.Job.State) {
+			continue
+		}
+		for _, place := range row.Job.Placement {
+			used[place.Worker] += len(place.Accelerators)
+		}
+	}
+	out := make([]api.WorkerStatus, 0, len(c.workers))
+	for id, w := range c.workers {
+		seen := c.view(w, now)
+		s := api.WorkerStatus{ID: id, Zone: c.cfg.Zone, Rack: seen.Rack, State: string(seen.State), Accelerators: seen.Accelerators}
+		for _, f := range w.foreign {
+			used[id] += len(f.Accelerators)
+		}
+		if c.epoch == 0 {
+			s.State = string(w.vm.State) // only the planning daemon has reports
+		} else if seen.State == planner.WorkerLive {
+			s.AcceleratorsFree = max(0, seen.Accelerators-used[id])
+		}
+		if until, reason := c.cfg.Quarantine.Until(id, now); until.After(now) {
+			s.QuarantinedUntilMs, s.Reason = until.UnixMilli(), reason
+		}
+		out = append(out, s)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
--- /dev/null
+++ b/internal/entry/jobs.go
@@ -0,0 +1,204 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+	"go.uber.org/zap"
+
+	"github.com/samphirepath/samphirepath/api"
+	"github.com/samphirepath/samphirepath/internal/jobs"
+)
+
+const (
+	// defaultJobWait is how long a submission or cancellation is tried.
+	defaultJobWait = 5 * time.Second
+	// jobReadWait bounds the read of a job that this daemon has not seen yet.
+	jobReadWait = 2 * time.Second
+	// defaultMaxJobBytes is the largest body of a submission.
+	defaultMaxJobBytes = 1 << 20
+	// jobRetryAfter is when a refused submission or cancellation may be repeated.
+	jobRetryAfter = time.Second
+)
+
+// JobService submits and cancels jobs; *jobs.Service implements it.
+type JobService interface {
+	Submit(ctx context.Context, organisation string, spec api.JobSpec) jobs.SubmitResult
+	Cancel(ctx context.Context, id string, visible func(api.Job) bool) jobs.CancelResult
+}
+
+// JobRows gives the job rows; *jobs.Follower implements it.
+type JobRows interface {
+	Get(id string) *jobs.Row
+	Rows() []*jobs.Row
+	Fetch(ctx context.Context, id string) (*jobs.Row, error)
+}
+
+// JobHandlersConfig holds the dependencies of JobHandlers.
+type JobHandlersConfig struct {
+	Service      JobService
+	Rows         JobRows
+	Wait         time.Duration // how long a write is tried; 0 takes 5 s
+	MaxBodyBytes int64         // 0 takes 1 MiB
+	Log          *zap.Logger
+	Tracer       trace.Tracer
+}
+
+// JobHandlers serves the operations on jobs of api.ServerInterface.
+type JobHandlers struct{ cfg JobHandlersConfig }
+
+// NewJobHandlers returns the handlers.
+func NewJobHandlers(cfg JobHandlersConfig) *JobHandlers {
+	if cfg.Wait <= 0 {
+		cfg.Wait = defaultJobWait
+	}
+	if cfg.MaxBodyBytes <= 0 {
+		cfg.MaxBodyBytes = defaultMaxJobBytes
+	}
+	if cfg.Log == nil {
+		cfg.Log = zap.NewNop()
+	}
+	if cfg.Tracer == nil {
+		cfg.Tracer = noop.NewTracerProvider().Tracer("entry")
+	}
+	return &JobHandlers{cfg: cfg}
+}
+
+// SubmitJob accepts a job. A repeated submission gets the job it made before.
+func (h *JobHandlers) SubmitJob(c echo.Context) error {
+	caller := CallerOf(c)
+	if caller.Organisation == "" {
+		return WriteProblem(c, NewProblem(http.StatusForbidden, api.OutcomeNotRun, "only an organisation submits jobs"))
+	}
+	spec, problem := h.decode(c)
+	if problem != nil {
+		return WriteProblem(c, *problem)
+	}
+	ctx, cancel := context.WithTimeout(c.Request().Context(), h.cfg.Wait)
+	defer cancel()
+	ctx, span := h.cfg.Tracer.Start(ctx, "submit job", trace.WithAttributes(attribute.String("organisation", caller.Organisation)))
+	defer span.End()
+	result := h.cfg.Service.Submit(ctx, caller.Organisation, spec)
+	span.SetAttributes(attribute.String("outcome", result.Status.String()))
+	switch result.Status {
+	case jobs.Accepted, jobs.Existing:
+		return c.JSON(http.StatusCreated, result.Job)
+	default:
+		return WriteProblem(c, submitProblem(result))
+	}
+}
+
+func submitProblem(r jobs.SubmitResult) api.Problem {
+	switch r.Status {
+	case jobs.DifferentBody:
+		return NewProblem(http.StatusConflict, api.OutcomeNotRun, r.Reason)
+	case jobs.MalformedSpec:
+		return NewProblem(http.StatusBadRequest, api.OutcomeNotRun, r.Reason)
+	case jobs.Refused:
+		return NewProblem(http.StatusUnprocessableEntity, api.OutcomeNotRun, r.Reason)
+	case jobs.NotRun:
+		return retryLater(api.OutcomeNotRun, r.Reason)
+	}
+	return retryLater(api.OutcomeUnknown, r.Reason)
+}
+
+func retryLater(outcome api.Outcome, detail string) api.Problem {
+	p := NewProblem(http.StatusServiceUnavailable, outcome, detail)
+	p.RetryAfterMs = jobRetryAfter.Milliseconds()
+	return p
+}
+
+// decode reads one JSON object and refuses unknown fields.
+func (h *JobHandlers) decode(c echo.Context) (api.JobSpec, *api.Problem) {
+	var spec api.JobSpec
+	body := http.MaxBytesReader(c.Response(), c.Request().Body, h.cfg.MaxBodyBytes)
+	decoder := json.NewDecoder(body)
+	decoder.DisallowUnknownFields()
+	err := decoder.Decode(&spec)
+	if err == nil {
+		if _, err = decoder.Token(); errors.Is(err, io.EOF) {
+			return spec, nil
+		}
+		if err == nil {
+			err = errors.New("there is more than one JSON value")
+		}
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		p := NewProblem(http.StatusRequestEntityTooLarge, api.OutcomeNotRun, fmt.Sprintf("the body has more than %d bytes", h.cfg.MaxBodyBytes))
+		return spec, &p
+	}
+	p := NewProblem(http.StatusBadRequest, api.OutcomeNotRun, "the body is not a job: "+err.Error())
+	return spec, &p
+}
+
+// ListJobs lists the jobs of the caller's organisation; operators see all.
+func (h *JobHandlers) ListJobs(c echo.Context, params api.ListJobsParams) error {
+	if params.State != "" && !api.JobState(params.State).Valid() {
+		return WriteProblem(c, NewProblem(http.StatusBadRequest, api.OutcomeNotRun, fmt.Sprintf("%q is not a job state", params.State)))
+	}
+	visible := visibleTo(CallerOf(c))
+	list := api.JobList{Jobs: []api.Job{}}
+	for _, row := range h.cfg.Rows.Rows() {
+		if visible(row.Job) && (params.State == "" || string(row.Job.State) == params.State) {
+			list.Jobs = append(list.Jobs, row.Job)
+		}
+	}
+	return c.JSON(http.StatusOK, list)
+}
+
+// GetJob answers with one job.
+func (h *JobHandlers) GetJob(c echo.Context, id string) error {
+	row := h.cfg.Rows.Get(id)
+	if row == nil {
+		ctx, cancel := context.WithTimeout(c.Request().Context(), jobReadWait)
+		defer cancel()
+		var err error
+		if row, err = h.cfg.Rows.Fetch(ctx, id); err != nil {
+			return WriteProblem(c, retryLater(api.OutcomeNotRun, "the job rows cannot be read"))
+		}
+	}
+	if row == nil || !visibleTo(CallerOf(c))(row.Job) {
+		return WriteProblem(c, noJob(id))
+	}
+	return c.JSON(http.StatusOK, row.Job)
+}
+
+// CancelJob asks for the end of a job.
+func (h *JobHandlers) CancelJob(c echo.Context, id string) error {
+	ctx, cancel := context.WithTimeout(c.Request().Context(), h.cfg.Wait)
+	defer cancel()
+	ctx, span := h.cfg.Tracer.Start(ctx, "cancel job", trace.WithAttributes(attribute.String("job", id)))
+	defer span.End()
+	result := h.cfg.Service.Cancel(ctx, id, visibleTo(CallerOf(c)))
+	switch result.Status {
+	case jobs.CancelTaken:
+		return c.JSON(http.StatusOK, result.Job)
+	case jobs.CancelNoJob:
+		return WriteProblem(c, noJob(id))
+	case jobs.CancelNotRun:
+		return WriteProblem(c, retryLater(api.OutcomeNotRun, "the cancellation was not stored"))
+	default:
+		return WriteProblem(c, retryLater(api.OutcomeUnknown, "the table service did not confirm the cancellation in time; repeat it"))
+	}
+}
+
+// noJob hides whether a job of another organisation exists.
+func noJob(id string) api.Problem {
+	return NewProblem(http.StatusNotFound, api.OutcomeNotRun, fmt.Sprintf("there is no job %q", id))
+}
+
+func visibleTo(caller Caller) func(api.Job) bool {
+	return func(job api.Job) bool {
+		return caller.Operator || caller.Organisation != "" && caller.Organisation == job.Organisation
+	}
+}
--- /dev/null
+++ b/internal/executor/executor.go
@@ -0,0 +1,287 @@
+// Package executor carries out the committed placements of one zone on the
+// daemon that plans for it: it starts the members of placed jobs held and
+// releases them together, and ends the attempts of stopping jobs. All calls to
+// workers are idempotent by task identifier, so that another daemon resumes
+// what it finds in the rows.
+package executor
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+	"go.uber.org/zap"
+	"golang.org/x/time/rate"
+
+	"github.com/samphirepath/samphirepath/api"
+	"github.com/samphirepath/samphirepath/internal/configuration"
+	"github.com/samphirepath/samphirepath/internal/jobs"
+	"github.com/samphirepath/samphirepath/internal/peers"
+	"github.com/samphirepath/samphirepath/internal/platform"
+)
+
+const (
+	// checkEvery is the interval at which rows are looked at without a change.
+	checkEvery = 200 * time.Millisecond
+	// callTimeout bounds one call to a worker.
+	callTimeout = time.Second
+	// retryPause is the pause between two tries of a call or commit.
+	retryPause = 200 * time.Millisecond
+	// maxStopPause bounds the pause between two stop calls for the same job.
+	maxStopPause = 2 * time.Second
+	// defaultStartsPerSecond is the default of limits.starts_per_second.
+	defaultStartsPerSecond = 100
+)
+
+// Places gives what the VM list says about the zone.
+type Places interface {
+	// Address returns the address of a worker, false when it is not in the list.
+	Address(worker string) (string, bool)
+	// Daemons returns the entry VMs of the zone; false when no list is known yet.
+	Daemons() ([]api.VM, bool)
+	// Suspect asks for a new report of a worker that did not do what it should.
+	Suspect(worker string)
+}
+
+// Config holds the dependencies and timing of an Executor.
+type Config struct {
+	Zone     string
+	Follower *jobs.Follower
+	Applier  *jobs.Applier
+	Workers  platform.Workers
+	View     configuration.View
+	Network  peers.Network
+	Places   Places
+	// Leading tells whether this daemon plans for the zone and knows all rows that
+	// earlier planners committed.
+	Leading func() bool
+
+	TaskLease        time.Duration
+	ZoneConfirmation time.Duration
+	MaxClockSkew     time.Duration
+	CheckpointWait   time.Duration
+	StartWait        time.Duration
+	StartsPerSecond  int
+
+	Log    *zap.Logger
+	Scope  tally.Scope
+	Tracer trace.Tracer
+}
+
+// Executor carries out placements and stops.
+type Executor struct {
+	cfg     Config
+	limiter *rate.Limiter
+
+	mu         sync.Mutex
+	operations map[string]*operation // by job
+	running    sync.WaitGroup
+}
+
+// operation is a start or a stop in progress.
+type operation struct {
+	attempt int
+	state   api.JobState
+	cancel  context.CancelFunc
+}
+
+// New returns an executor with defaults filled in.
+func New(cfg Config) *Executor {
+	defaults := []struct {
+		d    *time.Duration
+		take time.Duration
+	}{
+		{&cfg.TaskLease, 20 * time.Second}, {&cfg.ZoneConfirmation, 2 * time.Second},
+		{&cfg.MaxClockSkew, 500 * time.Millisecond}, {&cfg.CheckpointWait, 3 * time.Second},
+		{&cfg.StartWait, 3 * time.Second},
+	}
+	for _, d := range defaults {
+		if *d.d <= 0 {
+			*d.d = d.take
+		}
+	}
+	if cfg.StartsPerSecond <= 0 {
+		cfg.StartsPerSecond = defaultStartsPerSecond
+	}
+	if cfg.Log == nil {
+		cfg.Log = zap.NewNop()
+	}
+	if cfg.Scope == nil {
+		cfg.Scope = tally.NoopScope
+	}
+	if cfg.Tracer == nil {
+		cfg.Tracer = noop.NewTracerProvider().Tracer("executor")
+	}
+	// The burst lets the largest gang start at once.
+	limiter := rate.NewLimiter(rate.Limit(cfg.StartsPerSecond), max(cfg.StartsPerSecond, jobs.MaxTasks))
+	return &Executor{cfg: cfg, limiter: limiter, operations: map[string]*operation{}}
+}
+
+// Run carries out rows until ctx ends.
+func (e *Executor) Run(ctx context.Context) error {
+	defer e.running.Wait()
+	e.running.Add(1)
+	go func() {
+		defer e.running.Done()
+		e.startLoop(ctx)
+	}()
+	for ctx.Err() == nil {
+		changed := e.cfg.Follower.Changed()
+		e.abandon()
+		if e.cfg.Leading() {
+			e.launchStops(ctx)
+		}
+		wait(ctx, changed, checkEvery)
+	}
+	return nil
+}
+
+// startLoop admits placed jobs one after the other, in order of urgency and
+// placement, within the limit of starts.
+func (e *Executor) startLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		changed := e.cfg.Follower.Changed()
+		if e.cfg.Leading() {
+			for _, row := range e.placed() {
+				if !e.admit(ctx, row) {
+					break
+				}
+			}
+		}
+		wait(ctx, changed, checkEvery)
+	}
+}
+
+// admit waits for the limit and for a confirmation of the zone, and then begins
+// the start of a job. It is false when starts must wait.
+func (e *Executor) admit(ctx context.Context, row *jobs.Row) bool {
+	if _, err := e.confirm(ctx); err != nil {
+		return false
+	}
+	if e.limiter.WaitN(ctx, len(row.Job.Placement)) != nil {
+		return false
+	}
+	if current := e.cfg.Follower.Get(row.Job.ID); current != nil && e.cfg.Leading() && sameStep(current.Job, row.Job) {
+		e.launch(ctx, current, e.start)
+	}
+	return true
+}
+
+func (e *Executor) placed() []*jobs.Row {
+	var out []*jobs.Row
+	for _, row := range e.cfg.Follower.Rows() {
+		if row.Job.State == api.JobStatePlaced && row.Job.Zone == e.cfg.Zone && !e.busy(row.Job) {
+			out = append(out, row)
+		}
+	}
+	rank := map[api.Urgency]int{api.Urgent: 0, api.Standard: 1, api.Batch: 2}
+	sort.SliceStable(out, func(i, j int) bool {
+		a, b := out[i].Job, out[j].Job
+		if rank[a.Urgency] != rank[b.Urgency] {
+			return rank[a.Urgency] < rank[b.Urgency]
+		}
+		if a.PlacedMs != b.PlacedMs {
+			return a.PlacedMs < b.PlacedMs
+		}
+		return a.SubmittedMs < b.SubmittedMs
+	})
+	return out
+}
+
+func (e *Executor) launchStops(ctx context.Context) {
+	for _, row := range e.cfg.Follower.Rows() {
+		if row.Job.State == api.JobStateStopping && row.Job.Zone == e.cfg.Zone {
+			e.launch(ctx, row, e.stop)
+		}
+	}
+}
+
+// launch runs an operation unless one runs for the same step of the job.
+func (e *Executor) launch(ctx context.Context, row *jobs.Row, run func(context.Context, *jobs.Row)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	job := row.Job
+	if e.operations[job.ID] != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	op := &operation{attempt: job.Attempt, state: job.State, cancel: cancel}
+	e.operations[job.ID] = op
+	e.running.Add(1)
+	go func() {
+		defer e.running.Done()
+		defer cancel()
+		run(ctx, row)
+		e.mu.Lock()
+		delete(e.operations, job.ID)
+		e.mu.Unlock()
+	}()
+}
+
+// abandon cancels operations whose row has moved on, and all when this daemon no
+// longer plans.
+func (e *Executor) abandon() {
+	leading := e.cfg.Leading()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for id, op := range e.operations {
+		row := e.cfg.Follower.Get(id)
+		if !leading || row == nil || row.Job.Attempt != op.attempt || row.Job.State != op.state {
+			op.cancel()
+		}
+	}
+}
+
+func (e *Executor) busy(job api.Job) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.operations[job.ID] != nil
+}
+
+func sameStep(a, b api.Job) bool { return a.Attempt == b.Attempt && a.State == b.State }
+
+// still tells whether the row is at the same step.
+func (e *Executor) still(job api.Job) bool {
+	row := e.cfg.Follower.Get(job.ID)
+	return row != nil && sameStep(row.Job, job)
+}
+
+// transition commits a change of a row that is at the given step. It repeats it
+// until it is made, the row has moved on, or ctx ends.
+func (e *Executor) transition(ctx context.Context, job api.Job, f func(api.Job) (api.Job, error)) bool {
+	for ctx.Err() == nil && e.still(job) {
+		result, done := e.cfg.Applier.Transition(ctx, job.ID, f)
+		if done {
+			return true
+		}
+		if result.Status == jobs.Stale {
+			_, _ = e.cfg.Follower.Fetch(ctx, job.ID)
+		}
+		wait(ctx, nil, retryPause)
+	}
+	return false
+}
+
+// StopForeign stops tasks that a worker reports and that are in no job row.
+func (e *Executor) StopForeign(ctx context.Context, address string, tasks []string) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	e.cfg.Scope.Counter("foreign_stops").Inc(int64(len(tasks)))
+	if _, err := e.cfg.Workers.Act(ctx, address, api.TaskAction{Action: api.Stop, TaskIds: tasks}); err != nil {
+		e.cfg.Log.Warn("stop of tasks without a job row failed", zap.String("worker", address), zap.Error(err))
+	}
+}
+
+func wait(ctx context.Context, changed <-chan struct{}, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-changed:
+	case <-timer.C:
+	}
+}
--- a/internal/jobs/follower.go
+++ b/internal/jobs/follower.go
@@ -42,6 +42,7 @@
 
 	mu      sync.Mutex
 	rows    map[string]*Row
+	sorted  []*Row // all rows by identifier, nil after a change
 	version int64
 	reached time.Time
 	changed chan struct{}
@@ -207,15 +208,19 @@
 	return f.rows[id]
 }
 
-// Rows returns all rows, ordered by identifier.
+// Rows returns all rows, ordered by identifier; treat the slice as read-only.
 func (f *Follower) Rows() []*Row {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.sorted != nil {
+		return f.sorted
+	}
 	out := make([]*Row, 0, len(f.rows))
 	for _, row := range f.rows {
 		out = append(out, row)
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Job.ID < out[j].Job.ID })
+	f.sorted = out
 	return out
 }
 
@@ -241,6 +246,7 @@
 }
 
 func (f *Follower) signalLocked() {
+	f.sorted = nil
 	close(f.changed)
 	f.changed = make(chan struct{})
 }
