Test the job rows under lost answers, races and waves

Cause: the outcomes of submissions must be true under every store failure. Ruled out: random faults only; each case is a table entry with a fixed fate. Change: tests of transitions, validation, submission, cancellation, writer and applier over an in-memory store.

--- /dev/null
+++ b/internal/jobs/write_test.go
@@ -0,0 +1,263 @@
+package jobs_test
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"golang.org/x/time/rate"
+
+	"github.com/samphirepath/samphirepath/api"
+	"github.com/samphirepath/samphirepath/internal/jobs"
+	"github.com/samphirepath/samphirepath/internal/planner"
+	"github.com/samphirepath/samphirepath/table"
+)
+
+func all(api.Job) bool { return true }
+
+// first applies a fate to the first n commits.
+func first(n int, status table.CommitStatus, land bool) func(int) (table.CommitStatus, bool) {
+	return func(i int) (table.CommitStatus, bool) {
+		if i <= n {
+			return status, land
+		}
+		return 0, true
+	}
+}
+
+// Guards against a submission that is stored but reported as not run, or lost
+// but reported as accepted.
+var _ = DescribeTable("submission with a failing store",
+	func(fate func(int) (table.CommitStatus, bool), readErr error, want jobs.SubmitStatus, stored bool) {
+		r := newRig(newMemory(), rate.Inf)
+		r.store.set(func(m *memory) { m.before, m.readErr = fate, readErr })
+		result := r.service.Submit(within(700*time.Millisecond), "org", spec("k"))
+		Expect(result.Status).To(Equal(want))
+		r.store.set(func(m *memory) { Expect(m.rows).To(HaveLen(map[bool]int{true: 1}[stored])) })
+	},
+	Entry("healthy", nil, nil, jobs.Accepted, true),
+	Entry("down", first(1000, table.Unavailable, false), errDown, jobs.NotRun, false),
+	Entry("down for a moment", first(2, table.Unavailable, false), nil, jobs.Accepted, true),
+	Entry("answer lost after the write", first(1, table.Unknown, true), nil, jobs.Accepted, true),
+	Entry("answer lost before the write", first(1, table.Unknown, false), nil, jobs.Accepted, true),
+	Entry("all answers lost after the write, reads down", first(1000, table.Unknown, true), errDown, jobs.Unknown, true),
+	Entry("all answers lost before the write", first(1000, table.Unknown, false), nil, jobs.Unknown, false),
+	Entry("answer lost and then unavailable", func(n int) (table.CommitStatus, bool) {
+		if n == 1 {
+			return table.Unknown, false
+		}
+		return table.Unavailable, false
+	}, nil, jobs.Unknown, false),
+)
+
+var _ = Describe("Submit", func() {
+	It("finds the same job by key, on every daemon", func() {
+		store := newMemory()
+		a, b := newRig(store, rate.Inf), newRig(store, rate.Inf)
+		Expect(a.service.Submit(within(time.Second), "org", spec("k")).Status).To(Equal(jobs.Accepted))
+		again := b.service.Submit(within(time.Second), "org", spec("k"))
+		Expect(again.Status).To(Equal(jobs.Existing))
+		Expect(again.Job.ID).To(Equal(jobs.ID("org", "k")))
+		other := spec("k")
+		other.Name = "another body"
+		Expect(b.service.Submit(within(time.Second), "org", other).Status).To(Equal(jobs.DifferentBody))
+	})
+
+	// Guards against a false "not run" when the catalogue has changed in between.
+	It("does not refuse what was accepted under an earlier catalogue", func() {
+		store := newMemory()
+		a, b := newRig(store, rate.Inf), newRig(store, rate.Inf)
+		Expect(a.service.Submit(within(time.Second), "org", spec("k")).Status).To(Equal(jobs.Accepted))
+		changed := testConfiguration()
+		changed.Catalogue.Entries = nil
+		service := jobs.NewService(jobs.ServiceConfig{Writer: b.writer, Follower: b.follower, View: view{changed}})
+		Expect(service.Submit(within(time.Second), "org", spec("k")).Status).To(Equal(jobs.Existing))
+		Expect(service.Submit(within(time.Second), "org", spec("new")).Status).To(Equal(jobs.Refused))
+	})
+
+	// Guards against two daemons that both accept one key.
+	It("accepts a key once when daemons race", func() {
+		store := newMemory()
+		rigs := []*rig{newRig(store, rate.Inf), newRig(store, rate.Inf), newRig(store, rate.Inf)}
+		statuses := make([]jobs.SubmitStatus, len(rigs))
+		var group sync.WaitGroup
+		for i, r := range rigs {
+			group.Go(func() { statuses[i] = r.service.Submit(within(time.Second), "org", spec("k")).Status })
+		}
+		group.Wait()
+		Expect(statuses).To(ConsistOf(jobs.Accepted, jobs.Existing, jobs.Existing))
+	})
+})
+
+// put stores jobs directly.
+func put(r *rig, list ...api.Job) {
+	for _, job := range list {
+		Expect(r.writer.Apply(within(time.Second), jobs.Change{Job: job})[0].Status).To(Equal(jobs.Done))
+	}
+}
+
+func running(id string) api.Job {
+	return api.Job{ID: id, State: api.JobStateRunning, Zone: "z", Attempt: 1, Spec: spec(id), Placement: placement(2).Tasks}
+}
+
+var _ = Describe("Cancel", func() {
+	It("retries a conflict with another writer", func() {
+		store := newMemory()
+		a, b := newRig(store, rate.Inf), newRig(store, rate.Inf)
+		put(a, running("j"))
+		Eventually(func() *jobs.Row { return b.follower.Get("j") }).ShouldNot(BeNil())
+		row := a.follower.Get("j")
+		changed := row.Job
+		changed.Reason = "changed"
+		Expect(a.writer.Apply(within(time.Second), jobs.Change{Job: changed, Version: row.Version})[0].Status).To(Equal(jobs.Done))
+		result := b.service.Cancel(within(time.Second), "j", all)
+		Expect(result.Status).To(Equal(jobs.CancelTaken))
+		Expect(result.Job.Reason).To(Equal("changed"))
+		Expect(result.Job.CancelRequested).To(BeTrue())
+	})
+
+	It("hides jobs of other organisations", func() {
+		r := newRig(newMemory(), rate.Inf)
+		put(r, running("j"))
+		none := func(api.Job) bool { return false }
+		Expect(r.service.Cancel(within(time.Second), "j", none).Status).To(Equal(jobs.CancelNoJob))
+		Expect(r.service.Cancel(within(time.Second), "missing", all).Status).To(Equal(jobs.CancelNoJob))
+	})
+
+	// Guards against a wave of cancellations that uses up the store's writes.
+	It("stays within the write limit for 200 jobs", func() {
+		const limit, wave = 20, 200
+		r := newRig(newMemory(), rate.Inf)
+		for i := range wave {
+			put(r, running(fmt.Sprintf("j%03d", i)))
+		}
+		limited := newRig(r.store, limit)
+		Eventually(func() int { return len(limited.follower.Rows()) }).Should(Equal(wave))
+		before, began := r.store.count(), time.Now()
+		var group sync.WaitGroup
+		for i := range wave {
+			group.Go(func() {
+				defer GinkgoRecover()
+				Expect(limited.service.Cancel(within(5*time.Second), fmt.Sprintf("j%03d", i), all).Status).To(Equal(jobs.CancelTaken))
+			})
+		}
+		group.Wait()
+		commits, took := r.store.count()-before, time.Since(began)
+		GinkgoWriter.Printf("200 cancellations: %d commits in %s\n", commits, took)
+		Expect(float64(commits)).To(BeNumerically("<=", 1+limit*took.Seconds()))
+		applier := jobs.NewApplier(jobs.ApplierConfig{Zone: "z", Writer: limited.writer, Follower: limited.follower})
+		before, began = r.store.count(), time.Now()
+		Expect(applier.Housekeep(within(5*time.Second), api.In, nil).Done).To(Equal(wave))
+		commits, took = r.store.count()-before, time.Since(began)
+		GinkgoWriter.Printf("200 stops: %d commits in %s\n", commits, took)
+		Expect(float64(commits)).To(BeNumerically("<=", 1+limit*took.Seconds()))
+	})
+})
+
+var _ = Describe("Writer", func() {
+	It("splits a group in which one row has changed", func() {
+		r := newRig(newMemory(), rate.Inf)
+		put(r, running("a"), running("b"))
+		var group []jobs.Change
+		for _, row := range r.follower.Rows() {
+			group = append(group, jobs.Change{Job: row.Job, Version: row.Version})
+		}
+		group[0].Version--
+		results := r.writer.Apply(within(time.Second), group...)
+		Expect(results[0].Status).To(Equal(jobs.Stale))
+		Expect(results[1].Status).To(Equal(jobs.Done))
+	})
+
+	// Guards against a frozen planner whose commit arrives after a takeover.
+	It("fails fenced changes when the fence row has moved, and no others", func() {
+		r := newRig(newMemory(), rate.Inf)
+		Expect(r.store.Commit(within(time.Second), nil, []table.Write{{Key: "planner/z/fence"}}).Status).To(Equal(table.Committed))
+		results := r.writer.Apply(within(time.Second), jobs.Change{Job: running("a"), Fenced: true}, jobs.Change{Job: running("b")})
+		Expect(results[0].Status).To(Equal(jobs.Fenced))
+		Expect(results[1].Status).To(Equal(jobs.Done))
+	})
+
+	It("settles lost answers of fenced groups", func() {
+		r := newRig(newMemory(), rate.Inf)
+		r.store.set(func(m *memory) { m.before = first(1, table.Unknown, true) })
+		results := r.writer.Apply(within(2*time.Second), jobs.Change{Job: running("a"), Fenced: true}, jobs.Change{Job: running("b"), Fenced: true})
+		Expect(results[0].Status).To(Equal(jobs.Done))
+		Expect(results[1].Status).To(Equal(jobs.Done))
+		Expect(r.follower.Get("b").Version).To(Equal(results[1].Version))
+	})
+
+	It("says not written for a change that never left the queue", func() {
+		r := newRig(newMemory(), rate.Every(time.Hour))
+		put(r, running("a"))
+		Expect(r.writer.Apply(within(50*time.Millisecond), jobs.Change{Job: running("b")})[0].Status).To(Equal(jobs.NotWritten))
+	})
+})
+
+var _ = Describe("Applier", func() {
+	workers := []planner.Worker{{ID: "w", State: planner.WorkerLive, Cores: 8, Accelerators: 4}, {ID: "s", State: planner.WorkerSilent, Cores: 8, Accelerators: 4}}
+	place := func(id, worker string, accelerators ...int) planner.Placement {
+		p := planner.Placement{JobID: id}
+		for i, a := range accelerators {
+			p.Tasks = append(p.Tasks, api.TaskPlacement{Index: i, Worker: worker, Accelerators: []int{a}})
+		}
+		return p
+	}
+
+	// Guards against a plan that was made from older rows than the current ones.
+	DescribeTable("checks a plan against the rows", func(change func(*api.Job), p planner.Placement, want int) {
+		r := newRig(newMemory(), rate.Inf)
+		job := api.Job{ID: "j", State: api.JobStateWaiting, Spec: spec("j")}
+		change(&job)
+		put(r, job, running("held"))
+		applier := jobs.NewApplier(jobs.ApplierConfig{Zone: "z", Writer: r.writer, Follower: r.follower})
+		applied := applier.Apply(within(time.Second), planner.Plan{Placements: []planner.Placement{p}}, workers, nil)
+		Expect(applied.Done).To(Equal(want))
+		Expect(applied.Dropped).To(Equal(1 - want))
+	},
+		Entry("valid", func(*api.Job) {}, place("j", "w", 2, 3), 1),
+		Entry("already placed", func(j *api.Job) { j.State = api.JobStatePlaced; j.Zone = "y" }, place("j", "w", 2, 3), 0),
+		Entry("cancelled", func(j *api.Job) { j.CancelRequested = true }, place("j", "w", 2, 3), 0),
+		Entry("other zone", func(j *api.Job) { j.Spec.Zones = []string{"y"} }, place("j", "w", 2, 3), 0),
+		Entry("unknown job", func(*api.Job) {}, place("x", "w", 2, 3), 0),
+		Entry("accelerator held by a row", func(*api.Job) {}, place("j", "w", 1, 2), 0),
+		Entry("accelerator twice", func(*api.Job) {}, place("j", "w", 2, 2), 0),
+		Entry("accelerator that does not exist", func(*api.Job) {}, place("j", "w", 3, 4), 0),
+		Entry("silent worker", func(*api.Job) {}, place("j", "s", 0, 1), 0),
+		Entry("part of a gang", func(*api.Job) {}, place("j", "w", 2), 0),
+		Entry("too few cores", func(j *api.Job) { j.Spec.Resources.Cores = 4 }, place("j", "w", 2, 3), 0),
+	)
+
+	// Guards against a job that runs in two zones.
+	It("lets one of two planners take a job", func() {
+		store := newMemory()
+		a, b := newRig(store, rate.Inf), newRig(store, rate.Inf)
+		b.fence = func() (table.Condition, bool) { return table.Condition{Key: "planner/y/fence"}, true }
+		put(a, api.Job{ID: "j", State: api.JobStateWaiting, Spec: spec("j")})
+		Eventually(func() *jobs.Row { return b.follower.Get("j") }).ShouldNot(BeNil())
+		plan := planner.Plan{Placements: []planner.Placement{place("j", "w", 2, 3)}}
+		results := make([]jobs.Applied, 2)
+		var group sync.WaitGroup
+		for i, r := range []*rig{a, b} {
+			group.Go(func() {
+				applier := jobs.NewApplier(jobs.ApplierConfig{Zone: []string{"z", "y"}[i], Writer: r.writer, Follower: r.follower})
+				results[i] = applier.Apply(within(time.Second), plan, workers, nil)
+			})
+		}
+		group.Wait()
+		Expect(results[0].Done + results[1].Done).To(Equal(1))
+		Expect(results[0].Dropped + results[1].Dropped).To(Equal(1))
+	})
+
+	It("deletes ended jobs after the retention time only", func() {
+		r := newRig(newMemory(), rate.Inf)
+		old := api.Job{ID: "old", Zone: "z", State: api.JobStateSucceeded, EndedMs: time.Now().Add(-jobs.Retention - time.Minute).UnixMilli()}
+		recent := api.Job{ID: "recent", Zone: "z", State: api.JobStateSucceeded, EndedMs: time.Now().UnixMilli()}
+		put(r, old, recent)
+		applier := jobs.NewApplier(jobs.ApplierConfig{Zone: "z", Writer: r.writer, Follower: r.follower})
+		Expect(applier.Housekeep(within(time.Second), api.In, nil).Done).To(Equal(1))
+		Expect(r.follower.Rows()).To(HaveLen(1))
+		Expect(applier.Housekeep(within(time.Second), api.Out, nil).Done).To(BeZero())
+	})
+})
