--- /dev/null
+++ b/internal/daemon/clients.go
@@ -0,0 +1,61 @@
+package daemon
+
+import (
+	"time"
+
+	"github.com/samphirepath/samphirepath/internal/platform"
+	"github.com/samphirepath/samphirepath/internal/telemetry"
+	"github.com/samphirepath/samphirepath/table"
+)
+
+// clients reach the services of the platform.
+type clients struct {
+	table   table.Store
+	objects platform.Objects
+	vms     platform.VMs
+	workers platform.Workers
+	minions platform.Minions
+}
+
+const (
+	// workerConnections bounds the connections to one worker.
+	workerConnections = 4
+	// serviceConnections bounds the connections to the table service, the object
+	// store and the VM list.
+	serviceConnections = 16
+)
+
+func (d *Daemon) newClients() (clients, error) {
+	p := d.settings.Platform
+	service := d.clientConfig("platform", p.RequestTimeout.Std(), serviceConnections)
+	var c clients
+	var err error
+	service.URL = p.TableURL
+	if c.table, err = platform.NewTable(service); err != nil {
+		return c, err
+	}
+	service.URL = p.ObjectsURL
+	if c.objects, err = platform.NewObjects(service); err != nil {
+		return c, err
+	}
+	service.URL = p.VmsURL
+	if c.vms, err = platform.NewVMs(service); err != nil {
+		return c, err
+	}
+	c.workers = platform.NewWorkers(d.clientConfig("workers", p.RequestTimeout.Std(), workerConnections))
+	t := d.settings.Timing
+	longest := longestDeadline + t.LateAnswerWait.Std()
+	c.minions = platform.NewMinions(d.clientConfig("minions", longest, d.settings.Limits.MinionConnections))
+	return c, nil
+}
+
+// longestDeadline bounds a call to a minion; the router cancels earlier calls
+// by their own deadline.
+const longestDeadline = time.Hour
+
+func (d *Daemon) clientConfig(part string, timeout time.Duration, connections int) platform.Config {
+	return platform.Config{
+		Timeout: timeout, DialTimeout: d.settings.Platform.RequestTimeout.Std(), Connections: connections,
+		Logger: telemetry.Part(d.log, part), Scope: d.metrics.Scope, Tracer: d.traces.Tracer(part),
+	}
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,297 @@
+// Package daemon wires the parts of a process: New builds them from the
+// settings, Run runs them until the context ends and then stops gracefully.
+package daemon
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
+
+	"github.com/samphirepath/samphirepath/api"
+	"github.com/samphirepath/samphirepath/claim"
+	"github.com/samphirepath/samphirepath/internal/configuration"
+	"github.com/samphirepath/samphirepath/internal/control"
+	"github.com/samphirepath/samphirepath/internal/entry"
+	"github.com/samphirepath/samphirepath/internal/executor"
+	"github.com/samphirepath/samphirepath/internal/inventory"
+	"github.com/samphirepath/samphirepath/internal/jobs"
+	"github.com/samphirepath/samphirepath/internal/keeper"
+	"github.com/samphirepath/samphirepath/internal/peers"
+	"github.com/samphirepath/samphirepath/internal/planner"
+	"github.com/samphirepath/samphirepath/internal/router"
+	"github.com/samphirepath/samphirepath/internal/telemetry"
+	"github.com/samphirepath/samphirepath/lease"
+	"github.com/samphirepath/samphirepath/retry"
+	"github.com/samphirepath/samphirepath/revision"
+)
+
+const (
+	// noticePeriod is how long a stopping daemon goes on accepting requests after
+	// it has turned unready, so that the balancer and the peers turn away first.
+	noticePeriod = time.Second
+	// resignTimeout bounds the release of the planner lease during a stop.
+	resignTimeout = 2 * time.Second
+	// flushTimeout bounds the export of the last spans.
+	flushTimeout = 2 * time.Second
+)
+
+// Daemon is one samphirepathd process.
+type Daemon struct {
+	settings    api.Settings
+	incarnation string
+	log         *zap.Logger
+	metrics     *telemetry.Metrics
+	traces      *telemetry.Traces
+
+	clients       clients
+	mesh          *peers.Mesh
+	configuration *configuration.Configuration
+	inventory     *inventory.Inventory
+	follower      *jobs.Follower
+	service       *jobs.Service
+	control       *control.Control
+	executor      *executor.Executor
+	keeper        *keeper.Keeper
+	router        *router.Router
+	server        *entry.Server
+
+	stopping atomic.Bool
+}
+
+// New builds a daemon. It opens no listener.
+func New(ctx context.Context, settings api.Settings) (*Daemon, error) {
+	d := &Daemon{settings: settings, incarnation: peers.NewIncarnation()}
+	var err error
+	if d.log, err = telemetry.NewLogger(settings.Logs); err != nil {
+		return nil, err
+	}
+	d.log = d.log.With(zap.String("vm", settings.Daemon.Vm))
+	tags := map[string]string{"vm": settings.Daemon.Vm, "zone": settings.Daemon.Zone}
+	if d.metrics, err = telemetry.NewMetrics(tags, d.log); err != nil {
+		return nil, err
+	}
+	if d.traces, err = telemetry.NewTraces(ctx, settings.Traces, settings.Daemon.Vm, settings.Daemon.Zone); err != nil {
+		return nil, err
+	}
+	if d.clients, err = d.newClients(); err != nil {
+		return nil, err
+	}
+	d.newConfiguration()
+	if err := d.newJobs(); err != nil {
+		return nil, err
+	}
+	d.newRouter()
+	d.newServer()
+	return d, nil
+}
+
+// newConfiguration builds the links to the peers and the configuration, which
+// travels over them.
+func (d *Daemon) newConfiguration() {
+	s := d.settings
+	seen := &revision.Mark{}
+	d.mesh = peers.New(peers.Config{
+		VM: s.Daemon.Vm, Zone: s.Daemon.Zone, Incarnation: d.incarnation,
+		Listen: s.Listen.Peers, Token: s.Peers.Token, Seeds: s.Peers.Seeds,
+		VMs: d.clients.vms, VMListEvery: s.Timing.VMListEvery.Std(),
+		HeartbeatEvery: s.Peers.HeartbeatEvery.Std(), LostAfter: s.Peers.LostAfter.Std(),
+		Seen: seen, Announce: d.announce,
+		Logger: telemetry.Part(d.log, "peers"), Scope: d.metrics.Scope, Tracer: d.traces.Tracer("peers"),
+	})
+	d.inventory = inventory.New(inventory.Config{
+		VMs: d.clients.vms, Workers: d.clients.workers, Log: telemetry.Part(d.log, "inventory"),
+	})
+	d.configuration = configuration.New(configuration.Config{
+		Store: d.clients.table, Network: d.mesh, Seen: seen, PollEvery: s.Timing.PollEvery.Std(),
+		Feasible: d.checkGuarantees,
+		Logger:   telemetry.Part(d.log, "configuration"), Scope: d.metrics.Scope,
+	})
+}
+
+func (d *Daemon) checkGuarantees(ctx context.Context, zone string, catalogue api.Catalogue) error {
+	return d.inventory.CheckGuarantees(ctx, zone, d.configuration.Current().Catalogue, catalogue)
+}
+
+// newJobs builds the parts that place, start and keep jobs.
+func (d *Daemon) newJobs() error {
+	s, zone, t := d.settings, d.settings.Daemon.Zone, d.settings.Timing
+	d.follower = jobs.NewFollower(jobs.FollowerConfig{
+		Store: d.clients.table, Network: d.mesh, PollEvery: t.PollEvery.Std(),
+		Log: telemetry.Part(d.log, "jobs"), Scope: d.metrics.Scope,
+	})
+	leader, err := lease.New(lease.Config{
+		Store: d.clients.table, Prefix: "planner/" + zone + "/", Holder: s.Daemon.Vm, Incarnation: d.incarnation,
+		LeaseTime: t.PlannerLease.Std(), RenewEvery: t.PlannerRenewEvery.Std(), Log: telemetry.Part(d.log, "lease"),
+	})
+	if err != nil {
+		return err
+	}
+	writer := jobs.NewWriter(jobs.WriterConfig{
+		Store: d.clients.table, Follower: d.follower, Fence: leader.FenceCondition,
+		Limiter: rate.NewLimiter(rate.Limit(s.Limits.StoreWritesPerSecond), s.Limits.StoreWritesPerSecond),
+		Log:     telemetry.Part(d.log, "jobs"), Scope: d.metrics.Scope,
+	})
+	applier := jobs.NewApplier(jobs.ApplierConfig{
+		Zone: zone, Writer: writer, Follower: d.follower,
+		Log: telemetry.Part(d.log, "applier"), Scope: d.metrics.Scope,
+	})
+	d.service = jobs.NewService(jobs.ServiceConfig{
+		Writer: writer, Follower: d.follower, View: d.configuration, CanRun: d.canRun,
+		Log: telemetry.Part(d.log, "jobs"), Scope: d.metrics.Scope,
+	})
+	d.control = control.New(control.Config{
+		Zone: zone, Lease: leader, Follower: d.follower, Applier: applier, View: d.configuration,
+		VMs: d.clients.vms, Workers: d.clients.workers, Network: d.mesh, Plan: planner.Compute,
+		Quarantine: newQuarantine(),
+		StopForeign: func(ctx context.Context, address string, tasks []string) {
+			d.executor.StopForeign(ctx, address, tasks)
+		},
+		PlanEvery: t.PlanEvery.Std(), ReportEvery: t.ReportEvery.Std(), VMListEvery: t.VMListEvery.Std(),
+		Log: telemetry.Part(d.log, "planner"), Scope: d.metrics.Scope, Tracer: d.traces.Tracer("planner"),
+	})
+	d.executor = executor.New(executor.Config{
+		Zone: zone, Follower: d.follower, Applier: applier, Workers: d.clients.workers, View: d.configuration,
+		Network: d.mesh, Places: d.control, Leading: d.control.Leading,
+		TaskLease: t.TaskLease.Std(), ZoneConfirmation: t.ZoneConfirmation.Std(), MaxClockSkew: t.MaxClockSkew.Std(),
+		CheckpointWait: t.CheckpointWait.Std(), StartWait: t.StartWait.Std(), StartsPerSecond: s.Limits.StartsPerSecond,
+		Log: telemetry.Part(d.log, "executor"), Scope: d.metrics.Scope, Tracer: d.traces.Tracer("executor"),
+	})
+	d.keeper = keeper.New(keeper.Config{
+		Zone: zone, Follower: d.follower, Network: d.mesh, Workers: d.clients.workers, Address: d.control.Address,
+		Planning: d.control.Leading, Local: d.control.TaskUpdate,
+		RenewEvery: t.TaskRenewEvery.Std(), TaskLease: t.TaskLease.Std(), MaxClockSkew: t.MaxClockSkew.Std(),
+		Log: telemetry.Part(d.log, "keeper"), Scope: d.metrics.Scope,
+	})
+	return nil
+}
+
+func (d *Daemon) canRun(job api.Job) string {
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Platform.RequestTimeout.Std())
+	defer cancel()
+	return d.inventory.CanRun(ctx, d.configuration.Current().Catalogue, job)
+}
+
+func (d *Daemon) newRouter() {
+	claims := claim.New(claim.Config{
+		Store: d.clients.table, Objects: d.clients.objects, VM: d.settings.Daemon.Vm, Incarnation: d.incarnation,
+		Backoff: retry.Backoff{},
+	})
+	d.router = router.New(router.Config{
+		VMs: d.clients.vms, Minions: d.clients.minions, Network: d.mesh, View: d.configuration, Claims: claims,
+		Limits: d.settings.Limits, Timing: d.settings.Timing,
+		Log: telemetry.Part(d.log, "router"), Scope: d.metrics.Scope, Tracer: d.traces.Tracer("router"),
+	})
+}
+
+func (d *Daemon) newServer() {
+	s := d.settings
+	d.server = entry.New(entry.Config{
+		Callers: s.Listen.Callers, Operators: s.Listen.Operators, OperatorToken: s.Operators.TokenSha256,
+		MaxBodyBytes: s.Limits.MaxBodyBytes, GracefulStop: s.Timing.GracefulStop.Std(),
+		View: d.configuration, Metrics: d.metrics.Handler, Ready: d.ready,
+		Handlers: d.handlers(),
+		Log:      telemetry.Part(d.log, "entry"), Scope: d.metrics.Scope, Tracer: d.traces.Tracer("entry"),
+	})
+}
+
+// ready tells whether the daemon can serve: it holds a configuration, or the
+// table service answers and simply has none yet.
+func (d *Daemon) ready() bool {
+	if d.stopping.Load() {
+		return false
+	}
+	return d.configuration.Current().Head.Revision > 0 || d.storeReachable()
+}
+
+func (d *Daemon) storeReachable() bool {
+	return d.configuration.StoreAge() < storeSilentAfterPolls*d.settings.Timing.PollEvery.Std()
+}
+
+// announce gives the contents of the heartbeats.
+func (d *Daemon) announce() api.PeerHeartbeat {
+	return api.PeerHeartbeat{
+		Draining: d.stopping.Load(), FreeSlots: d.router.FreeSlots(), PlannerEpoch: d.control.Current().Epoch,
+		StoreAgeMs: d.configuration.StoreAge().Milliseconds(), TableVersion: d.follower.Version(),
+	}
+}
+
+// Run serves until ctx ends and then stops gracefully. A part that fails to
+// start ends the others.
+func (d *Daemon) Run(ctx context.Context) error {
+	if err := d.server.Listen(); err != nil {
+		return err
+	}
+	// The parts outlive ctx by the graceful stop; serving ends before them.
+	partsCtx, stopParts := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopParts()
+	servingCtx, stopServing := context.WithCancel(partsCtx)
+	defer stopServing()
+	parts, partsCtx := errgroup.WithContext(partsCtx)
+	for _, run := range []func(context.Context) error{
+		d.mesh.Run, d.configuration.Run, d.follower.Run, d.control.Run, d.executor.Run, d.keeper.Run, d.router.Run,
+	} {
+		parts.Go(func() error { return run(partsCtx) })
+	}
+	served := make(chan error, 1)
+	go func() { served <- d.server.Run(servingCtx) }()
+	d.server.SetReady(true)
+	d.log.Info("Daemon started.", zap.String("zone", d.settings.Daemon.Zone), zap.String("incarnation", d.incarnation))
+	var serveErr error
+	select {
+	case <-ctx.Done():
+		serveErr = d.stop(stopServing, served)
+	case <-partsCtx.Done():
+		stopServing()
+		<-served
+	case serveErr = <-served:
+	}
+	stopParts()
+	partsErr := parts.Wait()
+	d.close()
+	if partsErr != nil && !eris.Is(partsErr, context.Canceled) {
+		return partsErr
+	}
+	return serveErr
+}
+
+// stop turns unready, lets others turn away, and finishes what is in flight.
+func (d *Daemon) stop(stopServing context.CancelFunc, served <-chan error) error {
+	d.log.Info("Stop requested.")
+	d.stopping.Store(true)
+	d.server.SetReady(false)
+	d.mesh.Drain()
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Timing.GracefulStop.Std())
+	defer cancel()
+	d.resign()
+	time.Sleep(noticePeriod)
+	stopServing()
+	err := <-served
+	if drainErr := d.router.Drain(ctx); drainErr != nil {
+		d.log.Error("Stopping with requests in flight.", zap.Error(drainErr))
+	}
+	d.log.Info("Daemon stopped.")
+	return err
+}
+
+// resign releases the planner lease, so that another daemon need not wait for
+// its end.
+func (d *Daemon) resign() {
+	ctx, cancel := context.WithTimeout(context.Background(), resignTimeout)
+	defer cancel()
+	if err := d.control.Resign(ctx); err != nil {
+		d.log.Warn("Planner lease not released.", zap.Error(err))
+	}
+}
+
+func (d *Daemon) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
+	defer cancel()
+	_ = d.traces.Shutdown(ctx)
+	_ = d.metrics.Close()
+	_ = d.log.Sync()
+}
--- /dev/null
+++ b/internal/inventory/checks.go
@@ -0,0 +1,80 @@
+package inventory
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/samphirepath/samphirepath/api"
+	"github.com/samphirepath/samphirepath/guarantee"
+	"github.com/samphirepath/samphirepath/internal/planner"
+)
+
+// CheckGuarantees tells whether the workers of the zone, when empty, hold all
+// guarantees of the proposed catalogue. A guarantee that is short already does
+// not block a change that does not make it worse.
+func (i *Inventory) CheckGuarantees(ctx context.Context, zone string, current, proposed api.Catalogue) error {
+	if len(guarantee.Of(proposed, zone)) == 0 {
+		return nil
+	}
+	reports, missing, err := i.Workers(ctx, zone)
+	if err != nil {
+		return eris.Wrapf(err, "the guarantees in zone %s could not be checked", zone)
+	}
+	workers := make([]guarantee.Worker, 0, len(reports))
+	for _, r := range reports {
+		workers = append(workers, guarantee.NewWorker(r.WorkerID, r.Rack, r.AcceleratorModel, r.Cores, r.MemoryMb, r.Accelerators))
+	}
+	verdict := guarantee.Check(zone, current, proposed, workers)
+	switch {
+	case verdict.Accepted:
+		return nil
+	case missing > 0:
+		return eris.Errorf("%s (%d workers of zone %s did not answer)", verdict.Reason, missing, zone)
+	default:
+		return eris.New(verdict.Reason)
+	}
+}
+
+// CanRun returns why no zone can ever run the job, or "". It asks the planner
+// about an empty zone, so that submission and planning cannot disagree. A zone
+// whose workers are not all known is given the benefit of the doubt.
+func (i *Inventory) CanRun(ctx context.Context, catalogue api.Catalogue, job api.Job) string {
+	zones := job.Spec.Zones
+	if len(zones) == 0 {
+		known, err := i.Zones(ctx)
+		if err != nil {
+			return ""
+		}
+		zones = known
+	}
+	reason := ""
+	for _, zone := range zones {
+		refused := i.refusal(ctx, zone, catalogue, job)
+		if refused == "" {
+			return ""
+		}
+		reason = refused
+	}
+	return reason
+}
+
+func (i *Inventory) refusal(ctx context.Context, zone string, catalogue api.Catalogue, job api.Job) string {
+	reports, missing, err := i.Workers(ctx, zone)
+	if err != nil || missing > 0 || len(reports) == 0 {
+		return ""
+	}
+	job.State, job.Spec.Zones = api.JobStateWaiting, []string{zone}
+	snapshot := planner.Snapshot{Now: time.Now(), Zone: zone, ZoneState: api.In, Catalogue: catalogue, Jobs: []api.Job{job}}
+	for _, r := range reports {
+		snapshot.Workers = append(snapshot.Workers, planner.Worker{
+			ID: r.WorkerID, Rack: r.Rack, State: planner.WorkerLive, Cores: r.Cores, MemoryMB: r.MemoryMb,
+			Accelerators: r.Accelerators, AcceleratorModel: r.AcceleratorModel,
+		})
+	}
+	for _, refusal := range planner.Compute(snapshot).Refusals {
+		return refusal.Reason
+	}
+	return ""
+}
