Report the progress that a checkpoint holds, not the work done

Cause: the schema describes progress_ms of a job as the work kept by the newest checkpoint, but the stand-in's worker reported the work done so far, which a planner would have stored as kept. Ruled out: both values in one report, because the schema has one field. Change: reports carry the progress of checkpoint_object; the history of the admin listener still shows the work done. Before and after: after a stop 50 ms past a checkpoint the reported progress was later than the checkpoint; now it equals it, and a spec checks that. Conclusion: checkpoint_object and progress_ms always belong together.

--- a/internal/platform/workers_test.go
+++ b/internal/platform/workers_test.go
@@ -203,11 +203,13 @@
 		saved := f.act(api.Checkpoint, "j1.1.0")[0]
 		gomega.Expect(saved.CheckpointObject).NotTo(gomega.BeEmpty())
 		gomega.Expect(saved.ProgressMs).To(gomega.BeNumerically(">=", 150))
-		f.act(api.Stop, "j1.1.0")
+		time.Sleep(50 * time.Millisecond)
+		stopped := f.act(api.Stop, "j1.1.0")[0]
+		gomega.Expect(stopped.ProgressMs).To(gomega.Equal(saved.ProgressMs), "reported progress is what the checkpoint holds")
 		next := startTask("j1.2.0", runFor(10_000))
 		next.CheckpointObject = saved.CheckpointObject
-		gomega.Expect(f.start(next).Task.ProgressMs).To(gomega.BeNumerically(">=", 150))
-		gomega.Expect(f.host.TaskHistory()[1].ResumedMs).To(gomega.BeNumerically("~", saved.ProgressMs, 100))
+		gomega.Expect(f.start(next).Task.ProgressMs).To(gomega.Equal(saved.ProgressMs))
+		gomega.Expect(f.host.TaskHistory()[1].ResumedMs).To(gomega.Equal(saved.ProgressMs))
 	})
 
 	ginkgo.It("keeps the last checkpoint when the object store is down", func() {
@@ -226,12 +228,17 @@
 	ginkgo.It("slows a throttled task down until it is released again", func() {
 		f := newWorkerFixture(0)
 		f.start(startTask("j1.1.0", nil))
-		before := f.act(api.Throttle, "j1.1.0")[0].ProgressMs
+		f.act(api.Throttle, "j1.1.0")
+		before := f.host.TaskHistory()[0].ProgressMs
 		began := time.Now()
 		time.Sleep(200 * time.Millisecond)
-		after := f.act(api.Release, "j1.1.0")[0].ProgressMs
+		after := f.host.TaskHistory()[0].ProgressMs
 		gomega.Expect(after - before).To(gomega.BeNumerically("<=", time.Since(began).Milliseconds()/2+5))
 		gomega.Expect(after - before).To(gomega.BeNumerically(">=", 90))
+		f.act(api.Release, "j1.1.0")
+		fast := f.host.TaskHistory()[0].ProgressMs
+		time.Sleep(100 * time.Millisecond)
+		gomega.Expect(f.host.TaskHistory()[0].ProgressMs - fast).To(gomega.BeNumerically(">=", 90))
 	})
 
 	ginkgo.It("fails every start when told so", func() {
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -42,7 +42,7 @@
 		}
 		seldom.advance(2000)
 		often.advance(2000)
-		if seldom.report(2000).Exit != often.report(2000).Exit || seldom.ended != often.ended || seldom.progress != often.progress {
+		if seldom.report().Exit != often.report().Exit || seldom.ended != often.ended || seldom.progress != often.progress {
 			t.Fatalf("observed often: %+v, observed once: %+v", often, seldom)
 		}
 		if seldom.ended > lease {
--- a/internal/standin/task.go
+++ b/internal/standin/task.go
@@ -45,6 +45,7 @@
 	failsNow  bool
 	stopAt    int64
 	object    string // last checkpoint
+	kept      int64  // progress that the last checkpoint holds
 
 	started, released, ended int64
 }
@@ -53,7 +54,7 @@
 func newTask(spec api.StartTask, workerID string, progress, now int64) *task {
 	t := &task{
 		spec: spec, state: api.TaskStateHeld, lease: spec.LeaseExpiresMs, total: runTime(spec),
-		progress: progress, object: spec.CheckpointObject, stopAt: never, started: now,
+		progress: progress, object: spec.CheckpointObject, kept: progress, stopAt: never, started: now,
 	}
 	fail := spec.Parameters[ParamFail]
 	t.failsNow = fail == "now" || fail == "worker="+workerID
@@ -181,11 +182,13 @@
 	t.state, t.exit, t.reason, t.ended = api.TaskStateEnded, exit, reason, now
 }
 
-func (t *task) report(now int64) api.TaskReport {
+// report gives the task as its worker tells it. As in the rows of jobs, the
+// progress is the work that the checkpoint holds, not the work done.
+func (t *task) report() api.TaskReport {
 	return api.TaskReport{
 		TaskID: t.spec.TaskID, State: t.state, Exit: t.exit, Reason: t.reason,
 		Accelerators: slices.Clone(t.spec.Accelerators), LeaseExpiresMs: t.lease,
-		CheckpointObject: t.object, ProgressMs: t.progressAt(now),
+		CheckpointObject: t.object, ProgressMs: t.kept,
 	}
 }
 
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -85,11 +85,11 @@
 }
 
 // reports returns the reports of the known tasks among ids. It needs the lock.
-func (w *worker) reports(ids []string, now int64) []api.TaskReport {
+func (w *worker) reports(ids []string) []api.TaskReport {
 	reports := make([]api.TaskReport, 0, len(ids))
 	for _, id := range ids {
 		if t := w.find(id); t != nil {
-			reports = append(reports, t.report(now))
+			reports = append(reports, t.report())
 		}
 	}
 	return reports
@@ -98,7 +98,7 @@
 func (w *worker) report() api.WorkerReport {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	now := w.advance()
+	w.advance()
 	w.measure()
 	ids := slices.Sorted(maps.Keys(w.live))
 	for _, t := range w.order[max(0, len(w.order)-reportedEnded):] {
@@ -108,7 +108,7 @@
 		WorkerID: w.config.ID, Instance: w.instance, Zone: w.config.Zone, Rack: w.config.Rack,
 		Cores: w.config.Cores, MemoryMb: w.config.MemoryMB,
 		Accelerators: w.config.Accelerators, AcceleratorModel: w.config.Model,
-		Tasks: w.reports(ids, now), CoresUsed: w.usage.cores, MemoryUsedMb: w.usage.memoryMB,
+		Tasks: w.reports(ids), CoresUsed: w.usage.cores, MemoryUsedMb: w.usage.memoryMB,
 	}
 }
 
@@ -138,7 +138,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := w.advance()
-	if reply := w.knownLocked(spec.TaskID, now); reply != nil {
+	if reply := w.knownLocked(spec.TaskID); reply != nil {
 		return *reply
 	}
 	if now > spec.StartBeforeMs {
@@ -150,7 +150,7 @@
 	}
 	w.live[spec.TaskID], w.resumed[spec.TaskID] = t, progress
 	w.advance()
-	report := t.report(now)
+	report := t.report()
 	return api.StartReply{Accepted: true, Task: &report}
 }
 
@@ -163,10 +163,11 @@
 func (w *worker) known(id string) *api.StartReply {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.knownLocked(id, w.advance())
+	w.advance()
+	return w.knownLocked(id)
 }
 
-func (w *worker) knownLocked(id string, now int64) *api.StartReply {
+func (w *worker) knownLocked(id string) *api.StartReply {
 	if w.barred[id] {
 		reply := refuseStart(api.StartTask{TaskID: id}, "attempt was stopped before its start arrived")
 		return &reply
@@ -175,7 +176,7 @@
 	if t == nil {
 		return nil
 	}
-	report := t.report(now)
+	report := t.report()
 	if t.state == api.TaskStateEnded {
 		return &api.StartReply{Reason: "attempt has ended on this worker", Task: &report}
 	}
@@ -184,6 +185,7 @@
 
 // checkpoint is the content of a checkpoint object.
 type checkpoint struct {
+	key        string
 	TaskID     string `json:"task_id"`
 	ProgressMs int64  `json:"progress_ms"`
 }
@@ -215,7 +217,7 @@
 func (w *worker) renew(leases []api.TaskLease) []api.TaskReport {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	now := w.advance()
+	w.advance()
 	ids := make([]string, 0, len(leases))
 	for _, lease := range leases {
 		ids = append(ids, lease.TaskID)
@@ -223,7 +225,7 @@
 			t.lease = max(t.lease, lease.LeaseExpiresMs)
 		}
 	}
-	return w.reports(ids, now)
+	return w.reports(ids)
 }
 
 // act carries out an action on several tasks.
@@ -237,8 +239,8 @@
 	for _, id := range action.TaskIds {
 		w.actOn(action.Action, id, now)
 	}
-	now = w.advance()
-	return w.reports(action.TaskIds, now)
+	w.advance()
+	return w.reports(action.TaskIds)
 }
 
 // actOn needs the lock. A stop of an unknown attempt bars its later start.
--- a/internal/standin/worker_http.go
+++ b/internal/standin/worker_http.go
@@ -69,12 +69,16 @@
 		return
 	}
 	for _, id := range ids {
-		key, content, ok := w.prepareCheckpoint(id)
+		next, ok := w.prepareCheckpoint(id)
 		if !ok {
 			continue
 		}
-		if _, err := w.objects.Put(ctx, key, content, false); err == nil {
-			w.finishCheckpoint(id, key)
+		content, err := json.Marshal(next)
+		if err != nil {
+			panic(eris.Wrap(err, "standin: encode checkpoint"))
+		}
+		if _, err := w.objects.Put(ctx, next.key, content, false); err == nil {
+			w.finishCheckpoint(next)
 		}
 	}
 }
@@ -90,28 +94,24 @@
 	return time.Duration(ms) * time.Millisecond
 }
 
-// prepareCheckpoint gives key and content of the next checkpoint of a running task.
-func (w *worker) prepareCheckpoint(id string) (string, []byte, bool) {
+// prepareCheckpoint gives the next checkpoint of a running task.
+func (w *worker) prepareCheckpoint(id string) (checkpoint, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := w.advance()
 	t := w.live[id]
 	if t == nil || t.state != api.TaskStateRunning {
-		return "", nil, false
+		return checkpoint{}, false
 	}
 	w.objectNo++
 	key := fmt.Sprintf("checkpoints/%s/%s-%d", t.spec.JobID, id, w.objectNo)
-	content, err := json.Marshal(checkpoint{TaskID: id, ProgressMs: t.progressAt(now)})
-	if err != nil {
-		panic(eris.Wrap(err, "standin: encode checkpoint"))
-	}
-	return key, content, true
+	return checkpoint{key: key, TaskID: id, ProgressMs: t.progressAt(now)}, true
 }
 
-func (w *worker) finishCheckpoint(id, key string) {
+func (w *worker) finishCheckpoint(c checkpoint) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if t := w.find(id); t != nil {
-		t.object = key
+	if t := w.find(c.TaskID); t != nil {
+		t.object, t.kept = c.key, c.ProgressMs
 	}
 }
