Add the harness that runs daemons and the stand-in as processes

Cause: failures of processes (kill, pause, SIGTERM, cut links) need real processes with generated settings, and every test would write its own starter. Change: test/harness with Build, Start, StartStandin, Daemon, StartCluster and fault proxies per daemon. Its specs use a small daemon inside the test binary. Before and after: no harness existed. Conclusion: scenario tests can be written once the daemon serves /readyz.

--- /dev/null
+++ b/test/harness/cluster.go
@@ -0,0 +1,291 @@
+package harness
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/samphirepath/samphirepath/api"
+	"github.com/samphirepath/samphirepath/internal/standin"
+	"github.com/samphirepath/samphirepath/test/faultproxy"
+)
+
+// Zone is an availability zone of a cluster with equal workers and equal minions.
+type Zone struct {
+	Name    string
+	Region  string
+	Daemons int
+	// Workers and Minions are named ZONE-worker-1, ... and ZONE-minion-1, ...
+	Workers int
+	Minions int
+	// Worker and Minion describe each of them; identifier, zone and count are filled in.
+	Worker standin.WorkerConfig
+	Minion standin.MinionConfig
+}
+
+// Options describe a cluster.
+type Options struct {
+	Zones []Zone
+	// VMListLag is the lag of the VM list.
+	VMListLag time.Duration
+	// Seed makes the random faults of the stand-in repeatable.
+	Seed uint64
+	// Proxies puts fault proxies between each daemon and the services of the
+	// platform, and in front of its peers' listener.
+	Proxies bool
+	// Adjust changes the settings of each daemon before its start.
+	Adjust func(*api.Settings)
+	// DaemonPath and DaemonEnv replace the built samphirepathd.
+	DaemonPath string
+	DaemonEnv  []string
+}
+
+// Proxies are the fault proxies of one daemon.
+type Proxies struct {
+	Table   *faultproxy.Proxy
+	Objects *faultproxy.Proxy
+	VMs     *faultproxy.Proxy
+	// Peers is in front of the daemon's listener for other daemons.
+	Peers *faultproxy.Proxy
+}
+
+// Platform sets the faults between the daemon and all services of the platform.
+func (p Proxies) Platform(faults faultproxy.Faults) {
+	for _, proxy := range []*faultproxy.Proxy{p.Table, p.Objects, p.VMs} {
+		proxy.Set(faults)
+	}
+}
+
+// Cluster is a stand-in with the daemons of several zones.
+type Cluster struct {
+	Standin *Standin
+	Daemons []*Daemon
+	// Proxies are the fault proxies by daemon, empty without Options.Proxies.
+	Proxies map[string]Proxies
+
+	options Options
+	dir     string
+	proxies *errgroup.Group
+	stop    context.CancelFunc
+	running context.Context
+}
+
+// StartCluster starts a cluster in a directory of its own and waits until all
+// daemons are ready. Stop ends it, also after an error.
+func StartCluster(ctx context.Context, o Options) (*Cluster, error) {
+	dir, err := os.MkdirTemp("", "samphirepath-cluster-")
+	if err != nil {
+		return nil, eris.Wrap(err, "make directory for cluster")
+	}
+	c := &Cluster{Proxies: map[string]Proxies{}, options: o, dir: dir}
+	c.running, c.stop = context.WithCancel(context.Background())
+	c.proxies = &errgroup.Group{}
+	if err := c.start(ctx); err != nil {
+		return nil, errors.Join(err, c.Stop())
+	}
+	return c, nil
+}
+
+func (c *Cluster) start(ctx context.Context) error {
+	for _, step := range []func() error{c.prepareDaemons, c.startStandin, c.connectDaemons} {
+		if err := step(); err != nil {
+			return err
+		}
+	}
+	for _, d := range c.Daemons {
+		if err := d.Start(); err != nil {
+			return err
+		}
+	}
+	return c.WaitReady(ctx)
+}
+
+// prepareDaemons gives each daemon its identity and listeners.
+func (c *Cluster) prepareDaemons() error {
+	for _, zone := range c.options.Zones {
+		for i := range zone.Daemons {
+			settings := DefaultSettings()
+			settings.Daemon = api.DaemonSettings{VM: fmt.Sprintf("%s-entry-%d", zone.Name, i+1), Zone: zone.Name, Region: zone.Region}
+			if err := listenFreely(&settings.Listen); err != nil {
+				return err
+			}
+			d := &Daemon{Settings: settings, Dir: c.dir, Path: c.options.DaemonPath, Env: c.options.DaemonEnv}
+			c.Daemons = append(c.Daemons, d)
+			if err := c.addPeersProxy(d); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func listenFreely(listen *api.ListenSettings) error {
+	for _, address := range []*string{&listen.Callers, &listen.Operators, &listen.Peers} {
+		free, err := FreeAddress()
+		if err != nil {
+			return err
+		}
+		*address = free
+	}
+	return nil
+}
+
+// addPeersProxy puts a proxy in front of the daemon's listener for other daemons.
+func (c *Cluster) addPeersProxy(d *Daemon) error {
+	if !c.options.Proxies {
+		return nil
+	}
+	proxy, err := c.proxy(d.Settings.Listen.Peers)
+	c.Proxies[d.ID()] = Proxies{Peers: proxy}
+	return err
+}
+
+func (c *Cluster) proxy(target string) (*faultproxy.Proxy, error) {
+	proxy, err := faultproxy.New(faultproxy.Config{Target: target})
+	if err != nil {
+		return nil, err
+	}
+	c.proxies.Go(func() error { return proxy.Run(c.running) })
+	return proxy, nil
+}
+
+func (c *Cluster) startStandin() error {
+	config := standin.Config{
+		Seed: c.options.Seed, Table: &standin.Listen{}, Objects: &standin.Listen{},
+		VMs: &standin.VMsConfig{Lag: api.Duration(c.options.VMListLag), Initial: c.entryVMs()},
+	}
+	for _, zone := range c.options.Zones {
+		if zone.Workers > 0 {
+			worker := zone.Worker
+			worker.ID, worker.Zone, worker.Count = zone.Name+"-worker", zone.Name, zone.Workers
+			config.Workers = append(config.Workers, worker)
+		}
+		if zone.Minions > 0 {
+			minion := zone.Minion
+			minion.ID, minion.Zone, minion.Count = zone.Name+"-minion", zone.Name, zone.Minions
+			config.Minions = append(config.Minions, minion)
+		}
+	}
+	started, err := StartStandin(c.dir, "standin", config)
+	c.Standin = started
+	return err
+}
+
+// entryVMs lists the daemons under the addresses at which their peers reach them.
+func (c *Cluster) entryVMs() []standin.VMConfig {
+	vms := make([]standin.VMConfig, 0, len(c.Daemons))
+	for _, d := range c.Daemons {
+		address := d.Settings.Listen.Peers
+		if proxy := c.Proxies[d.ID()].Peers; proxy != nil {
+			address = proxy.Address()
+		}
+		vms = append(vms, standin.VMConfig{ID: d.ID(), Kind: api.VMKindEntry, Zone: d.Settings.Daemon.Zone, Address: address})
+	}
+	return vms
+}
+
+// connectDaemons points the daemons to the platform and applies Options.Adjust.
+func (c *Cluster) connectDaemons() error {
+	for _, d := range c.Daemons {
+		table, objects, vms := c.Standin.Addresses.Table, c.Standin.Addresses.Objects, c.Standin.Addresses.VMs
+		if c.options.Proxies {
+			proxies, err := c.platformProxies(c.Proxies[d.ID()])
+			if err != nil {
+				return err
+			}
+			c.Proxies[d.ID()] = proxies
+			table, objects, vms = proxies.Table.Address(), proxies.Objects.Address(), proxies.VMs.Address()
+		}
+		platform := &d.Settings.Platform
+		platform.TableURL, platform.ObjectsURL, platform.VmsURL = "http://"+table, "http://"+objects, "http://"+vms
+		if c.options.Adjust != nil {
+			c.options.Adjust(&d.Settings)
+		}
+	}
+	return nil
+}
+
+func (c *Cluster) platformProxies(p Proxies) (Proxies, error) {
+	var errs [3]error
+	p.Table, errs[0] = c.proxy(c.Standin.Addresses.Table)
+	p.Objects, errs[1] = c.proxy(c.Standin.Addresses.Objects)
+	p.VMs, errs[2] = c.proxy(c.Standin.Addresses.VMs)
+	return p, errors.Join(errs[:]...)
+}
+
+// ReplaceDaemon starts a daemon that has ended as a new instance of its VM.
+func (c *Cluster) ReplaceDaemon(d *Daemon) error {
+	vms, err := c.Standin.VMs()
+	if err != nil {
+		return err
+	}
+	for _, vm := range vms.Vms {
+		if vm.ID == d.ID() {
+			vm.Instance, vm.State = "", api.Live
+			if err := c.Standin.PutVM(vm); err != nil {
+				return err
+			}
+		}
+	}
+	return d.Start()
+}
+
+// WaitReady waits until all running daemons are ready.
+func (c *Cluster) WaitReady(ctx context.Context) error {
+	var group errgroup.Group
+	for _, d := range c.Daemons {
+		if d.Process != nil && d.Running() {
+			group.Go(func() error { return d.WaitReady(ctx) })
+		}
+	}
+	return group.Wait()
+}
+
+// Daemon returns the daemon of a VM.
+func (c *Cluster) Daemon(id string) *Daemon {
+	for _, d := range c.Daemons {
+		if d.ID() == id {
+			return d
+		}
+	}
+	panic("harness: no daemon " + id)
+}
+
+// Logs returns the output of all processes, for the report of a failed test.
+func (c *Cluster) Logs() string {
+	var text strings.Builder
+	for _, d := range c.Daemons {
+		if d.Process != nil {
+			fmt.Fprintf(&text, "--- %s ---\n%s\n", d.ID(), d.Logs())
+		}
+	}
+	if c.Standin != nil {
+		fmt.Fprintf(&text, "--- stand-in ---\n%s\n", c.Standin.Logs())
+	}
+	return text.String()
+}
+
+// File returns the path of a file in the directory of the cluster.
+func (c *Cluster) File(name string) string { return filepath.Join(c.dir, name) }
+
+// Stop ends all processes and proxies and removes the directory of the cluster.
+func (c *Cluster) Stop() error {
+	var stops errgroup.Group
+	for _, d := range c.Daemons {
+		stops.Go(d.Stop)
+	}
+	errs := []error{stops.Wait()}
+	if c.Standin != nil {
+		errs = append(errs, c.Standin.Stop())
+	}
+	c.stop()
+	errs = append(errs, c.proxies.Wait(), os.RemoveAll(c.dir))
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/test/harness/harness_test.go
@@ -0,0 +1,231 @@
+package harness_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+	"github.com/pelletier/go-toml/v2"
+
+	"github.com/samphirepath/samphirepath/api"
+	"github.com/samphirepath/samphirepath/internal/platform"
+	"github.com/samphirepath/samphirepath/internal/standin"
+	"github.com/samphirepath/samphirepath/test/faultproxy"
+	"github.com/samphirepath/samphirepath/test/harness"
+)
+
+// envFakeDaemon makes the test binary play samphirepathd: "ready" or "exit".
+const envFakeDaemon = "HARNESS_TEST_FAKE_DAEMON"
+
+func TestMain(m *testing.M) {
+	switch os.Getenv(envFakeDaemon) {
+	case "ready":
+		os.Exit(fakeDaemon(os.Args[2]))
+	case "exit":
+		fmt.Fprintln(os.Stderr, "settings are wrong")
+		os.Exit(2)
+	}
+	os.Exit(m.Run())
+}
+
+func TestHarness(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "harness")
+}
+
+var _ = ginkgo.AfterSuite(func() { gomega.Expect(harness.RemoveBinaries()).To(gomega.Succeed()) })
+
+// fakeDaemon is ready while it reaches the table service and finds itself in the VM list.
+func fakeDaemon(file string) int {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		panic(err)
+	}
+	var settings api.Settings
+	if err := toml.Unmarshal(data, &settings); err != nil {
+		panic(err)
+	}
+	table, err := platform.NewTable(platform.Config{URL: settings.Platform.TableURL, Timeout: 200 * time.Millisecond})
+	if err != nil {
+		panic(err)
+	}
+	vms, err := platform.NewVMs(platform.Config{URL: settings.Platform.VmsURL, Timeout: 200 * time.Millisecond})
+	if err != nil {
+		panic(err)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	defer stop()
+	var asked atomic.Int32
+	server := http.Server{Addr: settings.Listen.Operators, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _, err := table.Get(r.Context(), "configuration/head")
+		list, listErr := vms.List(r.Context())
+		self := slices.ContainsFunc(list.Vms, func(vm api.VM) bool { return vm.ID == settings.Daemon.VM })
+		if asked.Add(1) < 3 || err != nil || listErr != nil || !self {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})}
+	fmt.Println("serving")
+	go func() { _ = server.ListenAndServe() }()
+	<-ctx.Done()
+	return 0
+}
+
+func options(fake string) harness.Options {
+	path, err := os.Executable()
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	return harness.Options{
+		Zones: []harness.Zone{
+			{Name: "kiruna", Daemons: 1, Workers: 2, Minions: 1, Worker: standin.WorkerConfig{Rack: "k", Cores: 8, Accelerators: 4}},
+			{Name: "pajala", Daemons: 1},
+		},
+		Proxies: true, DaemonPath: path, DaemonEnv: []string{envFakeDaemon + "=" + fake},
+	}
+}
+
+func startCluster() *harness.Cluster {
+	ginkgo.GinkgoHelper()
+	c, err := harness.StartCluster(context.Background(), options("ready"))
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	ginkgo.DeferCleanup(func() {
+		gomega.Expect(c.Stop()).To(gomega.Succeed())
+		for _, d := range c.Daemons {
+			gomega.Expect(d.Running()).To(gomega.BeFalse())
+		}
+		gomega.Expect(c.Standin.Running()).To(gomega.BeFalse())
+		gomega.Expect(c.File("")).NotTo(gomega.BeADirectory())
+	})
+	return c
+}
+
+var _ = ginkgo.Describe("Cluster", func() {
+	ctx := context.Background()
+
+	ginkgo.It("starts daemons with settings under which they reach the platform", func() {
+		c := startCluster()
+		gomega.Expect(c.Daemons).To(gomega.HaveLen(2))
+		for _, d := range c.Daemons {
+			gomega.Expect(d.Ready(ctx)).To(gomega.BeTrue())
+		}
+		_, err := c.Daemon("kiruna-entry-1").WaitLine(ctx, "serving")
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(c.Logs()).To(gomega.ContainSubstring("--- pajala-entry-1 ---"))
+		list, err := c.Standin.VMs()
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(list.Vms).To(gomega.HaveLen(5))
+	})
+
+	ginkgo.It("signals daemons", func() {
+		c := startCluster()
+		first, second := c.Daemons[0], c.Daemons[1]
+		gomega.Expect(first.Pause()).To(gomega.Succeed())
+		gomega.Expect(first.Ready(ctx)).To(gomega.BeFalse())
+		gomega.Expect(second.Ready(ctx)).To(gomega.BeTrue())
+		gomega.Expect(first.Continue()).To(gomega.Succeed())
+		gomega.Expect(first.WaitReady(ctx)).To(gomega.Succeed())
+		gomega.Expect(first.Terminate()).To(gomega.Succeed())
+		code, err := first.Wait(5 * time.Second)
+		gomega.Expect(code, err).To(gomega.Equal(0))
+		gomega.Expect(first.Kill()).To(gomega.MatchError(harness.ErrExited))
+		gomega.Expect(second.Kill()).To(gomega.Succeed())
+		code, err = second.Wait(0)
+		gomega.Expect(code, err).To(gomega.Equal(-1))
+		gomega.Expect(c.ReplaceDaemon(first)).To(gomega.Succeed())
+		gomega.Expect(first.WaitReady(ctx)).To(gomega.Succeed())
+	})
+
+	ginkgo.It("cuts one daemon off from the platform and not the other", func() {
+		c := startCluster()
+		first, second := c.Daemons[0], c.Daemons[1]
+		c.Proxies[first.ID()].Platform(faultproxy.Hold())
+		gomega.Expect(first.Ready(ctx)).To(gomega.BeFalse())
+		gomega.Expect(second.Ready(ctx)).To(gomega.BeTrue())
+		c.Proxies[first.ID()].Platform(faultproxy.Faults{})
+		gomega.Expect(first.WaitReady(ctx)).To(gomega.Succeed())
+	})
+
+	ginkgo.It("reports a daemon that ends before it is ready, with its output", func() {
+		started := time.Now()
+		_, err := harness.StartCluster(ctx, options("exit"))
+		gomega.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("settings are wrong")))
+		gomega.Expect(err).To(gomega.MatchError(harness.ErrExited))
+		gomega.Expect(time.Since(started)).To(gomega.BeNumerically("<", 10*time.Second))
+	})
+})
+
+var _ = ginkgo.Describe("Standin", func() {
+	ginkgo.It("switches faults and reads out what happened", func() {
+		c := startCluster()
+		s := c.Standin
+		workers := platform.NewWorkers(platform.Config{})
+		defer workers.Close()
+		task := api.StartTask{TaskID: "j.1.0", JobID: "j", StartBeforeMs: time.Now().Add(time.Minute).UnixMilli(), LeaseExpiresMs: time.Now().Add(time.Minute).UnixMilli()}
+		start := func() error {
+			_, err := workers.Start(context.Background(), s.Addresses.Workers["kiruna-worker-1"], task)
+			return err
+		}
+		gomega.Expect(s.SetFaults("workers/kiruna-worker-1", standin.Faults{Down: true})).To(gomega.Succeed())
+		gomega.Expect(start()).NotTo(gomega.Succeed())
+		gomega.Expect(s.ClearFaults("workers/kiruna-worker-1")).To(gomega.Succeed())
+		gomega.Expect(start()).To(gomega.Succeed())
+		tasks, err := s.Tasks()
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(tasks).To(gomega.HaveLen(1))
+		gomega.Expect(s.RestartWorker("kiruna-worker-1")).To(gomega.Succeed())
+		counters, err := s.TableCounters()
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(counters.Gets).To(gomega.BeNumerically(">", 0))
+		minions, err := s.Minions()
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(minions[0].Minion).To(gomega.Equal("kiruna-minion-1"))
+		executions, err := s.Executions()
+		gomega.Expect(executions, err).To(gomega.BeEmpty())
+	})
+
+	ginkgo.It("changes the VM list", func() {
+		c := startCluster()
+		s := c.Standin
+		gomega.Expect(s.PutVM(api.VM{ID: "new", Kind: api.VMKindEntry, Zone: "kiruna", Address: "127.0.0.1:1"})).To(gomega.Succeed())
+		gomega.Expect(s.SetVMState("new", api.Leaving)).To(gomega.Succeed())
+		list, err := s.VMs()
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(list.Vms).To(gomega.ContainElement(gomega.And(gomega.HaveField("ID", "new"), gomega.HaveField("State", api.Leaving))))
+		gomega.Expect(s.RemoveVM("new")).To(gomega.Succeed())
+		gomega.Expect(s.RemoveVM("new")).NotTo(gomega.Succeed())
+		gomega.Expect(s.SetFaults("workers/unknown", standin.Faults{})).NotTo(gomega.Succeed())
+	})
+})
+
+// Guards against two processes that are told to listen on the same port.
+var _ = ginkgo.Describe("FreeAddress", func() {
+	ginkgo.It("gives no address twice, also to concurrent callers", func() {
+		const callers, each = 8, 40
+		var seen sync.Map
+		var wg sync.WaitGroup
+		var twice, failed atomic.Int32
+		for range callers {
+			wg.Go(func() {
+				for range each {
+					address, err := harness.FreeAddress()
+					if err != nil {
+						failed.Add(1)
+					}
+					if _, exists := seen.LoadOrStore(address, true); exists {
+						twice.Add(1)
+					}
+				}
+			})
+		}
+		wg.Wait()
+		gomega.Expect([]int32{twice.Load(), failed.Load()}).To(gomega.Equal([]int32{0, 0}))
+	})
+})
--- /dev/null
+++ b/test/harness/standin.go
@@ -0,0 +1,164 @@
+package harness
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/samphirepath/samphirepath/api"
+	"github.com/samphirepath/samphirepath/internal/standin"
+)
+
+const (
+	// readyWait bounds the wait for a process to become ready.
+	readyWait = 20 * time.Second
+	// adminWait bounds one call to an admin listener.
+	adminWait = 10 * time.Second
+)
+
+// Standin is a stand-in process.
+type Standin struct {
+	*Process
+	Addresses standin.Addresses
+	http      *http.Client
+}
+
+// StartStandin writes the config into dir, starts the process and waits until it listens.
+func StartStandin(dir, name string, config standin.Config) (*Standin, error) {
+	binaries, err := Build()
+	if err != nil {
+		return nil, err
+	}
+	data, err := json.Marshal(config)
+	if err != nil {
+		return nil, eris.Wrap(err, "encode config of the stand-in")
+	}
+	file := filepath.Join(dir, name+".json")
+	if err := os.WriteFile(file, data, 0o600); err != nil {
+		return nil, eris.Wrap(err, "write config of the stand-in")
+	}
+	process, err := Start(Command{Name: name, Path: binaries.Standin, Arguments: []string{file}, Dir: dir})
+	if err != nil {
+		return nil, err
+	}
+	s := &Standin{Process: process, http: &http.Client{Timeout: adminWait}}
+	if err := s.awaitReady(); err != nil {
+		_ = process.Stop()
+		return nil, err
+	}
+	return s, nil
+}
+
+// Stop ends the process.
+func (s *Standin) Stop() error {
+	s.http.CloseIdleConnections()
+	return s.Process.Stop()
+}
+
+func (s *Standin) awaitReady() error {
+	ctx, cancel := context.WithTimeout(context.Background(), readyWait)
+	defer cancel()
+	line, err := s.WaitLine(ctx, `"ready":true`)
+	if err != nil {
+		return err
+	}
+	var ready struct {
+		Addresses standin.Addresses `json:"addresses"`
+	}
+	if err := json.Unmarshal([]byte(line), &ready); err != nil {
+		return eris.Wrap(err, "decode ready line")
+	}
+	s.Addresses = ready.Addresses
+	return nil
+}
+
+// admin makes a call to the admin listener and decodes the answer into result unless it is nil.
+func (s *Standin) admin(method, path string, value, result any) error {
+	body, err := json.Marshal(value)
+	if err != nil {
+		return eris.Wrap(err, "encode admin call")
+	}
+	r, err := http.NewRequest(method, "http://"+s.Addresses.Admin+path, bytes.NewReader(body))
+	if err != nil {
+		return eris.Wrap(err, "admin call")
+	}
+	r.Header.Set("Content-Type", "application/json")
+	response, err := s.http.Do(r)
+	if err != nil {
+		return eris.Wrap(err, "admin call")
+	}
+	defer response.Body.Close()
+	answer, err := io.ReadAll(response.Body)
+	if err != nil {
+		return eris.Wrap(err, "read admin answer")
+	}
+	if response.StatusCode >= http.StatusMultipleChoices {
+		return eris.Errorf("admin call %s %s: %s: %s", method, path, response.Status, answer)
+	}
+	if result == nil {
+		return nil
+	}
+	return eris.Wrap(json.Unmarshal(answer, result), "decode admin answer")
+}
+
+// SetFaults replaces the faults of a target: standin.TargetTable, "workers/ID", "minions/ID", ...
+func (s *Standin) SetFaults(target string, faults standin.Faults) error {
+	return s.admin(http.MethodPut, standin.AdminFaults+"/"+target, faults, nil)
+}
+
+// ClearFaults makes a target healthy.
+func (s *Standin) ClearFaults(target string) error {
+	return s.admin(http.MethodDelete, standin.AdminFaults+"/"+target, nil, nil)
+}
+
+// Tasks returns the attempts of all workers.
+func (s *Standin) Tasks() (tasks []standin.TaskHistory, err error) {
+	return tasks, s.admin(http.MethodGet, standin.AdminTasks, nil, &tasks)
+}
+
+// Executions returns the executions of all minions.
+func (s *Standin) Executions() (executions []standin.Execution, err error) {
+	return executions, s.admin(http.MethodGet, standin.AdminExecutions, nil, &executions)
+}
+
+// Minions returns the counters of all minions.
+func (s *Standin) Minions() (counters []standin.MinionCounters, err error) {
+	return counters, s.admin(http.MethodGet, standin.AdminMinions, nil, &counters)
+}
+
+// TableCounters returns the counters of the table service.
+func (s *Standin) TableCounters() (counters standin.TableCounters, err error) {
+	return counters, s.admin(http.MethodGet, standin.AdminTableCounters, nil, &counters)
+}
+
+// VMs returns the VM list without its lag.
+func (s *Standin) VMs() (list api.VMList, err error) {
+	return list, s.admin(http.MethodGet, standin.AdminVMs, nil, &list)
+}
+
+// PutVM adds or replaces a VM; without an instance it gets a new one.
+func (s *Standin) PutVM(vm api.VM) error {
+	return s.admin(http.MethodPut, standin.AdminVMs+"/"+vm.ID, vm, nil)
+}
+
+// SetVMState sets the state of a VM in the list.
+func (s *Standin) SetVMState(id string, state api.VMState) error {
+	return s.admin(http.MethodPut, standin.AdminVMs+"/"+id+"/state", map[string]api.VMState{"state": state}, nil)
+}
+
+// RemoveVM drops a VM from the list.
+func (s *Standin) RemoveVM(id string) error {
+	return s.admin(http.MethodDelete, standin.AdminVMs+"/"+id, nil, nil)
+}
+
+// RestartWorker makes a worker forget its tasks, as a crash does.
+func (s *Standin) RestartWorker(id string) error {
+	return s.admin(http.MethodPost, standin.AdminWorkers+"/"+id+"/restart", nil, nil)
+}
