Eject failing minions of small owners and estimate slow answers

Cause: TestMeasureRetryAmplification failed, because a daemon that owns few minions kept failing ones in service; fast failures then drew most requests. Ruled out: a floor over the minions of all owners, which needs shared state.

--- a/internal/router/cluster_test.go
+++ b/internal/router/cluster_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -295,6 +296,7 @@
 	most    int
 	calls   int
 	service time.Duration
+	spread  bool   // draw service times from an exponential distribution
 	mode    string // "", "fails", "broken", "refuses", "unreachable"
 	runs    map[string]int
 }
@@ -303,6 +305,9 @@
 	m.mu.Lock()
 	m.calls++
 	mode, service := m.mode, m.service
+	if m.spread {
+		service = time.Duration(float64(service) * rand.ExpFloat64())
+	}
 	if mode == "unreachable" || m.busy >= m.slots {
 		m.mu.Unlock()
 		return platform.MinionReply{Status: platform.MinionNotRun, Err: errDown}
--- a/internal/router/dispatch.go
+++ b/internal/router/dispatch.go
@@ -41,7 +41,7 @@
 	r.scope.Timer("minion_time").Record(took)
 	seen := observe(reply)
 	if seen == failing && ctx.Err() != nil && !r.pool.hangs(j.Submit.Entry, took) {
-		seen = noObservation
+		seen = cutOff
 	}
 	r.pool.release(m, j.Submit.Entry, seen, describe(reply), took)
 	span.SetAttributes(attribute.Int("status", reply.Code))
--- a/internal/router/health.go
+++ b/internal/router/health.go
@@ -23,6 +23,7 @@
 
 const (
 	noObservation observation = iota
+	cutOff                    // no whole answer because the time of the caller was up
 	answered                  // a whole answer that is no failure of the minion
 	failing                   // no whole answer, or an answer that says the minion cannot serve
 	unreachable               // the connection was not made
@@ -66,11 +67,11 @@
 	}
 }
 
-// observe takes in what a request told. mayEject is false when too few minions
-// would be left; a minion that cannot be reached is left out all the same.
-func (m *minion) observe(o observation, reason string, now time.Time, mayEject bool, pauses retry.Backoff) {
+// observe takes in what a request told. With few set, too few minions are in
+// service and the back-off of an ejection does not grow.
+func (m *minion) observe(o observation, reason string, now time.Time, few bool, pauses retry.Backoff) {
 	switch o {
-	case noObservation:
+	case noObservation, cutOff:
 	case tooBusy:
 		m.until, m.reason = now.Add(busyPause), reason
 	case answered:
@@ -82,13 +83,15 @@
 	case failing, unreachable:
 		m.score = m.score*(1-failureWeight) + failureWeight
 		m.reason = reason
-		if m.strikes == 0 && m.score <= ejectAbove || o == failing && !mayEject {
+		if m.strikes == 0 && m.score <= ejectAbove {
 			return
 		}
 		if now.Before(m.until) {
 			return // one of several requests that failed together
 		}
-		m.strikes++
+		if m.strikes == 0 || !few {
+			m.strikes++
+		}
 		m.until = now.Add(pauses.Delay(m.strikes))
 		m.state = "ejected"
 		if o == unreachable {
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -17,9 +17,9 @@
 )
 
 const (
-	// leastServing is the share of the own minions, as a divisor, that must stay
-	// in service: no further minion is ejected for failures once half are out.
-	// When most minions fail, the cause is rarely in the minions.
+	// leastServing is the share of the own minions, as a divisor, below which the
+	// back-off of ejected minions does not grow. When most minions fail, the cause
+	// is rarely in the minions, and they must be tried again soon after it ends.
 	leastServing = 2
 	// hangFactor is the multiple of the expected service time after which a
 	// request that met its deadline is held against its minion. Under overload
@@ -94,7 +94,7 @@
 		return grant{refusal: r}
 	}
 	p.queue.push(w)
-	last := w.deadline.Add(-p.estimate.service(w.entry))
+	last := w.deadline.Add(-p.estimate.service(w.entry, w.given))
 	p.mu.Unlock()
 	return p.await(ctx, w, last)
 }
@@ -161,7 +161,7 @@
 		return &refusal{Unavailable, "no minion can be reached now", retryAfterUnavailable}
 	}
 	wait := p.estimate.wait(p.queue.ahead(w.rank), p.capacity())
-	need := wait + p.estimate.service(w.entry)
+	need := wait + p.estimate.service(w.entry, w.given)
 	if left := w.deadline.Sub(now); need > left {
 		return &refusal{Overloaded, "the deadline cannot be met", max(need-left, leastRetryAfter)}
 	}
@@ -201,11 +201,14 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	m.busy--
-	if o == answered {
+	switch o {
+	case answered:
 		p.estimate.observe(entry, took)
+	case cutOff:
+		p.estimate.observeCut(entry, took)
 	}
 	before := m.status()
-	m.observe(o, reason, time.Now(), p.mayEject(), p.pauses)
+	m.observe(o, reason, time.Now(), p.fewServe(), p.pauses)
 	if after := m.status(); after != before {
 		p.log.Info("minion changed state", zap.String("minion", m.vm.ID), zap.String("from", before),
 			zap.String("to", after), zap.String("reason", reason))
@@ -217,18 +220,18 @@
 func (p *pool) hangs(entry string, took time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return took >= hangFactor*p.estimate.service(entry)
+	return took >= hangFactor*p.estimate.mean(entry)
 }
 
-// mayEject tells whether enough minions would be left in service.
-func (p *pool) mayEject() bool {
+// fewServe tells whether most of the own minions are out of service.
+func (p *pool) fewServe() bool {
 	serving := 0
 	for _, m := range p.owned {
 		if m.serving() {
 			serving++
 		}
 	}
-	return serving > (len(p.owned)+1)/leastServing
+	return serving < len(p.owned)/leastServing
 }
 
 // markLeaving takes a minion out for good because it said that it leaves.
@@ -250,7 +253,7 @@
 		if w == nil {
 			return
 		}
-		if w.deadline.Sub(now) < p.estimate.service(w.entry) {
+		if w.deadline.Sub(now) < p.estimate.service(w.entry, w.given) {
 			p.answer(w, grant{refusal: &refusal{Overloaded, "the deadline came while the request waited for a minion",
 				max(p.estimate.wait(p.queue.ahead(w.rank), p.capacity()), leastRetryAfter)}})
 			continue
--- a/internal/router/queue.go
+++ b/internal/router/queue.go
@@ -34,6 +34,7 @@
 	entry      string
 	rank       int
 	deadline   time.Time
+	given      time.Duration // from the arrival of the request to its deadline
 	mayForward bool
 	maxQueued  int
 	job        *job
--- a/internal/router/submit.go
+++ b/internal/router/submit.go
@@ -102,7 +102,7 @@
 		return step{reply: r.refused(j, &refusal{Unavailable, "the table service is unreachable, so the request cannot be claimed", retryAfterUnavailable})}
 	}
 	g := r.pool.acquire(ctx, &waiter{
-		entry: j.Submit.Entry, rank: rank(j.Urgency), deadline: j.Deadline,
+		entry: j.Submit.Entry, rank: rank(j.Urgency), deadline: j.Deadline, given: j.Deadline.Sub(j.started),
 		mayForward: j.mayForward && j.held == nil, maxQueued: j.MaxQueued, job: j,
 	})
 	switch {
