Test the job path under faults and name the silent member of a lapsed gang

Cause: when one worker fell silent, the failure named a member whose lease had lapsed because of it, so the retry avoided the wrong worker (seen in the test of a member that cannot be renewed: w0 named instead of w1). Ruled out: taking lapses from full reports; they do not tell who caused them. Change: the keeper declares silent members lost once another has lapsed, and control ranks the ends of tasks by how well they explain the end of the gang.

--- a/internal/control/tasks.go
+++ b/internal/control/tasks.go
@@ -77,8 +77,7 @@
 			succeeded++
 			continue
 		}
-		// A failure of a task says more than a lapse that it may have caused.
-		if worst.worker == "" || t.report.Exit == api.TaskExitFailed && worst.report.Exit != api.TaskExitFailed {
+		if worst.worker == "" || blame(t.report) > blame(worst.report) {
 			worst = t
 		}
 	}
@@ -91,6 +90,18 @@
 	return nil
 }
 
+// blame ranks how well the end of a task explains the end of its gang. The lease
+// of a member lapses because another member failed or fell silent.
+func blame(t api.TaskReport) int {
+	switch {
+	case t.Exit == api.TaskExitFailed:
+		return 2
+	case t.Reason == jobs.ReasonNoAnswer || t.Reason == jobs.ReasonTaskUnknown:
+		return 1
+	}
+	return 0
+}
+
 func stopFor(job api.Job, t ended, now time.Time) transition {
 	reason := t.report.Reason
 	if reason == "" {
--- a/internal/control/workers.go
+++ b/internal/control/workers.go
@@ -157,7 +157,10 @@
 	uncovered := map[string]bool{}
 	for _, t := range report.Tasks {
 		if t.State == api.TaskStateEnded {
-			c.takeTasks(w.vm.ID, []api.TaskReport{t})
+			// A lapse is left to the keeper, which knows the member that caused it.
+			if t.Exit != api.TaskExitLeaseLapsed {
+				c.takeTasks(w.vm.ID, []api.TaskReport{t})
+			}
 			continue
 		}
 		if !c.Leading() || c.covered(t.TaskID, w.vm.ID) {
--- /dev/null
+++ b/internal/executor/sim_test.go
@@ -0,0 +1,446 @@
+package executor_test
+
+import (
+	"context"
+	"errors"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/samphirepath/samphirepath/api"
+	"github.com/samphirepath/samphirepath/internal/configuration"
+	"github.com/samphirepath/samphirepath/internal/peers"
+	"github.com/samphirepath/samphirepath/internal/planner"
+	"github.com/samphirepath/samphirepath/table"
+)
+
+var errDown = errors.New("no answer")
+
+// simStore is a table store shared by the daemons of a test.
+type simStore struct {
+	mu      sync.Mutex
+	rows    map[string]table.Row
+	version int64
+	commits int
+	down    bool
+	lose    func(commit int) bool // loses the answer after the write
+}
+
+func (s *simStore) set(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f()
+}
+
+func (s *simStore) Get(_ context.Context, key string) (table.Row, bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return table.Row{}, false, errDown
+	}
+	row, ok := s.rows[key]
+	return row, ok, nil
+}
+
+func (s *simStore) List(_ context.Context, prefix string, since int64) (table.Listing, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return table.Listing{}, errDown
+	}
+	out := table.Listing{Version: s.version}
+	for key, row := range s.rows {
+		if strings.HasPrefix(key, prefix) && row.Version > since {
+			out.Rows = append(out.Rows, row)
+		}
+	}
+	return out, nil
+}
+
+func (s *simStore) Commit(_ context.Context, conditions []table.Condition, writes []table.Write) table.CommitResult {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.commits++
+	if s.down {
+		return table.CommitResult{Status: table.Unavailable, Err: errDown}
+	}
+	var conflicts []string
+	for _, c := range conditions {
+		if s.rows[c.Key].Version != c.Version {
+			conflicts = append(conflicts, c.Key)
+		}
+	}
+	if len(conflicts) > 0 {
+		return table.CommitResult{Status: table.Conflict, Conflicts: conflicts}
+	}
+	s.version++
+	for _, w := range writes {
+		s.rows[w.Key] = table.Row{Key: w.Key, Value: w.Value, Version: s.version}
+	}
+	if s.lose != nil && s.lose(s.commits) {
+		return table.CommitResult{Status: table.Unknown, Err: errDown}
+	}
+	return table.CommitResult{Status: table.Committed, Version: s.version}
+}
+
+// gatedStore lets a test freeze one daemon's access to the store.
+type gatedStore struct {
+	*simStore
+	mu      sync.Mutex
+	gate    chan struct{} // closed or nil when open
+	results []table.CommitStatus
+	match   func([]table.Write) bool // which commits wait at the gate
+}
+
+func (g *gatedStore) freeze(match func([]table.Write) bool) (thaw func()) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	gate := make(chan struct{})
+	g.gate, g.match = gate, match
+	return func() { close(gate) }
+}
+
+func (g *gatedStore) Commit(ctx context.Context, conditions []table.Condition, writes []table.Write) table.CommitResult {
+	g.mu.Lock()
+	gate := g.gate
+	held := gate != nil && g.match(writes)
+	g.mu.Unlock()
+	if !held {
+		return g.simStore.Commit(ctx, conditions, writes)
+	}
+	<-gate // a frozen process does not see its timeouts either
+	result := g.simStore.Commit(ctx, conditions, writes)
+	g.mu.Lock()
+	g.results = append(g.results, result.Status)
+	g.mu.Unlock()
+	return result
+}
+
+// simTask is a task on a simulated worker.
+type simTask struct {
+	api.TaskReport
+	worker  string
+	job     string
+	starts  int
+	started time.Time // release
+	ended   time.Time
+	runFor  time.Duration
+}
+
+// simWorkers simulates all workers of a zone. Addresses equal identifiers.
+type simWorkers struct {
+	mu          sync.Mutex
+	tasks       map[string]map[string]*simTask
+	unreachable map[string]bool
+	failing     map[string]bool // tasks end in failure after their release
+	runFor      time.Duration   // 0 runs for ever
+	beforeStart func(worker string)
+	refused     int // starts refused for their deadline
+}
+
+func newWorkers() *simWorkers {
+	return &simWorkers{tasks: map[string]map[string]*simTask{}, unreachable: map[string]bool{}, failing: map[string]bool{}}
+}
+
+// with runs f with the worker's tasks brought up to date.
+func (s *simWorkers) with(worker string, f func(tasks map[string]*simTask)) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.tasks[worker] == nil {
+		s.tasks[worker] = map[string]*simTask{}
+	}
+	s.advance(time.Now())
+	if s.unreachable[worker] {
+		return errDown
+	}
+	f(s.tasks[worker])
+	return nil
+}
+
+// advance ends the tasks whose lease or run time is over.
+func (s *simWorkers) advance(now time.Time) {
+	for _, tasks := range s.tasks {
+		for _, t := range tasks {
+			if t.State == api.TaskStateEnded {
+				continue
+			}
+			lapse := time.UnixMilli(t.LeaseExpiresMs)
+			if t.State == api.TaskStateRunning && t.runFor > 0 && now.Sub(t.started) >= t.runFor && t.started.Add(t.runFor).Before(lapse) {
+				t.end(api.TaskExitSucceeded, t.started.Add(t.runFor))
+			} else if now.After(lapse) {
+				t.end(api.TaskExitLeaseLapsed, lapse)
+			}
+		}
+	}
+}
+
+func (t *simTask) end(exit api.TaskExit, at time.Time) {
+	t.State, t.Exit, t.ended = api.TaskStateEnded, exit, at
+}
+
+func (s *simWorkers) Report(_ context.Context, address string) (api.WorkerReport, error) {
+	report := api.WorkerReport{WorkerID: address, Cores: 64, MemoryMb: 1 << 20, Accelerators: 8}
+	err := s.with(address, func(tasks map[string]*simTask) {
+		for _, t := range tasks {
+			report.Tasks = append(report.Tasks, t.TaskReport)
+		}
+	})
+	return report, err
+}
+
+func (s *simWorkers) Start(_ context.Context, address string, task api.StartTask) (api.StartReply, error) {
+	if s.beforeStart != nil {
+		s.beforeStart(address)
+	}
+	var reply api.StartReply
+	err := s.with(address, func(tasks map[string]*simTask) {
+		t := tasks[task.TaskID]
+		if t == nil {
+			if time.Now().After(time.UnixMilli(task.StartBeforeMs)) {
+				s.refused++
+				reply.Reason = "the start came too late"
+				return
+			}
+			t = &simTask{worker: address, job: task.JobID, runFor: s.runFor, started: time.Now()}
+			t.TaskReport = api.TaskReport{TaskID: task.TaskID, State: api.TaskStateHeld, Accelerators: task.Accelerators, LeaseExpiresMs: task.LeaseExpiresMs}
+			tasks[task.TaskID] = t
+		}
+		t.starts++
+		report := t.TaskReport
+		reply = api.StartReply{Accepted: t.State != api.TaskStateEnded, Task: &report}
+	})
+	return reply, err
+}
+
+func (s *simWorkers) Renew(_ context.Context, address string, leases []api.TaskLease) ([]api.TaskReport, error) {
+	var out []api.TaskReport
+	err := s.with(address, func(tasks map[string]*simTask) {
+		for _, l := range leases {
+			if t := tasks[l.TaskID]; t != nil {
+				if t.State != api.TaskStateEnded {
+					t.LeaseExpiresMs = max(t.LeaseExpiresMs, l.LeaseExpiresMs)
+				}
+				out = append(out, t.TaskReport)
+			}
+		}
+	})
+	return out, err
+}
+
+func (s *simWorkers) Act(_ context.Context, address string, action api.TaskAction) ([]api.TaskReport, error) {
+	var out []api.TaskReport
+	err := s.with(address, func(tasks map[string]*simTask) {
+		for _, id := range action.TaskIds {
+			t := tasks[id]
+			if t == nil {
+				continue
+			}
+			if t.State != api.TaskStateEnded {
+				s.act(t, action.Action)
+			}
+			out = append(out, t.TaskReport)
+		}
+	})
+	return out, err
+}
+
+func (s *simWorkers) act(t *simTask, action api.TaskActionKind) {
+	switch action {
+	case api.Release:
+		if t.State == api.TaskStateHeld {
+			t.State, t.started = api.TaskStateRunning, time.Now()
+		}
+		if s.failing[t.worker] {
+			t.end(api.TaskExitFailed, time.Now())
+			t.Reason = "exit status 1"
+		}
+	case api.Checkpoint:
+		t.CheckpointObject, t.ProgressMs = "checkpoint-"+t.TaskID, t.ProgressMs+1+time.Since(t.started).Milliseconds()
+	case api.Stop:
+		t.end(api.TaskExitStopped, time.Now())
+	}
+}
+
+// all returns copies of all tasks of a job, every attempt, ordered by identifier.
+func (s *simWorkers) all(job string) []simTask {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.advance(time.Now())
+	var out []simTask
+	for _, tasks := range s.tasks {
+		for _, t := range tasks {
+			if t.job == job {
+				out = append(out, *t)
+			}
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].TaskID < out[j].TaskID })
+	return out
+}
+
+func (s *simWorkers) set(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f()
+}
+
+// simView is the configuration of one daemon over the zone state of the test.
+type simView struct {
+	mu        sync.Mutex
+	state     api.ZoneState
+	revision  int64
+	cutOff    map[string]bool // daemons that cannot confirm the zone
+	confirmed func()
+}
+
+type daemonView struct {
+	*simView
+	vm string
+}
+
+func (v *simView) setState(state api.ZoneState) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.state = state
+	v.revision++
+}
+
+func (v *simView) cut(vm string, cut bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.cutOff[vm] = cut
+}
+
+func (v *simView) Current() api.Configuration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return api.Configuration{Head: api.ConfigurationHead{Revision: v.revision, Zones: []api.Zone{{Name: zone, State: v.state}}}}
+}
+
+func (v daemonView) ConfirmZone(_ context.Context, name string, _ time.Duration) (configuration.Confirmation, error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.cutOff[v.vm] {
+		return configuration.Confirmation{}, errDown
+	}
+	c := configuration.Confirmation{Zone: name, State: v.state, Revision: v.revision, Requested: time.Now()}
+	if v.confirmed != nil {
+		v.confirmed()
+	}
+	return c, nil
+}
+
+func (v *simView) Changed() <-chan struct{} { return nil }
+
+// simNet links the daemons of a test.
+type simNet struct {
+	mu      sync.Mutex
+	daemons map[string]*daemon
+}
+
+type daemonNet struct {
+	net      *simNet
+	vm       string
+	handlers map[peers.Kind]peers.Handler
+}
+
+func (n *daemonNet) Self() peers.Member { return peers.Member{VM: n.vm, Zone: zone, State: peers.Live} }
+
+func (n *daemonNet) Members() []peers.Member {
+	n.net.mu.Lock()
+	defer n.net.mu.Unlock()
+	var out []peers.Member
+	for vm, d := range n.net.daemons {
+		if vm == n.vm {
+			continue
+		}
+		m := peers.Member{VM: vm, Zone: zone, State: peers.Live, TableVersion: d.follower.Version()}
+		if s := d.control.Current(); s.Planning {
+			m.PlannerEpoch = s.Epoch
+		}
+		if d.dead() {
+			m.State, m.PlannerEpoch = peers.Silent, 0
+		}
+		out = append(out, m)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].VM < out[j].VM })
+	return out
+}
+
+func (n *daemonNet) LiveVMs(string) []string {
+	out := []string{n.vm}
+	for _, m := range n.Members() {
+		if m.State == peers.Live {
+			out = append(out, m.VM)
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
+func (n *daemonNet) Call(context.Context, string, api.PeerEnvelope) (*api.PeerEnvelope, peers.CallStatus) {
+	return nil, peers.NotSent
+}
+
+func (n *daemonNet) Notify(vm string, message api.PeerEnvelope) bool {
+	n.net.mu.Lock()
+	d := n.net.daemons[vm]
+	n.net.mu.Unlock()
+	if d == nil || d.dead() {
+		return false
+	}
+	kind := peers.KindJobHint
+	if message.TaskUpdate != nil {
+		kind = peers.KindTaskUpdate
+	}
+	d.net.handlers[kind](context.Background(), n.Self(), &message)
+	return true
+}
+
+func (n *daemonNet) Handle(kind peers.Kind, h peers.Handler) { n.handlers[kind] = h }
+
+// firstFit places one task on each live worker with a free accelerator.
+func firstFit(s planner.Snapshot) planner.Plan {
+	plan := planner.Plan{}
+	used := map[string]map[int]bool{}
+	take := func(worker string, accelerators []int) {
+		if used[worker] == nil {
+			used[worker] = map[int]bool{}
+		}
+		for _, a := range accelerators {
+			used[worker][a] = true
+		}
+	}
+	for _, job := range s.Jobs {
+		for _, p := range job.Placement {
+			take(p.Worker, p.Accelerators)
+		}
+	}
+	for _, job := range s.Jobs {
+		if job.State != api.JobStateWaiting || s.ZoneState != api.In {
+			continue
+		}
+		p := planner.Placement{JobID: job.ID}
+		for _, w := range s.Workers {
+			blamed := false
+			for _, f := range job.Failures {
+				blamed = blamed || f.Worker == w.ID
+			}
+			for a := 0; a < w.Accelerators && len(p.Tasks) < job.Spec.Tasks && w.State == planner.WorkerLive && !blamed; a++ {
+				if !used[w.ID][a] {
+					p.Tasks = append(p.Tasks, api.TaskPlacement{Index: len(p.Tasks), Worker: w.ID, Accelerators: []int{a}})
+					break
+				}
+			}
+		}
+		if len(p.Tasks) < job.Spec.Tasks {
+			continue
+		}
+		for _, t := range p.Tasks {
+			take(t.Worker, t.Accelerators)
+		}
+		plan.Placements = append(plan.Placements, p)
+	}
+	return plan
+}
--- a/internal/jobs/transitions.go
+++ b/internal/jobs/transitions.go
@@ -36,6 +36,12 @@
 	taskLostPrefix   = "task lost: "
 )
 
+// Reasons given by a keeper for a member that it declares lost.
+const (
+	ReasonNoAnswer    = "the worker has not answered the renewals of the lease"
+	ReasonTaskUnknown = "the worker does not know the task"
+)
+
 // TaskFailed builds the failure of a task that ran and ended in failure.
 func TaskFailed(job api.Job, worker, reason string, now time.Time) api.JobFailure {
 	return api.JobFailure{Attempt: job.Attempt, Worker: worker, Reason: taskFailedPrefix + reason, TimeMs: now.UnixMilli()}
--- a/internal/keeper/renew.go
+++ b/internal/keeper/renew.go
@@ -241,7 +241,7 @@
 		g.nextRenew = earlier(g.nextRenew, at.Add(updateEvery))
 		return
 	}
-	g.ended[ref.member] = lostReport(g.taskID(ref.member), "the worker does not know the task")
+	g.ended[ref.member] = lostReport(g.taskID(ref.member), jobs.ReasonTaskUnknown)
 }
 
 func earlier(a, b time.Time) time.Time {
@@ -256,18 +256,34 @@
 }
 
 // detectLost declares members lost that have not answered for longer than any
-// lease they can hold. Their gang has lapsed with them.
+// lease they can hold. When another member has lapsed already, silence over two
+// renewals is enough: the silent member held back the expiry of the others, and
+// it is the one to be named in the failure.
 func (k *Keeper) detectLost(now time.Time) {
 	for _, g := range k.gangs {
 		if g.job.State != api.JobStateRunning {
 			continue
 		}
+		limit := k.cfg.TaskLease + k.cfg.MaxClockSkew
+		if g.lapsed() {
+			limit = 2 * k.cfg.RenewEvery
+		}
 		for i, heard := range g.lastHeard {
-			if _, over := g.ended[i]; over || now.Sub(heard) < k.cfg.TaskLease+k.cfg.MaxClockSkew {
+			if _, over := g.ended[i]; over || now.Sub(heard) < limit {
 				continue
 			}
-			g.ended[i] = lostReport(g.taskID(i), "the worker has not answered for longer than the lease")
+			g.ended[i] = lostReport(g.taskID(i), jobs.ReasonNoAnswer)
 			k.cfg.Scope.Counter("lost").Inc(1)
 		}
 	}
 }
+
+// lapsed tells whether a member has ended because its lease ran out.
+func (g *kept) lapsed() bool {
+	for _, report := range g.ended {
+		if report.Exit == api.TaskExitLeaseLapsed {
+			return true
+		}
+	}
+	return false
+}
