--- /dev/null
+++ b/internal/settings/defaults.go
@@ -0,0 +1,50 @@
+package settings
+
+import (
+	"time"
+
+	"github.com/samphirepath/samphirepath/api"
+)
+
+// Defaults returns the settings that the schema states as defaults. Keys
+// without a default are empty.
+func Defaults() api.Settings {
+	return api.Settings{
+		Platform: api.PlatformSettings{RequestTimeout: api.Duration(time.Second)},
+		Peers: api.PeerSettings{
+			HeartbeatEvery: api.Duration(250 * time.Millisecond),
+			LostAfter:      api.Duration(time.Second),
+		},
+		Limits: api.LimitSettings{
+			MaxBodyBytes:         1048576,
+			MaxQueuedRequests:    1024,
+			MinionSlots:          8,
+			MinionConnections:    64,
+			RetryBudgetPercent:   10,
+			StartsPerSecond:      100,
+			StoreWritesPerSecond: 20,
+		},
+		Timing: defaultTiming(),
+		Logs:   api.LogSettings{Level: "info", Format: "json"},
+		Traces: api.TraceSettings{Exporter: "none", SamplePercent: 100},
+	}
+}
+
+func defaultTiming() api.TimingSettings {
+	return api.TimingSettings{
+		PollEvery:         api.Duration(500 * time.Millisecond),
+		VMListEvery:       api.Duration(time.Second),
+		PlannerLease:      api.Duration(3 * time.Second),
+		PlannerRenewEvery: api.Duration(time.Second),
+		PlanEvery:         api.Duration(200 * time.Millisecond),
+		TaskLease:         api.Duration(20 * time.Second),
+		TaskRenewEvery:    api.Duration(5 * time.Second),
+		ZoneConfirmation:  api.Duration(2 * time.Second),
+		MaxClockSkew:      api.Duration(500 * time.Millisecond),
+		CheckpointWait:    api.Duration(3 * time.Second),
+		StartWait:         api.Duration(3 * time.Second),
+		GracefulStop:      api.Duration(60 * time.Second),
+		LateAnswerWait:    api.Duration(60 * time.Second),
+		ReportEvery:       api.Duration(30 * time.Second),
+	}
+}
