--- /dev/null
+++ b/internal/telemetry/metrics.go
@@ -0,0 +1,99 @@
+package telemetry
+
+import (
+	"io"
+	"net/http"
+	"time"
+	"unicode"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/rotisserie/eris"
+	"github.com/uber-go/tally/v4"
+	tallyprometheus "github.com/uber-go/tally/v4/prometheus"
+	"go.uber.org/zap"
+)
+
+// metricsPrefix starts the name of each metric of the product.
+const metricsPrefix = "samphirepath"
+
+// reportEvery is the interval at which tally hands its values to the Prometheus
+// registry; a scrape sees values up to this old.
+const reportEvery = 500 * time.Millisecond
+
+// Names of the counters of control traffic in bytes. The peers and the clients
+// of the platform count into them with ControlSent and ControlReceived.
+const (
+	controlSentName     = "control_sent_bytes"
+	controlReceivedName = "control_received_bytes"
+)
+
+// Metrics holds the root scope of a process and serves its values.
+type Metrics struct {
+	Scope   tally.Scope
+	Handler http.Handler
+	closer  io.Closer
+}
+
+// NewMetrics returns metrics with a registry of their own, so that several
+// daemons in one test process do not share values. The handler also serves
+// process_cpu_seconds_total, process_resident_memory_bytes and the metrics of
+// the Go runtime.
+func NewMetrics(tags map[string]string, logger *zap.Logger) (*Metrics, error) {
+	logger = Part(logger, "metrics")
+	registry := prometheus.NewRegistry()
+	process := collectors.NewProcessCollector(collectors.ProcessCollectorOpts{})
+	for _, collector := range []prometheus.Collector{process, collectors.NewGoCollector()} {
+		if err := registry.Register(collector); err != nil {
+			return nil, eris.Wrap(err, "register process metrics")
+		}
+	}
+	reporter := tallyprometheus.NewReporter(tallyprometheus.Options{
+		Registerer: registry,
+		Gatherer:   registry,
+		OnRegisterError: func(err error) {
+			logger.Error("Metric not registered.", zap.Error(err))
+		},
+	})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 metricsPrefix,
+		Tags:                   tags,
+		CachedReporter:         reporter,
+		Separator:              tallyprometheus.DefaultSeparator,
+		SanitizeOptions:        sanitizer(),
+		OmitCardinalityMetrics: true,
+	}, reportEvery)
+	ControlSent(scope, "peers")
+	ControlReceived(scope, "peers")
+	return &Metrics{Scope: scope, Handler: reporter.HTTPHandler(), closer: closer}, nil
+}
+
+// sanitizer changes names as Prometheus requires but leaves tag values alone, so
+// that VM and zone names with dashes read the same in metrics, logs and settings.
+func sanitizer() *tally.SanitizeOptions {
+	options := tallyprometheus.DefaultSanitizerOpts
+	options.ValueCharacters = tally.ValidCharacters{Ranges: []tally.SanitizeRange{{' ', unicode.MaxRune}}}
+	return &options
+}
+
+// Close hands over the last values and stops the reporting.
+func (m *Metrics) Close() error { return eris.Wrap(m.closer.Close(), "close the metrics") }
+
+// Scope returns the scope itself, or one without a reporter when it is nil.
+func Scope(scope tally.Scope) tally.Scope {
+	if scope == nil {
+		return tally.NoopScope
+	}
+	return scope
+}
+
+// ControlSent returns the counter of bytes sent for control over a channel,
+// such as "peers" or "table".
+func ControlSent(scope tally.Scope, channel string) tally.Counter {
+	return Scope(scope).Tagged(map[string]string{"channel": channel}).Counter(controlSentName)
+}
+
+// ControlReceived returns the counter of bytes received for control over a channel.
+func ControlReceived(scope tally.Scope, channel string) tally.Counter {
+	return Scope(scope).Tagged(map[string]string{"channel": channel}).Counter(controlReceivedName)
+}
