Link daemons by WebSocket and keep the membership

Cause: daemons forward requests, spread the configuration and hash work over live peers, and must notice a lost or frozen peer within 1 s. Ruled out: only the lower VM identifier dials, because a daemon that the VM list does not show yet would never be linked; one queue per link, because a heartbeat would wait behind a body. Change: peers.Mesh with hello, token, heartbeats, calls, two bounded queues per link, back-off with jitter, a membership in which leaving instances, drained and superseded processes are final; revision.Holder and revision.Mark. The lower identifier dials at once, the other one after two heartbeats; of two links both sides keep the one that the lower dialled. Conclusion: peers.New(Config) implements Network.

--- /dev/null
+++ b/internal/peers/hello.go
@@ -0,0 +1,193 @@
+package peers
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"net/http"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"github.com/samphirepath/samphirepath/api"
+)
+
+// path is the path of the WebSocket endpoint.
+const path = "/peers"
+
+// ServeHTTP accepts the link of another daemon.
+func (m *Mesh) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != path {
+		http.NotFound(w, r)
+		return
+	}
+	select {
+	case m.hellos <- struct{}{}:
+	default:
+		http.Error(w, "too many connections without a hello", http.StatusServiceUnavailable)
+		return
+	}
+	waiting := true
+	done := func() {
+		if waiting {
+			waiting = false
+			<-m.hellos
+		}
+	}
+	defer done()
+	conn, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.CloseNow() }()
+	finished := make(chan struct{})
+	//nolint:contextcheck // The context of the request ends when the connection is taken over.
+	started := m.goRun(func(ctx context.Context) {
+		defer close(finished)
+		l, err := m.accept(ctx, conn)
+		if err != nil {
+			m.logger.Debug("Peer refused.", zap.String("address", r.RemoteAddr), zap.Error(err))
+			return
+		}
+		done()
+		l.serve(ctx)
+		m.unregister(l)
+	})
+	if started {
+		<-finished
+	}
+}
+
+// accept checks the hello of the other side, then answers with its own.
+func (m *Mesh) accept(ctx context.Context, conn *websocket.Conn) (*link, error) {
+	hello, revision, err := m.readHello(ctx, conn)
+	if err != nil {
+		return nil, err
+	}
+	if err := m.writeHello(ctx, conn); err != nil {
+		return nil, err
+	}
+	return m.establish(conn, hello, revision, "", false)
+}
+
+// establish makes a link after both hellos.
+func (m *Mesh) establish(conn *websocket.Conn, hello *api.PeerHello, revision int64, address string, dialled bool) (*link, error) {
+	conn.SetReadLimit(m.config.MaxFrameBytes)
+	l := newLink(m, conn, hello, dialled)
+	if err := m.register(l, hello, revision, address); err != nil {
+		return nil, err
+	}
+	m.metrics.connects.Inc(1)
+	m.config.Seen.Raise(revision)
+	return l, nil
+}
+
+func (m *Mesh) writeHello(ctx context.Context, conn *websocket.Conn) error {
+	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
+	defer cancel()
+	data, err := encode(&api.PeerEnvelope{
+		Revision: m.config.Seen.Value(),
+		Hello: &api.PeerHello{
+			VM: m.config.VM, Zone: m.config.Zone, Incarnation: m.config.Incarnation,
+			Protocol: protocolVersion, Token: m.config.Token,
+		},
+	})
+	if err != nil {
+		return err
+	}
+	if err := conn.Write(ctx, websocket.MessageBinary, data); err != nil {
+		return eris.Wrap(err, "send the hello")
+	}
+	m.metrics.sent(kindHello, len(data))
+	return nil
+}
+
+func (m *Mesh) readHello(ctx context.Context, conn *websocket.Conn) (*api.PeerHello, int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
+	defer cancel()
+	conn.SetReadLimit(maxHelloBytes)
+	_, data, err := conn.Read(ctx)
+	if err != nil {
+		return nil, 0, eris.Wrap(err, "read the hello")
+	}
+	envelope, kind, err := decode(data)
+	if err != nil {
+		return nil, 0, err
+	}
+	m.metrics.received(kind, len(data))
+	hello := envelope.Hello
+	switch {
+	case hello == nil:
+		return nil, 0, eris.New("the first frame is no hello")
+	case !sameToken(hello.Token, m.config.Token):
+		return nil, 0, eris.New("the token is wrong")
+	case hello.Protocol != protocolVersion:
+		return nil, 0, eris.Errorf("protocol %d is not supported", hello.Protocol)
+	case hello.VM == "" || hello.Zone == "" || hello.Incarnation == "":
+		return nil, 0, eris.New("the hello is incomplete")
+	}
+	return hello, envelope.Revision, nil
+}
+
+// sameToken compares hashes, so that the time taken shows nothing of the token.
+func sameToken(a, b string) bool {
+	first, second := sha256.Sum256([]byte(a)), sha256.Sum256([]byte(b))
+	return subtle.ConstantTimeCompare(first[:], second[:]) == 1
+}
+
+var (
+	errSelf      = eris.New("the address is that of this daemon")
+	errClaimed   = eris.New("another process claims the VM of this daemon")
+	errDuplicate = eris.New("a better link to the peer exists")
+	errOutdated  = eris.New("a newer process runs on the VM of the peer")
+)
+
+// register makes the link the one in use for its peer, unless a better one exists.
+func (m *Mesh) register(l *link, hello *api.PeerHello, revision int64, address string) error {
+	if hello.VM == m.config.VM {
+		if hello.Incarnation == m.config.Incarnation {
+			return errSelf
+		}
+		return errClaimed
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.run == nil || m.run.Err() != nil {
+		return eris.New("the mesh has stopped")
+	}
+	old := m.links[l.vm]
+	if !m.members.meet(hello, revision, address, time.Now()) {
+		return errOutdated
+	}
+	switch {
+	case old == nil:
+	case old.incarnation != l.incarnation:
+		old.close()
+	case m.preferred(old) && !m.preferred(l) && old.silence() < 2*m.heartbeatEvery(l.zone):
+		return errDuplicate
+	default:
+		time.AfterFunc(retireAfter, old.close)
+	}
+	m.links[l.vm] = l
+	return nil
+}
+
+// preferred tells whether the daemon with the lower VM identifier dialled the
+// link. Both sides then keep the same one of two links.
+func (m *Mesh) preferred(l *link) bool { return l.dialled == (m.config.VM < l.vm) }
+
+func (m *Mesh) unregister(l *link) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.links[l.vm] == l {
+		delete(m.links, l.vm)
+	}
+}
+
+func (m *Mesh) link(vm string) *link {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.links[vm]
+}
--- /dev/null
+++ b/internal/peers/link.go
@@ -0,0 +1,221 @@
+package peers
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/coder/websocket"
+	"go.uber.org/zap"
+
+	"github.com/samphirepath/samphirepath/api"
+)
+
+// Times of a link.
+const (
+	helloTimeout = 2 * time.Second
+	// retireAfter lets calls on a link that another one has replaced finish.
+	retireAfter = 2 * time.Second
+)
+
+// link is one connection to another daemon after the hello.
+type link struct {
+	mesh        *Mesh
+	conn        *websocket.Conn
+	vm          string
+	zone        string
+	incarnation string
+	dialled     bool // this daemon dialled
+	queue       *queue
+	kick        chan struct{} // asks for a heartbeat at once
+	done        chan struct{} // closed when the link has ended
+	closeOnce   sync.Once
+	opened      time.Time
+
+	mu       sync.Mutex
+	lastRead time.Time
+	waiting  map[uint64]chan *api.PeerEnvelope
+}
+
+func newLink(m *Mesh, conn *websocket.Conn, hello *api.PeerHello, dialled bool) *link {
+	now := time.Now()
+	return &link{
+		mesh: m, conn: conn, vm: hello.VM, zone: hello.Zone, incarnation: hello.Incarnation, dialled: dialled,
+		queue: newQueue(), kick: make(chan struct{}, 1), done: make(chan struct{}),
+		opened: now, lastRead: now, waiting: map[uint64]chan *api.PeerEnvelope{},
+	}
+}
+
+// serve reads and writes until the link ends.
+func (l *link) serve(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-l.done:
+		case <-ctx.Done():
+		}
+		cancel()
+		l.close()
+	}()
+	var writers sync.WaitGroup
+	writers.Go(func() { l.write(ctx) })
+	writers.Go(func() { l.beat(ctx) })
+	err := l.read(ctx)
+	l.close()
+	writers.Wait()
+	if ctx.Err() == nil || !errors.Is(err, context.Canceled) {
+		l.mesh.logger.Debug("Link ended.", zap.String("peer", l.vm), zap.Error(err))
+	}
+}
+
+// close ends the link without a closing handshake: the peer may not answer.
+func (l *link) close() {
+	l.closeOnce.Do(func() {
+		close(l.done)
+		_ = l.conn.CloseNow()
+	})
+}
+
+func (l *link) read(ctx context.Context) error {
+	for {
+		kind, data, err := l.conn.Read(ctx)
+		if err != nil {
+			return err
+		}
+		if kind != websocket.MessageBinary {
+			return errTextFrame
+		}
+		envelope, message, err := decode(data)
+		if err != nil {
+			l.mesh.metrics.faults.Inc(1)
+			return err
+		}
+		l.mesh.metrics.received(message, len(data))
+		l.mu.Lock()
+		l.lastRead = time.Now()
+		l.mu.Unlock()
+		//nolint:contextcheck // Handlers outlive the link and take the context of Run.
+		if !l.mesh.receive(l, envelope, message) {
+			return errSuperseded
+		}
+	}
+}
+
+var (
+	errTextFrame  = errors.New("a text frame arrived")
+	errSuperseded = errors.New("a newer process runs on the VM of the peer")
+)
+
+// write sends queued frames. A write that takes as long as a loss ends the link.
+func (l *link) write(ctx context.Context) {
+	defer l.close()
+	for {
+		o := l.queue.pop(ctx)
+		if o == nil {
+			return
+		}
+		if !o.claim() {
+			continue
+		}
+		if !l.writeFrame(ctx, o) {
+			return
+		}
+	}
+}
+
+func (l *link) writeFrame(ctx context.Context, o *outgoing) bool {
+	ctx, cancel := context.WithTimeout(ctx, l.mesh.members.lost(l.zone))
+	defer cancel()
+	if err := l.conn.Write(ctx, websocket.MessageBinary, o.data); err != nil {
+		return false
+	}
+	l.mesh.metrics.sent(o.kind, len(o.data))
+	return true
+}
+
+// beat sends heartbeats and ends the link when the peer has been silent too long.
+func (l *link) beat(ctx context.Context) {
+	defer l.close()
+	ticker := time.NewTicker(l.mesh.heartbeatEvery(l.zone))
+	defer ticker.Stop()
+	for {
+		heartbeat := l.mesh.config.Announce()
+		heartbeat.Draining = heartbeat.Draining || l.mesh.draining.Load()
+		l.send(&api.PeerEnvelope{Heartbeat: &heartbeat}, kindHeartbeat)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-l.kick:
+		}
+		if l.silence() > l.mesh.members.lost(l.zone) {
+			return
+		}
+	}
+}
+
+func (l *link) silence() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return time.Since(l.lastRead)
+}
+
+func (l *link) kickHeartbeat() {
+	select {
+	case l.kick <- struct{}{}:
+	default:
+	}
+}
+
+// send queues an envelope; nil means that it was not queued.
+func (l *link) send(envelope *api.PeerEnvelope, kind Kind) *outgoing {
+	select {
+	case <-l.done:
+		return nil
+	default:
+	}
+	envelope.Revision = l.mesh.config.Seen.Value()
+	data, err := encode(envelope)
+	if err != nil {
+		l.mesh.logger.Error("Message not encoded.", zap.String("kind", string(kind)), zap.Error(err))
+		return nil
+	}
+	if int64(len(data)) > l.mesh.config.MaxFrameBytes {
+		l.mesh.logger.Warn("Message too large for a peer.",
+			zap.String("kind", string(kind)), zap.Int("bytes", len(data)))
+		return nil
+	}
+	o := &outgoing{data: data, kind: kind}
+	if !l.queue.push(o) {
+		l.mesh.metrics.dropped(kind)
+		return nil
+	}
+	return o
+}
+
+// expect registers a call and returns the channel of its answer.
+func (l *link) expect(id uint64) <-chan *api.PeerEnvelope {
+	answer := make(chan *api.PeerEnvelope, 1)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.waiting[id] = answer
+	return answer
+}
+
+func (l *link) forget(id uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.waiting, id)
+}
+
+// answer hands an answer to its call; one that nobody waits for is dropped.
+func (l *link) answer(envelope *api.PeerEnvelope) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if waiting := l.waiting[envelope.ID]; waiting != nil {
+		waiting <- envelope
+		delete(l.waiting, envelope.ID)
+	}
+}
--- /dev/null
+++ b/internal/peers/membership.go
@@ -0,0 +1,214 @@
+package peers
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/samphirepath/samphirepath/api"
+)
+
+// forgetAfter is how long a daemon that has left the VM list stays known after
+// its last frame. It covers the lag of the list, which may not show a new daemon yet.
+const forgetAfter = 10 * time.Second
+
+// membership is what this daemon knows of the others. It is guarded by the
+// mutex of the mesh.
+type membership struct {
+	self      string
+	zone      string
+	lostAfter time.Duration
+	members   map[string]*memberRecord
+	asOfMs    int64 // age of the newest reading of the VM list
+
+	// What has ended never becomes live again, so these sets outlive the
+	// records. They grow by the few dozen VMs that are replaced in a day.
+	left     map[instanceKey]bool // listed as leaving
+	past     map[instanceKey]bool // listed before another instance of the VM
+	drained  map[string]bool      // incarnations that announced draining
+	replaced map[string]bool      // incarnations with a newer process on their VM
+}
+
+// instanceKey names an instance of a VM.
+type instanceKey struct{ vm, instance string }
+
+// memberRecord is a member with its place in the VM list.
+type memberRecord struct {
+	Member
+	listed   bool
+	instance string // newest instance in the VM list, empty before the first
+}
+
+func newMembership(self, zone string, lostAfter time.Duration) *membership {
+	return &membership{
+		self: self, zone: zone, lostAfter: lostAfter,
+		members:  map[string]*memberRecord{},
+		left:     map[instanceKey]bool{},
+		past:     map[instanceKey]bool{},
+		drained:  map[string]bool{},
+		replaced: map[string]bool{},
+	}
+}
+
+func (s *membership) record(vm string) *memberRecord {
+	r := s.members[vm]
+	if r == nil {
+		r = &memberRecord{Member: Member{VM: vm}}
+		s.members[vm] = r
+	}
+	return r
+}
+
+// takeList takes a reading of the VM list. Readings may come from replicas that
+// lag by different amounts; one older than the newest so far is ignored.
+func (s *membership) takeList(list api.VMList, now time.Time) {
+	if list.AsOfMs < s.asOfMs {
+		return
+	}
+	s.asOfMs = list.AsOfMs
+	for _, r := range s.members {
+		r.listed = false
+	}
+	for _, vm := range list.Vms {
+		if vm.Kind == api.VMKindEntry && vm.ID != s.self {
+			s.takeListed(vm)
+		}
+	}
+	for vm, r := range s.members {
+		if !r.listed && now.Sub(r.LastSeen) > max(forgetAfter, s.lost(r.Zone)) {
+			delete(s.members, vm)
+		}
+	}
+}
+
+func (s *membership) takeListed(vm api.VM) {
+	r := s.record(vm.ID)
+	r.listed = true
+	key := instanceKey{vm.ID, vm.Instance}
+	if vm.State == api.Leaving {
+		s.left[key] = true
+	}
+	if s.past[key] {
+		return
+	}
+	if r.instance != "" && r.instance != vm.Instance {
+		s.past[instanceKey{vm.ID, r.instance}] = true
+	}
+	r.instance, r.Address = vm.Instance, vm.Address
+	if r.Incarnation == "" {
+		r.Zone = vm.Zone
+	}
+}
+
+// meet takes the hello of a daemon. It returns false for a process that a newer
+// one on the same VM has superseded.
+func (s *membership) meet(hello *api.PeerHello, revision int64, address string, now time.Time) bool {
+	r := s.record(hello.VM)
+	if r.Incarnation != hello.Incarnation {
+		if s.replaced[hello.Incarnation] || olderProcess(hello.Incarnation, r.Incarnation) {
+			return false
+		}
+		if r.Incarnation != "" {
+			s.replaced[r.Incarnation] = true
+		}
+		r.Member = Member{VM: hello.VM, Address: r.Address, Incarnation: hello.Incarnation}
+	}
+	r.Zone, r.LastSeen, r.Revision = hello.Zone, now, max(r.Revision, revision)
+	if r.Address == "" {
+		r.Address = address
+	}
+	return true
+}
+
+// olderProcess tells whether incarnation a is known to have started before b.
+func olderProcess(a, b string) bool {
+	first, err := uuid.Parse(a)
+	if err != nil || first.Version() != 7 {
+		return false
+	}
+	second, err := uuid.Parse(b)
+	if err != nil || second.Version() != 7 {
+		return false
+	}
+	return strings.Compare(first.String(), second.String()) < 0
+}
+
+// touch notes a frame of a daemon.
+func (s *membership) touch(vm, incarnation string, revision int64, now time.Time) bool {
+	r := s.members[vm]
+	if r == nil || r.Incarnation != incarnation {
+		return false
+	}
+	r.LastSeen = now
+	r.Revision = max(r.Revision, revision)
+	return true
+}
+
+// beat takes the contents of a heartbeat.
+func (s *membership) beat(vm string, h *api.PeerHeartbeat) {
+	r := s.members[vm]
+	if r == nil {
+		return
+	}
+	r.FreeSlots, r.PlannerEpoch = h.FreeSlots, h.PlannerEpoch
+	r.TableVersion = max(r.TableVersion, h.TableVersion)
+	r.StoreAge = time.Duration(h.StoreAgeMs) * time.Millisecond
+	if h.Draining {
+		s.drained[r.Incarnation] = true
+	}
+}
+
+func (s *membership) lost(zone string) time.Duration {
+	if zone == s.zone {
+		return s.lostAfter
+	}
+	return remoteFactor * s.lostAfter
+}
+
+// snapshot returns the member with its state at a time.
+func (s *membership) snapshot(r *memberRecord, now time.Time) Member {
+	member := r.Member
+	switch {
+	case s.left[instanceKey{r.VM, r.instance}]:
+		member.State = Leaving
+	case r.LastSeen.IsZero() || now.Sub(r.LastSeen) > s.lost(r.Zone):
+		member.State = Silent
+	case s.drained[r.Incarnation]:
+		member.State = Draining
+	default:
+		member.State = Live
+	}
+	return member
+}
+
+func (s *membership) get(vm string, now time.Time) Member {
+	if r := s.members[vm]; r != nil {
+		return s.snapshot(r, now)
+	}
+	return Member{VM: vm, State: Silent}
+}
+
+func (s *membership) list(now time.Time) []Member {
+	members := make([]Member, 0, len(s.members))
+	for _, r := range s.members {
+		members = append(members, s.snapshot(r, now))
+	}
+	slices.SortFunc(members, func(a, b Member) int { return strings.Compare(a.VM, b.VM) })
+	return members
+}
+
+func (s *membership) live(zone string, withSelf bool, now time.Time) []string {
+	var vms []string
+	if withSelf && zone == s.zone {
+		vms = append(vms, s.self)
+	}
+	for vm, r := range s.members {
+		if r.Zone == zone && s.snapshot(r, now).State == Live {
+			vms = append(vms, vm)
+		}
+	}
+	slices.Sort(vms)
+	return vms
+}
--- /dev/null
+++ b/internal/peers/peers_test.go
@@ -0,0 +1,292 @@
+package peers
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+
+	"github.com/samphirepath/samphirepath/api"
+)
+
+func TestPeers(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "peers")
+}
+
+var leaks goleak.Option
+
+var _ = BeforeSuite(func() { leaks = goleak.IgnoreCurrent() })
+
+var _ = AfterSuite(func() { Expect(goleak.Find(leaks)).To(Succeed()) })
+
+// fakeVMs is a VM list that tests change.
+type fakeVMs struct {
+	mu   sync.Mutex
+	list api.VMList
+	down bool
+}
+
+func (f *fakeVMs) List(context.Context) (api.VMList, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return api.VMList{}, errors.New("list is down")
+	}
+	return f.list, nil
+}
+
+func (f *fakeVMs) set(vms ...api.VM) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.list = api.VMList{Vms: vms, AsOfMs: f.list.AsOfMs + 1}
+}
+
+// node is a running mesh.
+type node struct {
+	*Mesh
+	stop    func()
+	address string
+}
+
+// start runs a mesh on a free local port; change edits its config.
+func start(vm string, change func(*Config)) *node {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	address := listener.Addr().String()
+	config := Config{
+		VM: vm, Zone: "a", Listen: address, Listener: listener, Token: "secret",
+		VMListEvery: 20 * time.Millisecond, HeartbeatEvery: 25 * time.Millisecond, LostAfter: 250 * time.Millisecond,
+	}
+	if change != nil {
+		change(&config)
+	}
+	mesh := New(config)
+	mesh.Handle(KindJobHint, func(_ context.Context, from Member, e *api.PeerEnvelope) *api.PeerEnvelope {
+		return &api.PeerEnvelope{JobHint: &api.PeerJobHint{JobID: e.JobHint.JobID + " from " + from.VM}}
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- mesh.Run(ctx) }()
+	stop := sync.OnceFunc(func() {
+		cancel()
+		Eventually(ended).WithTimeout(5 * time.Second).Should(Receive(BeNil()))
+	})
+	DeferCleanup(stop)
+	return &node{Mesh: mesh, stop: stop, address: address}
+}
+
+func seeds(addresses ...string) func(*Config) {
+	return func(c *Config) { c.Seeds = addresses }
+}
+
+func hint(id string) api.PeerEnvelope {
+	return api.PeerEnvelope{JobHint: &api.PeerJobHint{JobID: id}}
+}
+
+func (n *node) stateOf(vm string) func() State {
+	return func() State { return n.member(vm).State }
+}
+
+func (n *node) call(vm string) func() CallStatus {
+	return func() CallStatus {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		answer, status := n.Call(ctx, vm, hint("j"))
+		if status == Answered {
+			Expect(answer.JobHint.JobID).To(Equal("j from " + n.config.VM))
+		}
+		return status
+	}
+}
+
+const within = 5 * time.Second
+
+var _ = Describe("Mesh", func() {
+	It("links daemons when only one side knows the other, whichever it is", func() {
+		for i, names := range [][2]string{{"a", "b"}, {"b", "a"}} {
+			known := start(fmt.Sprintf("%s%d", names[0], i), nil)
+			knowing := start(fmt.Sprintf("%s%d", names[1], i), seeds(known.address))
+			Eventually(known.call(knowing.config.VM)).WithTimeout(within).Should(Equal(Answered))
+			Eventually(knowing.call(known.config.VM)).WithTimeout(within).Should(Equal(Answered))
+			Expect(known.LiveVMs("a")).To(HaveLen(2))
+		}
+	})
+
+	It("keeps one link per pair and calls survive the choice between two", func() {
+		list := &fakeVMs{}
+		with := func(c *Config) { c.VMs = list }
+		nodes := []*node{start("a", with), start("b", with), start("c", with)}
+		list.set(entry("a", nodes[0].address, "1"), entry("b", nodes[1].address, "1"), entry("c", nodes[2].address, "1"))
+		for _, n := range nodes {
+			Eventually(func() []string { return n.LiveVMs("a") }).WithTimeout(within).Should(Equal([]string{"a", "b", "c"}))
+		}
+		for range 50 {
+			Expect(nodes[2].call("a")()).To(Equal(Answered))
+			Expect(nodes[0].call("c")()).To(Equal(Answered))
+		}
+	})
+
+	It("carries the highest revision at once", func() {
+		first := start("a", nil)
+		slow := func(c *Config) {
+			c.Seeds = []string{first.address}
+			c.HeartbeatEvery = time.Second
+			c.LostAfter = 3 * time.Second
+		}
+		second := start("b", slow)
+		Eventually(first.call("b")).WithTimeout(within).Should(Equal(Answered))
+		second.config.Seen.Raise(7)
+		Eventually(first.config.Seen.Value).WithTimeout(300 * time.Millisecond).Should(Equal(int64(7)))
+		Expect(first.member("b").Revision).To(Equal(int64(7)))
+	})
+
+	It("leaves a draining daemon out of the live ones and still answers its calls", func() {
+		first := start("a", nil)
+		second := start("b", seeds(first.address))
+		Eventually(first.call("b")).WithTimeout(within).Should(Equal(Answered))
+		second.Drain()
+		Expect(second.LiveVMs("a")).To(Equal([]string{"a"}))
+		Eventually(first.stateOf("b")).WithTimeout(within).Should(Equal(Draining))
+		Expect(first.LiveVMs("a")).To(Equal([]string{"a"}))
+		Expect(first.call("b")()).To(Equal(Answered))
+	})
+
+	It("refuses a wrong token and does not count it as a member", func() {
+		first := start("a", nil)
+		second := start("b", func(c *Config) { c.Seeds = []string{first.address}; c.Token = "guess" })
+		Consistently(first.stateOf("b")).WithTimeout(300 * time.Millisecond).Should(Equal(Silent))
+		Expect(second.call("a")()).To(Equal(NotSent))
+	})
+
+	It("counts a cut link as silent and heals it", func() {
+		first := start("a", nil)
+		proxy := newProxy(first.address)
+		second := start("b", seeds(proxy.address))
+		Eventually(first.call("b")).WithTimeout(within).Should(Equal(Answered))
+		proxy.freeze(true)
+		Eventually(first.stateOf("b")).WithTimeout(within).Should(Equal(Silent))
+		Eventually(second.stateOf("a")).WithTimeout(within).Should(Equal(Silent))
+		proxy.freeze(false)
+		Eventually(first.call("b")).WithTimeout(within).Should(Equal(Answered))
+		Expect(second.stateOf("a")()).To(Equal(Live))
+	})
+
+	It("loses the call, not the daemon, when the link is cut in the middle of a frame", func() {
+		first := start("a", nil)
+		proxy := newProxy(first.address)
+		second := start("b", seeds(proxy.address))
+		Eventually(second.call("a")).WithTimeout(within).Should(Equal(Answered))
+		proxy.cutAfter(100_000)
+		body := make([]byte, 1<<20)
+		_, status := second.Call(context.Background(), "a", api.PeerEnvelope{
+			RequestForward: &api.PeerRequestForward{Request: api.RequestSubmit{Body: body}},
+		})
+		Expect(status).To(Equal(Lost))
+		Eventually(second.call("a")).WithTimeout(within).Should(Equal(Answered))
+	})
+
+	It("passes small messages in front of queued bodies", func() {
+		q := newQueue()
+		Expect(q.push(&outgoing{kind: KindRequestForward, data: make([]byte, maxQueuedBulkBytes+1)})).To(BeTrue())
+		Expect(q.push(&outgoing{kind: KindRequestForward, data: make([]byte, 1)})).To(BeFalse())
+		Expect(q.push(&outgoing{kind: kindHeartbeat})).To(BeTrue())
+		Expect(q.pop(context.Background()).kind).To(Equal(kindHeartbeat))
+		Expect(q.pop(context.Background()).kind).To(Equal(KindRequestForward))
+		Expect(q.bulkBytes.Load()).To(BeZero())
+	})
+
+	It("answers a call of a kind without a handler with an empty message", func() {
+		first := start("a", nil)
+		second := start("b", seeds(first.address))
+		Eventually(second.call("a")).WithTimeout(within).Should(Equal(Answered))
+		answer, status := second.Call(context.Background(), "a", api.PeerEnvelope{TaskUpdate: &api.PeerTaskUpdate{}})
+		Expect(status).To(Equal(Answered))
+		Expect(answer.TaskUpdate).To(BeNil())
+	})
+
+	It("tells a restarted daemon from a frozen one that wakes", func() {
+		first := start("a", nil)
+		old, new := NewIncarnation(), NewIncarnation()
+		frozen := start("b", func(c *Config) { c.Seeds = []string{first.address}; c.Incarnation = old })
+		Eventually(first.call("b")).WithTimeout(within).Should(Equal(Answered))
+		frozen.stop()
+		restarted := start("b", func(c *Config) { c.Seeds = []string{first.address}; c.Incarnation = new })
+		Eventually(func() string { return first.member("b").Incarnation }).WithTimeout(within).Should(Equal(new))
+		woken := start("b", func(c *Config) { c.Seeds = []string{first.address}; c.Incarnation = old })
+		Consistently(func() string { return first.member("b").Incarnation }).WithTimeout(400 * time.Millisecond).Should(Equal(new))
+		Expect(woken.call("a")()).NotTo(Equal(Answered))
+		Expect(restarted.call("a")()).To(Equal(Answered))
+	})
+})
+
+func entry(vm, address, instance string) api.VM {
+	return api.VM{ID: vm, Kind: api.VMKindEntry, Zone: "a", Address: address, State: api.Live, Instance: instance}
+}
+
+func leaving(vm api.VM) api.VM {
+	vm.State = api.Leaving
+	return vm
+}
+
+var _ = Describe("membership", func() {
+	now := time.Now()
+	hello := func(incarnation string) *api.PeerHello {
+		return &api.PeerHello{VM: "b", Zone: "a", Incarnation: incarnation}
+	}
+	listing := func(asOf int64, vms ...api.VM) api.VMList { return api.VMList{Vms: vms, AsOfMs: asOf} }
+	one, two := entry("b", "10.0.0.2:1", "1"), entry("b", "10.0.0.2:1", "2")
+
+	DescribeTable("takes a lagging VM list", func(lists []api.VMList, want State) {
+		s := newMembership("a", "a", time.Second)
+		Expect(s.meet(hello("p"), 0, "", now)).To(BeTrue())
+		for _, list := range lists {
+			s.takeList(list, now)
+		}
+		Expect(s.get("b", now).State).To(Equal(want))
+	},
+		Entry("direct contact alone is enough", nil, Live),
+		Entry("leaving", []api.VMList{listing(1, leaving(one))}, Leaving),
+		Entry("leaving, then live again", []api.VMList{listing(1, leaving(one)), listing(2, one)}, Leaving),
+		Entry("leaving, then gone while its process still runs", []api.VMList{listing(1, leaving(one)), listing(2)}, Leaving),
+		Entry("leaving, then replaced", []api.VMList{listing(1, leaving(one)), listing(2, two)}, Live),
+		Entry("replaced, then an older reading", []api.VMList{listing(1, leaving(one)), listing(3, two), listing(2, leaving(one))}, Live),
+		Entry("replaced, then the old instance again", []api.VMList{listing(1, leaving(one)), listing(2, two), listing(3, one)}, Live),
+	)
+
+	It("keeps draining final for a process, also after silence", func() {
+		s := newMembership("a", "a", time.Second)
+		Expect(s.meet(hello("p"), 0, "", now)).To(BeTrue())
+		s.beat("b", &api.PeerHeartbeat{Draining: true, TableVersion: 9})
+		s.beat("b", &api.PeerHeartbeat{TableVersion: 8})
+		Expect(s.get("b", now).State).To(Equal(Draining))
+		Expect(s.get("b", now).TableVersion).To(Equal(int64(9)))
+		Expect(s.get("b", now.Add(2*time.Second)).State).To(Equal(Silent))
+		Expect(s.meet(hello("q"), 0, "", now)).To(BeTrue())
+		Expect(s.get("b", now)).To(And(HaveField("State", Live), HaveField("TableVersion", BeZero())))
+		Expect(s.meet(hello("p"), 0, "", now)).To(BeFalse())
+	})
+
+	It("waits four times as long for a daemon in another zone", func() {
+		s := newMembership("a", "z", time.Second)
+		Expect(s.meet(hello("p"), 0, "", now)).To(BeTrue())
+		Expect(s.get("b", now.Add(3*time.Second)).State).To(Equal(Live))
+		Expect(s.get("b", now.Add(5*time.Second)).State).To(Equal(Silent))
+	})
+
+	It("forgets a silent daemon that has left the list, but not one that the list may not show yet", func() {
+		s := newMembership("a", "a", time.Second)
+		Expect(s.meet(hello("p"), 0, "", now)).To(BeTrue())
+		s.takeList(listing(1), now.Add(2*time.Second))
+		Expect(s.list(now)).To(HaveLen(1))
+		s.takeList(listing(2), now.Add(forgetAfter+time.Second))
+		Expect(s.list(now)).To(BeEmpty())
+	})
+})
