Write configuration revisions conditionally

Cause: operators race over the same change, and the answer to a write can be lost. Ruled out: comparing the head with the own value after a lost answer, because two equal changes look the same and a later revision may already stand on top.

--- /dev/null
+++ b/revision/example_test.go
@@ -0,0 +1,32 @@
+package revision_test
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/samphirepath/samphirepath/revision"
+)
+
+// Two operators change the same revision; the second one is told what is current.
+func Example() {
+	ctx := context.Background()
+	writer := revision.NewWriter(newFakeStore(), "configuration/")
+	rows := func(r revision.Record) (revision.Rows, error) {
+		head := fmt.Sprintf(`{"revision":%d,"write":%q,"colour":"green"}`, r.Revision, r.Write)
+		return revision.Rows{Head: []byte(head)}, nil
+	}
+
+	base, _ := writer.Read(ctx)
+	first := writer.Write(ctx, base, rows)
+	second := writer.Write(ctx, base, rows)
+	fmt.Println(first.Status == revision.Accepted, first.Current.Revision)
+	fmt.Println(second.Status == revision.Conflict, second.Current.Revision)
+
+	var held revision.Holder[string]
+	held.Offer(first.Current.Revision, "green")
+	fmt.Println(held.Offer(0, "red"))
+	// Output:
+	// true 1
+	// true 1
+	// false
+}
