--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -36,6 +36,9 @@
 	noticePeriod = time.Second
 	// resignTimeout bounds the release of the planner lease during a stop.
 	resignTimeout = 2 * time.Second
+	// checkRounds is the number of request timeouts that a check of worker
+	// capacity may take: the VM list, then the workers that are not known yet.
+	checkRounds = 3
 	// flushTimeout bounds the export of the last spans.
 	flushTimeout = 2 * time.Second
 )
@@ -50,9 +53,10 @@
 
 	clients       clients
 	mesh          *peers.Mesh
-	configuration *configuration.Configuration
+	configuration *configuration.Service
 	inventory     *inventory.Inventory
 	follower      *jobs.Follower
+	writer        *jobs.Writer
 	service       *jobs.Service
 	control       *control.Control
 	executor      *executor.Executor
@@ -70,12 +74,12 @@
 	if d.log, err = telemetry.NewLogger(settings.Logs); err != nil {
 		return nil, err
 	}
-	d.log = d.log.With(zap.String("vm", settings.Daemon.Vm))
-	tags := map[string]string{"vm": settings.Daemon.Vm, "zone": settings.Daemon.Zone}
+	d.log = d.log.With(zap.String("vm", settings.Daemon.VM))
+	tags := map[string]string{"vm": settings.Daemon.VM, "zone": settings.Daemon.Zone}
 	if d.metrics, err = telemetry.NewMetrics(tags, d.log); err != nil {
 		return nil, err
 	}
-	if d.traces, err = telemetry.NewTraces(ctx, settings.Traces, settings.Daemon.Vm, settings.Daemon.Zone); err != nil {
+	if d.traces, err = telemetry.NewTraces(ctx, settings.Traces, settings.Daemon.VM, settings.Daemon.Zone); err != nil {
 		return nil, err
 	}
 	if d.clients, err = d.newClients(); err != nil {
@@ -96,7 +100,7 @@
 	s := d.settings
 	seen := &revision.Mark{}
 	d.mesh = peers.New(peers.Config{
-		VM: s.Daemon.Vm, Zone: s.Daemon.Zone, Incarnation: d.incarnation,
+		VM: s.Daemon.VM, Zone: s.Daemon.Zone, Incarnation: d.incarnation,
 		Listen: s.Listen.Peers, Token: s.Peers.Token, Seeds: s.Peers.Seeds,
 		VMs: d.clients.vms, VMListEvery: s.Timing.VMListEvery.Std(),
 		HeartbeatEvery: s.Peers.HeartbeatEvery.Std(), LostAfter: s.Peers.LostAfter.Std(),
@@ -108,15 +112,32 @@
 	})
 	d.configuration = configuration.New(configuration.Config{
 		Store: d.clients.table, Network: d.mesh, Seen: seen, PollEvery: s.Timing.PollEvery.Std(),
-		Feasible: d.checkGuarantees,
-		Logger:   telemetry.Part(d.log, "configuration"), Scope: d.metrics.Scope,
+		RequestTimeout: s.Platform.RequestTimeout.Std(), Feasible: d.checkGuarantees, Zones: d.listedZones,
+		Logger: telemetry.Part(d.log, "configuration"), Scope: d.metrics.Scope, Tracer: d.traces.Tracer("configuration"),
 	})
 }
 
-func (d *Daemon) checkGuarantees(ctx context.Context, zone string, catalogue api.Catalogue) error {
+func (d *Daemon) checkGuarantees(zone string, catalogue api.Catalogue) error {
+	ctx, cancel := d.checkContext()
+	defer cancel()
 	return d.inventory.CheckGuarantees(ctx, zone, d.configuration.Current().Catalogue, catalogue)
 }
 
+func (d *Daemon) listedZones() []string {
+	ctx, cancel := d.checkContext()
+	defer cancel()
+	zones, err := d.inventory.Zones(ctx)
+	if err != nil {
+		d.log.Warn("Zones of the VM list not known.", zap.Error(err))
+	}
+	return zones
+}
+
+// checkContext bounds a check that reads workers of other zones.
+func (d *Daemon) checkContext() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), checkRounds*d.settings.Platform.RequestTimeout.Std())
+}
+
 // newJobs builds the parts that place, start and keep jobs.
 func (d *Daemon) newJobs() error {
 	s, zone, t := d.settings, d.settings.Daemon.Zone, d.settings.Timing
@@ -125,23 +146,23 @@
 		Log: telemetry.Part(d.log, "jobs"), Scope: d.metrics.Scope,
 	})
 	leader, err := lease.New(lease.Config{
-		Store: d.clients.table, Prefix: "planner/" + zone + "/", Holder: s.Daemon.Vm, Incarnation: d.incarnation,
+		Store: d.clients.table, Prefix: "planner/" + zone + "/", Holder: s.Daemon.VM, Incarnation: d.incarnation,
 		LeaseTime: t.PlannerLease.Std(), RenewEvery: t.PlannerRenewEvery.Std(), Log: telemetry.Part(d.log, "lease"),
 	})
 	if err != nil {
 		return err
 	}
-	writer := jobs.NewWriter(jobs.WriterConfig{
+	d.writer = jobs.NewWriter(jobs.WriterConfig{
 		Store: d.clients.table, Follower: d.follower, Fence: leader.FenceCondition,
 		Limiter: rate.NewLimiter(rate.Limit(s.Limits.StoreWritesPerSecond), s.Limits.StoreWritesPerSecond),
 		Log:     telemetry.Part(d.log, "jobs"), Scope: d.metrics.Scope,
 	})
 	applier := jobs.NewApplier(jobs.ApplierConfig{
-		Zone: zone, Writer: writer, Follower: d.follower,
+		Zone: zone, Writer: d.writer, Follower: d.follower,
 		Log: telemetry.Part(d.log, "applier"), Scope: d.metrics.Scope,
 	})
 	d.service = jobs.NewService(jobs.ServiceConfig{
-		Writer: writer, Follower: d.follower, View: d.configuration, CanRun: d.canRun,
+		Writer: d.writer, Follower: d.follower, View: d.configuration, CanRun: d.canRun,
 		Log: telemetry.Part(d.log, "jobs"), Scope: d.metrics.Scope,
 	})
 	d.control = control.New(control.Config{
@@ -171,14 +192,14 @@
 }
 
 func (d *Daemon) canRun(job api.Job) string {
-	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Platform.RequestTimeout.Std())
+	ctx, cancel := d.checkContext()
 	defer cancel()
 	return d.inventory.CanRun(ctx, d.configuration.Current().Catalogue, job)
 }
 
 func (d *Daemon) newRouter() {
 	claims := claim.New(claim.Config{
-		Store: d.clients.table, Objects: d.clients.objects, VM: d.settings.Daemon.Vm, Incarnation: d.incarnation,
+		Store: d.clients.table, Objects: d.clients.objects, VM: d.settings.Daemon.VM, Incarnation: d.incarnation,
 		Backoff: retry.Backoff{},
 	})
 	d.router = router.New(router.Config{
@@ -233,7 +254,7 @@
 	defer stopServing()
 	parts, partsCtx := errgroup.WithContext(partsCtx)
 	for _, run := range []func(context.Context) error{
-		d.mesh.Run, d.configuration.Run, d.follower.Run, d.control.Run, d.executor.Run, d.keeper.Run, d.router.Run,
+		d.mesh.Run, d.configuration.Run, d.follower.Run, d.writer.Run, d.control.Run, d.executor.Run, d.keeper.Run, d.router.Run,
 	} {
 		parts.Go(func() error { return run(partsCtx) })
 	}
@@ -244,15 +265,15 @@
 	var serveErr error
 	select {
 	case <-ctx.Done():
-		serveErr = d.stop(stopServing, served)
+		serveErr = d.stop(context.WithoutCancel(ctx), stopServing, served)
 	case <-partsCtx.Done():
 		stopServing()
-		<-served
+		serveErr = <-served
 	case serveErr = <-served:
 	}
 	stopParts()
 	partsErr := parts.Wait()
-	d.close()
+	d.close(context.WithoutCancel(ctx))
 	if partsErr != nil && !eris.Is(partsErr, context.Canceled) {
 		return partsErr
 	}
@@ -260,14 +281,14 @@
 }
 
 // stop turns unready, lets others turn away, and finishes what is in flight.
-func (d *Daemon) stop(stopServing context.CancelFunc, served <-chan error) error {
+func (d *Daemon) stop(ctx context.Context, stopServing context.CancelFunc, served <-chan error) error {
 	d.log.Info("Stop requested.")
 	d.stopping.Store(true)
 	d.server.SetReady(false)
 	d.mesh.Drain()
-	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Timing.GracefulStop.Std())
+	ctx, cancel := context.WithTimeout(ctx, d.settings.Timing.GracefulStop.Std())
 	defer cancel()
-	d.resign()
+	d.resign(ctx)
 	time.Sleep(noticePeriod)
 	stopServing()
 	err := <-served
@@ -280,16 +301,16 @@
 
 // resign releases the planner lease, so that another daemon need not wait for
 // its end.
-func (d *Daemon) resign() {
-	ctx, cancel := context.WithTimeout(context.Background(), resignTimeout)
+func (d *Daemon) resign(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, resignTimeout)
 	defer cancel()
 	if err := d.control.Resign(ctx); err != nil {
 		d.log.Warn("Planner lease not released.", zap.Error(err))
 	}
 }
 
-func (d *Daemon) close() {
-	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
+func (d *Daemon) close(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, flushTimeout)
 	defer cancel()
 	_ = d.traces.Shutdown(ctx)
 	_ = d.metrics.Close()
--- a/internal/entry/jobs_test.go
+++ b/internal/entry/jobs_test.go
@@ -56,7 +56,7 @@
 func (s *stubJobs) Fetch(context.Context, string) (*jobs.Row, error) { return nil, s.err }
 
 // serve calls a handler as the caller and returns the answer.
-func serve(s *stubJobs, caller Caller, body string, handle func(*JobHandlers, echo.Context) error) (*httptest.ResponseRecorder, api.Problem) {
+func serveJob(s *stubJobs, caller Caller, body string, handle func(*JobHandlers, echo.Context) error) (*httptest.ResponseRecorder, api.Problem) {
 	h := NewJobHandlers(JobHandlersConfig{Service: s, Rows: s, MaxBodyBytes: 400})
 	recorder := httptest.NewRecorder()
 	c := echo.New().NewContext(httptest.NewRequest(http.MethodPost, "/v1/jobs", strings.NewReader(body)), recorder)
@@ -79,7 +79,7 @@
 // Guards against an outcome that says something else than what became of the job.
 var _ = DescribeTable("submission outcomes", func(status jobs.SubmitStatus, code int, outcome api.Outcome, retry string) {
 	s := &stubJobs{submit: jobs.SubmitResult{Status: status, Job: api.Job{ID: "j1"}, Reason: "because"}}
-	recorder, problem := serve(s, org, goodBody, submit)
+	recorder, problem := serveJob(s, org, goodBody, submit)
 	Expect(recorder.Code).To(Equal(code))
 	Expect(recorder.Header().Get("Retry-After")).To(Equal(retry))
 	if code >= http.StatusBadRequest {
@@ -98,7 +98,7 @@
 // Guards against bodies that are taken for something they do not say.
 var _ = DescribeTable("strict bodies", func(body string, code int) {
 	s := &stubJobs{}
-	recorder, problem := serve(s, org, body, submit)
+	recorder, problem := serveJob(s, org, body, submit)
 	Expect(recorder.Code).To(Equal(code))
 	Expect(problem.Outcome).To(Equal(api.OutcomeNotRun))
 	Expect(s.spec).To(BeNil())
@@ -115,11 +115,11 @@
 var _ = DescribeTable("visibility", func(caller Caller, code int) {
 	job := api.Job{ID: "j1", Organisation: "org", State: api.JobStateRunning}
 	s := &stubJobs{rows: map[string]*jobs.Row{"j1": {Job: job}}, cancel: jobs.CancelResult{Status: jobs.CancelTaken, Job: job}}
-	recorder, _ := serve(s, caller, "", func(h *JobHandlers, c echo.Context) error { return h.GetJob(c, "j1") })
+	recorder, _ := serveJob(s, caller, "", func(h *JobHandlers, c echo.Context) error { return h.GetJob(c, "j1") })
 	Expect(recorder.Code).To(Equal(code))
-	recorder, _ = serve(s, caller, "", func(h *JobHandlers, c echo.Context) error { return h.CancelJob(c, "j1") })
+	recorder, _ = serveJob(s, caller, "", func(h *JobHandlers, c echo.Context) error { return h.CancelJob(c, "j1") })
 	Expect(recorder.Code).To(Equal(code))
-	recorder, _ = serve(s, caller, "", func(h *JobHandlers, c echo.Context) error {
+	recorder, _ = serveJob(s, caller, "", func(h *JobHandlers, c echo.Context) error {
 		return h.ListJobs(c, api.ListJobsParams{State: "running"})
 	})
 	Expect(strings.Contains(recorder.Body.String(), "j1")).To(Equal(code == http.StatusOK))
@@ -132,15 +132,15 @@
 
 var _ = It("answers other failures with a problem", func() {
 	s := &stubJobs{err: errors.New("down")}
-	recorder, _ := serve(s, org, "", func(h *JobHandlers, c echo.Context) error { return h.GetJob(c, "j1") })
+	recorder, _ := serveJob(s, org, "", func(h *JobHandlers, c echo.Context) error { return h.GetJob(c, "j1") })
 	Expect(recorder.Code).To(Equal(http.StatusServiceUnavailable))
-	recorder, _ = serve(s, Caller{Operator: true}, goodBody, submit)
+	recorder, _ = serveJob(s, Caller{Operator: true}, goodBody, submit)
 	Expect(recorder.Code).To(Equal(http.StatusForbidden))
-	recorder, _ = serve(s, org, "", func(h *JobHandlers, c echo.Context) error { return h.ListJobs(c, api.ListJobsParams{State: "x"}) })
+	recorder, _ = serveJob(s, org, "", func(h *JobHandlers, c echo.Context) error { return h.ListJobs(c, api.ListJobsParams{State: "x"}) })
 	Expect(recorder.Code).To(Equal(http.StatusBadRequest))
 	for status, want := range map[jobs.CancelStatus]api.Outcome{jobs.CancelNotRun: api.OutcomeNotRun, jobs.CancelUnknown: api.OutcomeUnknown} {
 		s.cancel = jobs.CancelResult{Status: status}
-		_, problem := serve(s, org, "", func(h *JobHandlers, c echo.Context) error { return h.CancelJob(c, "j1") })
+		_, problem := serveJob(s, org, "", func(h *JobHandlers, c echo.Context) error { return h.CancelJob(c, "j1") })
 		Expect(problem.Outcome).To(Equal(want))
 	}
 })
--- a/internal/jobs/submit.go
+++ b/internal/jobs/submit.go
@@ -110,8 +110,10 @@
 // outcome is certain or ctx ends; at most one of the repetitions takes effect.
 func (s *Service) insert(ctx context.Context, job api.Job) SubmitResult {
 	maybe := false
+	var cause error
 	for {
 		result := s.cfg.Writer.Apply(ctx, Change{Job: job})[0]
+		cause = result.Err
 		switch result.Status {
 		case Done:
 			return SubmitResult{Status: Accepted, Job: job}
@@ -130,6 +132,7 @@
 			break
 		}
 	}
+	s.cfg.Log.Warn("submission not confirmed", zap.String("job", job.ID), zap.Bool("open", maybe), zap.Error(cause))
 	if maybe {
 		return SubmitResult{Status: Unknown, Reason: "the table service did not confirm the submission in time; repeat it with the same key"}
 	}
