Keep the membership over a pause of the own process, spread zone changes without the catalogue

Cause: a frozen daemon that wakes saw all others as silent and would have taken over their work; a daemon listed as leaving counted itself as live while all others left it out; each zone change sent the whole catalogue to each peer. Ruled out: ignoring silence for a fixed time after a wake, because the daemon cannot know when it woke except by the gap between its own ticks. Change: the gap between ticks of the dial loop is not counted as silence of the others, links get the full time until a loss after such a gap, the own VM's entry in the list is followed, and a configuration answer leaves out the catalogue when the asking revision already has it. Peers are asked in random order within a zone. Conclusion: who is live is now judged alike on both sides of a freeze and of a leaving entry.

--- a/internal/configuration/service_test.go
+++ b/internal/configuration/service_test.go
@@ -236,6 +236,23 @@
 		Expect(cutOff.StoreAge()).To(BeNumerically(">", 0))
 	})
 
+	It("gets a zone change from a peer without the catalogue, and keeps its own", func() {
+		c := newCluster()
+		writer, cutOff := c.add("x", nil), c.add("y", nil)
+		Expect(writer.Apply(background, apply(0, "north")).Status).To(Equal(Accepted))
+		cutOff.store.down.Store(true)
+		cutOff.run()
+		c.board.gossip()
+		Eventually(cutOff.revision).WithTimeout(within).Should(Equal(int64(1)))
+		Expect(writer.ChangeZone(background, "a", api.ZoneChange{State: api.Out}).Status).To(Equal(Accepted))
+		request := &api.PeerEnvelope{ConfigurationRequest: &api.PeerConfigurationRequest{Above: 1}}
+		answer := writer.serveConfiguration(background, peers.Member{}, request)
+		Expect(answer.Configuration.Configuration.Catalogue.Organisations).To(BeEmpty())
+		c.board.gossip()
+		Eventually(cutOff.revision).WithTimeout(within).Should(Equal(int64(2)))
+		Expect(cutOff.Current().Catalogue).To(Equal(writer.Current().Catalogue))
+	})
+
 	It("asks again when the peer that announced a revision does not hold it yet", func() {
 		c := newCluster()
 		announcer := c.add("x", nil)
--- a/internal/configuration/spread.go
+++ b/internal/configuration/spread.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -55,6 +56,8 @@
 	members := s.config.Network.Members()
 	held := s.Current().Head.Revision
 	members = slices.DeleteFunc(members, func(m peers.Member) bool { return m.State == peers.Silent || m.Revision <= held })
+	// Without the shuffle all daemons would ask the same peer first.
+	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
 	slices.SortStableFunc(members, func(a, b peers.Member) int { return distance(self, a) - distance(self, b) })
 	for _, member := range members {
 		if !s.behind() || ctx.Err() != nil {
@@ -82,13 +85,22 @@
 		s.logger.Debug("Peer gave no newer configuration.", zap.String("peer", vm))
 		return
 	}
-	s.take(*answer.Configuration.Configuration, vm)
+	given := *answer.Configuration.Configuration
+	if held := s.Current(); held.Head.Revision > 0 && held.Head.CatalogueRevision == given.Head.CatalogueRevision {
+		given.Catalogue = held.Catalogue // left out by the peer
+	}
+	s.take(given, vm)
 }
 
-// serveConfiguration answers a peer with the configuration if it is newer than the peer's.
+// serveConfiguration answers a peer with the configuration if it is newer than
+// the peer's. The catalogue is left out when it has not changed since the peer's
+// revision: changes of zones are frequent and a catalogue is large.
 func (s *Service) serveConfiguration(_ context.Context, _ peers.Member, envelope *api.PeerEnvelope) *api.PeerEnvelope {
 	answer := &api.PeerConfiguration{}
 	if current := s.Current(); current.Head.Revision > envelope.ConfigurationRequest.Above {
+		if above := envelope.ConfigurationRequest.Above; above > 0 && current.Head.CatalogueRevision <= above {
+			current.Catalogue = api.Catalogue{}
+		}
 		answer.Configuration = &current
 	}
 	return &api.PeerEnvelope{Configuration: answer}
--- a/internal/peers/dial.go
+++ b/internal/peers/dial.go
@@ -58,6 +58,7 @@
 func (m *Mesh) dueTargets(now time.Time) map[string]*target {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.members.tick(now)
 	wanted := m.wanted()
 	for address := range m.targets {
 		if _, still := wanted[address]; !still && !m.targets[address].dialling {
@@ -84,9 +85,12 @@
 	wanted := map[string]string{}
 	linked := map[string]bool{}
 	for vm, r := range m.members.members {
-		if m.links[vm] != nil {
+		switch {
+		case vm == m.config.VM:
+			m.ownAddr[r.Address] = true
+		case m.links[vm] != nil:
 			linked[r.Address] = true
-		} else if r.Address != "" {
+		case r.Address != "":
 			wanted[r.Address] = vm
 		}
 	}
--- a/internal/peers/link.go
+++ b/internal/peers/link.go
@@ -144,13 +144,18 @@
 		heartbeat := l.mesh.config.Announce()
 		heartbeat.Draining = heartbeat.Draining || l.mesh.draining.Load()
 		l.send(&api.PeerEnvelope{Heartbeat: &heartbeat}, kindHeartbeat)
+		waited := time.Now()
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		case <-l.kick:
 		}
-		if l.silence() > l.mesh.members.lost(l.zone) {
+		lost := l.mesh.members.lost(l.zone)
+		if time.Since(waited) > l.mesh.heartbeatEvery(l.zone)+lost/2 {
+			l.excuse() // This process did not run; the peer may have sent all the time.
+		}
+		if l.silence() > lost {
 			return
 		}
 	}
@@ -162,6 +167,13 @@
 	return time.Since(l.lastRead)
 }
 
+// excuse gives the peer the full time until a loss again.
+func (l *link) excuse() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lastRead = time.Now()
+}
+
 func (l *link) kickHeartbeat() {
 	select {
 	case l.kick <- struct{}{}:
--- a/internal/peers/membership.go
+++ b/internal/peers/membership.go
@@ -21,7 +21,8 @@
 	zone      string
 	lostAfter time.Duration
 	members   map[string]*memberRecord
-	asOfMs    int64 // age of the newest reading of the VM list
+	asOfMs    int64     // age of the newest reading of the VM list
+	ticked    time.Time // last tick, zero before the first
 
 	// What has ended never becomes live again, so these sets outlive the
 	// records. They grow by the few dozen VMs that are replaced in a day.
@@ -37,6 +38,8 @@
 // memberRecord is a member with its place in the VM list.
 type memberRecord struct {
 	Member
+	// heard is LastSeen, moved on by the time in which this process did not run.
+	heard    time.Time
 	listed   bool
 	instance string // newest instance in the VM list, empty before the first
 }
@@ -72,7 +75,7 @@
 		r.listed = false
 	}
 	for _, vm := range list.Vms {
-		if vm.Kind == api.VMKindEntry && vm.ID != s.self {
+		if vm.Kind == api.VMKindEntry {
 			s.takeListed(vm)
 		}
 	}
@@ -83,6 +86,8 @@
 	}
 }
 
+// takeListed takes the entry of a VM. The own VM is listed too: the others leave
+// it out once it is listed as leaving, and must agree with it on who is live.
 func (s *membership) takeListed(vm api.VM) {
 	r := s.record(vm.ID)
 	r.listed = true
@@ -115,7 +120,7 @@
 		}
 		r.Member = Member{VM: hello.VM, Address: r.Address, Incarnation: hello.Incarnation}
 	}
-	r.Zone, r.LastSeen, r.Revision = hello.Zone, now, max(r.Revision, revision)
+	r.Zone, r.LastSeen, r.heard, r.Revision = hello.Zone, now, now, max(r.Revision, revision)
 	if r.Address == "" {
 		r.Address = address
 	}
@@ -141,7 +146,7 @@
 	if r == nil || r.Incarnation != incarnation {
 		return false
 	}
-	r.LastSeen = now
+	r.LastSeen, r.heard = now, now
 	r.Revision = max(r.Revision, revision)
 	return true
 }
@@ -167,13 +172,35 @@
 	return remoteFactor * s.lostAfter
 }
 
+// tick notes that this process runs. After a pause of the process, such as a
+// frozen VM, the others have not been silent: nobody listened. They get the
+// full time until a loss again, so that this daemon does not take over the work
+// of all others when it wakes.
+func (s *membership) tick(now time.Time) {
+	if pause := s.pause(now); pause > 0 {
+		for _, r := range s.members {
+			r.heard = r.heard.Add(pause)
+		}
+	}
+	s.ticked = now
+}
+
+// pause returns the time since the last tick when it is too long for a process
+// that runs, else 0.
+func (s *membership) pause(now time.Time) time.Duration {
+	if pause := now.Sub(s.ticked); !s.ticked.IsZero() && pause > s.lostAfter/2 {
+		return pause
+	}
+	return 0
+}
+
 // snapshot returns the member with its state at a time.
 func (s *membership) snapshot(r *memberRecord, now time.Time) Member {
 	member := r.Member
 	switch {
 	case s.left[instanceKey{r.VM, r.instance}]:
 		member.State = Leaving
-	case r.LastSeen.IsZero() || now.Sub(r.LastSeen) > s.lost(r.Zone):
+	case r.heard.IsZero() || now.Sub(r.heard)-s.pause(now) > s.lost(r.Zone):
 		member.State = Silent
 	case s.drained[r.Incarnation]:
 		member.State = Draining
@@ -192,20 +219,28 @@
 
 func (s *membership) list(now time.Time) []Member {
 	members := make([]Member, 0, len(s.members))
-	for _, r := range s.members {
-		members = append(members, s.snapshot(r, now))
+	for vm, r := range s.members {
+		if vm != s.self {
+			members = append(members, s.snapshot(r, now))
+		}
 	}
 	slices.SortFunc(members, func(a, b Member) int { return strings.Compare(a.VM, b.VM) })
 	return members
 }
 
+// selfLeaving tells whether the own VM is listed as leaving.
+func (s *membership) selfLeaving() bool {
+	r := s.members[s.self]
+	return r != nil && s.left[instanceKey{r.VM, r.instance}]
+}
+
 func (s *membership) live(zone string, withSelf bool, now time.Time) []string {
 	var vms []string
-	if withSelf && zone == s.zone {
+	if withSelf && zone == s.zone && !s.selfLeaving() {
 		vms = append(vms, s.self)
 	}
 	for vm, r := range s.members {
-		if r.Zone == zone && s.snapshot(r, now).State == Live {
+		if vm != s.self && r.Zone == zone && s.snapshot(r, now).State == Live {
 			vms = append(vms, vm)
 		}
 	}
--- a/internal/peers/mesh.go
+++ b/internal/peers/mesh.go
@@ -240,7 +240,12 @@
 func (m *Mesh) Self() Member {
 	announced := m.config.Announce()
 	state := Live
-	if m.draining.Load() {
+	m.mu.RLock()
+	leaving := m.members.selfLeaving()
+	m.mu.RUnlock()
+	if leaving {
+		state = Leaving
+	} else if m.draining.Load() {
 		state = Draining
 	}
 	return Member{
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -281,6 +281,31 @@
 		Expect(s.get("b", now.Add(5*time.Second)).State).To(Equal(Silent))
 	})
 
+	It("does not count the others as silent for the time in which this process was frozen", func() {
+		s := newMembership("a", "a", time.Second)
+		Expect(s.meet(hello("p"), 0, "", now)).To(BeTrue())
+		s.tick(now)
+		woken := now.Add(time.Minute)
+		Expect(s.live("a", true, woken)).To(Equal([]string{"a", "b"}))
+		for since := time.Duration(0); since <= 1200*time.Millisecond; since += dialTick {
+			s.tick(woken.Add(since))
+			want := []string{"a", "b"}
+			if since > time.Second {
+				want = []string{"a"}
+			}
+			Expect(s.live("a", true, woken.Add(since))).To(Equal(want), "%s", since)
+		}
+	})
+
+	It("agrees with the others that this daemon is leaving once it is listed so", func() {
+		s := newMembership("b", "a", time.Second)
+		s.takeList(listing(1, leaving(one)), now)
+		Expect(s.live("a", true, now)).To(BeEmpty())
+		Expect(s.list(now)).To(BeEmpty())
+		s.takeList(listing(2, two), now)
+		Expect(s.live("a", true, now)).To(Equal([]string{"b"}))
+	})
+
 	It("forgets a silent daemon that has left the list, but not one that the list may not show yet", func() {
 		s := newMembership("a", "a", time.Second)
 		Expect(s.meet(hello("p"), 0, "", now)).To(BeTrue())
