Let answers wait for room in the queue of a link, announce a revision once it is held

Cause: an answer that met a full queue was dropped, and the caller of a request that had run was left with an unknown outcome. A daemon announced a revision before it held it, so that its peers asked in vain and again after 100 ms. Ruled out: a larger queue, because 40 links of large bodies exceed the memory of a daemon. Change: answers of handlers wait up to 5 s while the link is open; refusals on the reader do not wait. A revision is announced after it is taken. Conclusion: 200 concurrent answers of 256 KiB all arrive through a queue of 4 MiB.

--- a/internal/configuration/change.go
+++ b/internal/configuration/change.go
@@ -188,7 +188,7 @@
 // takeWritten puts an accepted revision in force here at once; the network then
 // spreads it.
 func (s *Service) takeWritten(ctx context.Context, head api.ConfigurationHead, catalogue api.Catalogue, withBody bool) {
-	s.config.Seen.Raise(head.Revision)
+	defer s.config.Seen.Raise(head.Revision)
 	if withBody {
 		s.take(api.Configuration{Head: head, Catalogue: catalogue}, "own change")
 		return
--- a/internal/configuration/service.go
+++ b/internal/configuration/service.go
@@ -179,7 +179,9 @@
 	if err != nil {
 		return api.ConfigurationHead{}, err
 	}
-	s.config.Seen.Raise(head.Revision)
+	// The mark moves after the load: peers ask for a revision as soon as they
+	// hear of it, and this daemon should hold it by then.
+	defer s.config.Seen.Raise(head.Revision)
 	if _, held := s.held.Get(); head.Revision > held {
 		// The zone states of the head are valid even when the body cannot be
 		// read now; the next poll tries again.
@@ -233,9 +235,10 @@
 	return catalogue, eris.Wrap(json.Unmarshal(row.Value, &catalogue), "decode the catalogue")
 }
 
-// take adopts a configuration if its revision is higher than the one held.
+// take adopts a configuration if its revision is higher than the one held, and
+// then lets the network announce it.
 func (s *Service) take(configuration api.Configuration, source string) {
-	s.config.Seen.Raise(configuration.Head.Revision)
+	defer s.config.Seen.Raise(configuration.Head.Revision)
 	if !s.held.Offer(configuration.Head.Revision, configuration) {
 		return
 	}
--- a/internal/peers/calls.go
+++ b/internal/peers/calls.go
@@ -15,6 +15,9 @@
 // defaultCallTimeout ends a call whose context has no deadline.
 const defaultCallTimeout = 5 * time.Second
 
+// queueWait is the pause before an answer is offered to a full queue again.
+const queueWait = 5 * time.Millisecond
+
 // Call sends a message to a VM and waits for the answer. An answer without a
 // message means that the peer has no handler for the kind, is at its limit of
 // concurrent work, or that its handler gave none.
@@ -101,14 +104,14 @@
 	}
 	handler := m.handlers[kind]
 	if handler == nil {
-		l.reply(envelope.ID, nil)
+		l.refuse(envelope.ID)
 		return
 	}
 	select {
 	case slots <- struct{}{}:
 	default:
 		m.metrics.dropped(kind)
-		l.reply(envelope.ID, nil)
+		l.refuse(envelope.ID)
 		return
 	}
 	// The handler outlives the link: work that has begun is not cut off when
@@ -125,8 +128,9 @@
 	}
 }
 
-// reply answers a call; a notice, which has no identifier, gets no answer. When
-// the link has ended the answer goes nowhere and the caller counts it as lost.
+// reply answers a call; a notice, which has no identifier, gets no answer. The
+// work is done, so the answer waits for room in the queue: dropping it would
+// leave the caller with an unknown outcome.
 func (l *link) reply(id uint64, envelope *api.PeerEnvelope) {
 	if id == 0 {
 		return
@@ -137,7 +141,15 @@
 	}
 	answer.ID, answer.Reply = id, true
 	kind, _ := kindOf(&answer)
-	if l.send(&answer, kind) == nil {
+	if o := l.prepare(&answer, kind); o == nil || !l.pushWait(o) {
 		l.mesh.logger.Debug("Answer not sent.", zap.String("peer", l.vm), zap.String("kind", string(kind)))
 	}
 }
+
+// refuse answers a call that was not handled. It does not wait, because it runs
+// on the reader of the link.
+func (l *link) refuse(id uint64) {
+	if id != 0 {
+		l.send(&api.PeerEnvelope{ID: id, Reply: true}, kindEmpty)
+	}
+}
--- a/internal/peers/link.go
+++ b/internal/peers/link.go
@@ -181,13 +181,27 @@
 	}
 }
 
-// send queues an envelope; nil means that it was not queued.
-func (l *link) send(envelope *api.PeerEnvelope, kind Kind) *outgoing {
+// open tells whether the link has not ended.
+func (l *link) open() bool {
 	select {
 	case <-l.done:
-		return nil
+		return false
 	default:
+		return true
 	}
+}
+
+// send queues an envelope; nil means that it was not queued.
+func (l *link) send(envelope *api.PeerEnvelope, kind Kind) *outgoing {
+	o := l.prepare(envelope, kind)
+	if o == nil || !l.push(o) {
+		return nil
+	}
+	return o
+}
+
+// prepare encodes an envelope; nil means that it cannot be sent at all.
+func (l *link) prepare(envelope *api.PeerEnvelope, kind Kind) *outgoing {
 	envelope.Revision = l.mesh.config.Seen.Value()
 	data, err := encode(envelope)
 	if err != nil {
@@ -199,12 +213,29 @@
 			zap.String("kind", string(kind)), zap.Int("bytes", len(data)))
 		return nil
 	}
-	o := &outgoing{data: data, kind: kind}
-	if !l.queue.push(o) {
-		l.mesh.metrics.dropped(kind)
-		return nil
+	return &outgoing{data: data, kind: kind}
+}
+
+func (l *link) push(o *outgoing) bool {
+	if l.open() && l.queue.push(o) {
+		return true
 	}
-	return o
+	l.mesh.metrics.dropped(o.kind)
+	return false
+}
+
+// pushWait waits for room in the queue, but not longer than a call without a
+// deadline waits for its answer.
+func (l *link) pushWait(o *outgoing) bool {
+	deadline := time.Now().Add(defaultCallTimeout)
+	for l.open() && time.Now().Before(deadline) {
+		if l.queue.push(o) {
+			return true
+		}
+		time.Sleep(queueWait)
+	}
+	l.mesh.metrics.dropped(o.kind)
+	return false
 }
 
 // expect registers a call and returns the channel of its answer.
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -57,7 +57,7 @@
 }
 
 // start runs a mesh on a free local port; change edits its config.
-func start(vm string, change func(*Config)) *node {
+func start(vm string, change func(*Config), prepare ...func(*Mesh)) *node {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	address := listener.Addr().String()
@@ -72,6 +72,9 @@
 	mesh.Handle(KindJobHint, func(_ context.Context, from Member, e *api.PeerEnvelope) *api.PeerEnvelope {
 		return &api.PeerEnvelope{JobHint: &api.PeerJobHint{JobID: e.JobHint.JobID + " from " + from.VM}}
 	})
+	for _, p := range prepare {
+		p(mesh)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- mesh.Run(ctx) }()
@@ -203,6 +206,32 @@
 		Expect(q.bulkBytes.Load()).To(BeZero())
 	})
 
+	It("delivers every answer although the queue is full at times", func() {
+		const calls = 200
+		body := make([]byte, 256<<10) // 200 answers are 12 times the bound of the queue
+		first := start("a", nil, func(m *Mesh) {
+			m.Handle(KindRequestForward, func(context.Context, Member, *api.PeerEnvelope) *api.PeerEnvelope {
+				return &api.PeerEnvelope{RequestResult: &api.PeerRequestResult{Result: api.RequestResult{Body: body}}}
+			})
+		})
+		second := start("b", seeds(first.address))
+		Eventually(second.call("a")).WithTimeout(within).Should(Equal(Answered))
+		var group sync.WaitGroup
+		for range calls {
+			group.Go(func() {
+				defer GinkgoRecover()
+				answer, status := second.Call(context.Background(), "a", api.PeerEnvelope{RequestForward: &api.PeerRequestForward{}})
+				for status == NotSent { // the own queue is full
+					answer, status = second.Call(context.Background(), "a", api.PeerEnvelope{RequestForward: &api.PeerRequestForward{}})
+				}
+				Expect(status).To(Equal(Answered))
+				Expect(answer.RequestResult.Result.Body).To(HaveLen(len(body)))
+			})
+		}
+		group.Wait()
+		Expect(second.stateOf("a")()).To(Equal(Live))
+	})
+
 	It("answers a call of a kind without a handler with an empty message", func() {
 		first := start("a", nil)
 		second := start("b", seeds(first.address))
