--- a/internal/platform/table.go
+++ b/internal/platform/table.go
@@ -5,6 +5,9 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"unicode/utf8"
+
+	"github.com/rotisserie/eris"
 
 	"github.com/samphirepath/samphirepath/api"
 	"github.com/samphirepath/samphirepath/table"
@@ -61,6 +64,9 @@
 
 // Commit applies all writes if all conditions hold, else none.
 func (t *TableClient) Commit(ctx context.Context, conditions []table.Condition, writes []table.Write) table.CommitResult {
+	if err := checkKeys(conditions, writes); err != nil {
+		return failedCommit(&CallError{cause: err})
+	}
 	got, err := t.postJSON(ctx, "table commit", t.base+PathCommit, wireCommit(conditions, writes))
 	if err != nil {
 		return failedCommit(err)
@@ -68,6 +74,22 @@
 	return commitResult(got)
 }
 
+// checkKeys refuses keys that JSON can't carry: the encoder would replace their
+// invalid bytes and the commit would change another row.
+func checkKeys(conditions []table.Condition, writes []table.Write) error {
+	for _, c := range conditions {
+		if !utf8.ValidString(c.Key) {
+			return eris.Errorf("key %q of a condition is not valid UTF-8", c.Key)
+		}
+	}
+	for _, w := range writes {
+		if !utf8.ValidString(w.Key) {
+			return eris.Errorf("key %q of a write is not valid UTF-8", w.Key)
+		}
+	}
+	return nil
+}
+
 // wireCommit gives the message of a commit.
 func wireCommit(conditions []table.Condition, writes []table.Write) api.TableCommit {
 	message := api.TableCommit{
--- a/internal/platform/table_test.go
+++ b/internal/platform/table_test.go
@@ -154,6 +154,20 @@
 		}
 	})
 
+	// Guards against a commit that changes another row, because JSON replaces bytes
+	// that are no UTF-8.
+	ginkgo.It("sends no commit with a key that JSON can't carry", func() {
+		s := hostTable()
+		client := tableClient(s.Addresses().Table, 0)
+		for _, result := range []table.CommitResult{
+			client.Commit(ctx, nil, []table.Write{{Key: "a\xff"}}),
+			client.Commit(ctx, []table.Condition{{Key: "a\xff"}}, oneWrite),
+		} {
+			gomega.Expect(result.Status).To(gomega.Equal(table.Unavailable))
+		}
+		gomega.Expect(s.TableCounters().Commits).To(gomega.BeZero())
+	})
+
 	ginkgo.It("accepts only http URLs with an IP address", func() {
 		for _, url := range []string{"", "http://localhost:1", "https://127.0.0.1:1", "http://127.0.0.1", "http://127.0.0.1:1/?a=b", "127.0.0.1:1"} {
 			_, err := platform.NewTable(platform.Config{URL: url})
