Make the test of a zone going out wait for both sends

Ruled out: a fault of the executor; it refused the second send, as it must. Change: the test takes the zone out only when both sends have passed the check. Conclusion: the expectation of two refused starts stays as strict.

--- a/internal/executor/faults_test.go
+++ b/internal/executor/faults_test.go
@@ -105,21 +105,28 @@
 	It("starts nothing when the zone goes out between the check and the send", func() {
 		c := newCluster(3, "a")
 		a := c.start("a")
-		var once sync.Once
 		var out atomic.Int64
-		c.workers.beforeStart = func(string) {
-			once.Do(func() {
-				out.Store(time.Now().UnixMilli())
-				c.view.setState(api.Out)
-			})
-			time.Sleep(zoneConfirmation + 50*time.Millisecond)
-		}
+		var sent sync.WaitGroup
+		sent.Add(2)
+		c.workers.set(func() {
+			c.workers.beforeStart = func(string) {
+				// Both members have passed the check when the zone goes out.
+				sent.Done()
+				sent.Wait()
+				if out.CompareAndSwap(0, time.Now().UnixMilli()) {
+					c.view.setState(api.Out)
+				}
+				time.Sleep(zoneConfirmation + 50*time.Millisecond)
+			}
+		})
 		c.add("j", 2)
 		Eventually(out.Load).ShouldNot(BeZero())
 		Eventually(a.job("j")).Should(SatisfyAll(inState(api.JobStateWaiting), HaveField("Attempt", 1)))
 		Expect(c.workers.all("j")).To(BeEmpty())
-		c.workers.set(func() { Expect(c.workers.refused).To(Equal(2)) })
-		c.workers.beforeStart = nil
+		c.workers.set(func() {
+			Expect(c.workers.refused).To(Equal(2))
+			c.workers.beforeStart = nil
+		})
 		c.view.setState(api.In)
 		Eventually(a.job("j")).Should(inState(api.JobStateRunning))
 	})
--- a/internal/executor/sim_test.go
+++ b/internal/executor/sim_test.go
@@ -203,8 +203,11 @@
 }
 
 func (s *simWorkers) Start(_ context.Context, address string, task api.StartTask) (api.StartReply, error) {
-	if s.beforeStart != nil {
-		s.beforeStart(address)
+	s.mu.Lock()
+	before := s.beforeStart
+	s.mu.Unlock()
+	if before != nil {
+		before(address)
 	}
 	var reply api.StartReply
 	err := s.with(address, func(tasks map[string]*simTask) {
