Count control bytes to the platform and keep polls out of traces

Cause: the capacity page needs the bytes a daemon spends on control for each service, and every poll of the table service made a trace of its own. Ruled out: reading the bytes from the operating system alone; it cannot tell the services apart. Change: connections to the platform add to control_sent_bytes and control_received_bytes; calls get a span only inside a trace; each part of the daemon has its own metric prefix. Conclusion: the figures of docs/CAPACITY.md can come from the daemons' metrics.

--- a/internal/daemon/clients.go
+++ b/internal/daemon/clients.go
@@ -56,6 +56,6 @@
 func (d *Daemon) clientConfig(part string, timeout time.Duration, connections int) platform.Config {
 	return platform.Config{
 		Timeout: timeout, DialTimeout: d.settings.Platform.RequestTimeout.Std(), Connections: connections,
-		Logger: telemetry.Part(d.log, part), Scope: d.metrics.Scope, Tracer: d.traces.Tracer(part),
+		Logger: telemetry.Part(d.log, "platform"), Scope: d.metrics.Scope, Tracer: d.traces.Tracer(part),
 	}
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -143,7 +143,7 @@
 	s, zone, t := d.settings, d.settings.Daemon.Zone, d.settings.Timing
 	d.follower = jobs.NewFollower(jobs.FollowerConfig{
 		Store: d.clients.table, Network: d.mesh, PollEvery: t.PollEvery.Std(),
-		Log: telemetry.Part(d.log, "jobs"), Scope: d.metrics.Scope,
+		Log: telemetry.Part(d.log, "jobs"), Scope: d.metrics.Scope.SubScope("jobs"),
 	})
 	leader, err := lease.New(lease.Config{
 		Store: d.clients.table, Prefix: "planner/" + zone + "/", Holder: s.Daemon.VM, Incarnation: d.incarnation,
@@ -155,15 +155,15 @@
 	d.writer = jobs.NewWriter(jobs.WriterConfig{
 		Store: d.clients.table, Follower: d.follower, Fence: leader.FenceCondition,
 		Limiter: rate.NewLimiter(rate.Limit(s.Limits.StoreWritesPerSecond), s.Limits.StoreWritesPerSecond),
-		Log:     telemetry.Part(d.log, "jobs"), Scope: d.metrics.Scope,
+		Log:     telemetry.Part(d.log, "jobs"), Scope: d.metrics.Scope.SubScope("jobs"),
 	})
 	applier := jobs.NewApplier(jobs.ApplierConfig{
 		Zone: zone, Writer: d.writer, Follower: d.follower,
-		Log: telemetry.Part(d.log, "applier"), Scope: d.metrics.Scope,
+		Log: telemetry.Part(d.log, "applier"), Scope: d.metrics.Scope.SubScope("applier"),
 	})
 	d.service = jobs.NewService(jobs.ServiceConfig{
 		Writer: d.writer, Follower: d.follower, View: d.configuration, CanRun: d.canRun,
-		Log: telemetry.Part(d.log, "jobs"), Scope: d.metrics.Scope,
+		Log: telemetry.Part(d.log, "jobs"), Scope: d.metrics.Scope.SubScope("jobs"),
 	})
 	d.control = control.New(control.Config{
 		Zone: zone, Lease: leader, Follower: d.follower, Applier: applier, View: d.configuration,
@@ -173,20 +173,20 @@
 			d.executor.StopForeign(ctx, address, tasks)
 		},
 		PlanEvery: t.PlanEvery.Std(), ReportEvery: t.ReportEvery.Std(), VMListEvery: t.VMListEvery.Std(),
-		Log: telemetry.Part(d.log, "planner"), Scope: d.metrics.Scope, Tracer: d.traces.Tracer("planner"),
+		Log: telemetry.Part(d.log, "planner"), Scope: d.metrics.Scope.SubScope("planner"), Tracer: d.traces.Tracer("planner"),
 	})
 	d.executor = executor.New(executor.Config{
 		Zone: zone, Follower: d.follower, Applier: applier, Workers: d.clients.workers, View: d.configuration,
 		Network: d.mesh, Places: d.control, Leading: d.control.Leading,
 		TaskLease: t.TaskLease.Std(), ZoneConfirmation: t.ZoneConfirmation.Std(), MaxClockSkew: t.MaxClockSkew.Std(),
 		CheckpointWait: t.CheckpointWait.Std(), StartWait: t.StartWait.Std(), StartsPerSecond: s.Limits.StartsPerSecond,
-		Log: telemetry.Part(d.log, "executor"), Scope: d.metrics.Scope, Tracer: d.traces.Tracer("executor"),
+		Log: telemetry.Part(d.log, "executor"), Scope: d.metrics.Scope.SubScope("executor"), Tracer: d.traces.Tracer("executor"),
 	})
 	d.keeper = keeper.New(keeper.Config{
 		Zone: zone, Follower: d.follower, Network: d.mesh, Workers: d.clients.workers, Address: d.control.Address,
 		Planning: d.control.Leading, Local: d.control.TaskUpdate,
 		RenewEvery: t.TaskRenewEvery.Std(), TaskLease: t.TaskLease.Std(), MaxClockSkew: t.MaxClockSkew.Std(),
-		Log: telemetry.Part(d.log, "keeper"), Scope: d.metrics.Scope,
+		Log: telemetry.Part(d.log, "keeper"), Scope: d.metrics.Scope.SubScope("keeper"),
 	})
 	return nil
 }
@@ -205,7 +205,7 @@
 	d.router = router.New(router.Config{
 		VMs: d.clients.vms, Minions: d.clients.minions, Network: d.mesh, View: d.configuration, Claims: claims,
 		Limits: d.settings.Limits, Timing: d.settings.Timing,
-		Log: telemetry.Part(d.log, "router"), Scope: d.metrics.Scope, Tracer: d.traces.Tracer("router"),
+		Log: d.log, Scope: d.metrics.Scope, Tracer: d.traces.Tracer("router"),
 	})
 }
 
@@ -216,7 +216,7 @@
 		MaxBodyBytes: s.Limits.MaxBodyBytes, GracefulStop: s.Timing.GracefulStop.Std(),
 		View: d.configuration, Metrics: d.metrics.Handler, Ready: d.ready,
 		Handlers: d.handlers(),
-		Log:      telemetry.Part(d.log, "entry"), Scope: d.metrics.Scope, Tracer: d.traces.Tracer("entry"),
+		Log:      d.log, Scope: d.metrics.Scope, Tracer: d.traces.Tracer("entry"),
 	})
 }
 
--- a/internal/platform/caller.go
+++ b/internal/platform/caller.go
@@ -99,7 +99,7 @@
 	started := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, c.config.Timeout)
 	defer cancel()
-	ctx, span := c.config.Tracer.Start(ctx, request.name, trace.WithSpanKind(trace.SpanKindClient))
+	ctx, span := c.span(ctx, request.name)
 	defer span.End()
 	var tracker sentTracker
 	result, err := c.exchange(tracker.attach(ctx), request)
@@ -111,6 +111,15 @@
 	return result, nil
 }
 
+// span starts a span for a call that belongs to a trace. Periodic polls and
+// renewals belong to none and would drown the traces of requests.
+func (c *caller) span(ctx context.Context, name string) (context.Context, trace.Span) {
+	if parent := trace.SpanFromContext(ctx); !parent.SpanContext().IsValid() {
+		return ctx, parent
+	}
+	return c.config.Tracer.Start(ctx, name, trace.WithSpanKind(trace.SpanKindClient))
+}
+
 func (c *caller) exchange(ctx context.Context, request call) (answer, error) {
 	r, err := http.NewRequestWithContext(ctx, request.method, request.url, bytes.NewReader(request.body))
 	if err != nil {
@@ -152,7 +161,7 @@
 	if err == nil {
 		outcome = strconv.Itoa(status)
 	}
-	scope := c.config.Scope.Tagged(map[string]string{"call": name})
+	scope := c.config.Scope.Tagged(map[string]string{"call": name, "service": c.config.part})
 	scope.Tagged(map[string]string{"outcome": outcome}).Counter("calls").Inc(1)
 	scope.Histogram("call_duration", c.buckets).RecordDuration(took)
 }
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -55,6 +55,8 @@
 	Logger *zap.Logger
 	Scope  tally.Scope
 	Tracer trace.Tracer
+
+	part string // name of the service in metrics
 }
 
 // withDefaults fills what is not set.
@@ -73,7 +75,7 @@
 		c.Tracer = noop.NewTracerProvider().Tracer("")
 	}
 	c.Logger = c.Logger.Named(part)
-	c.Scope = c.Scope.Tagged(map[string]string{"service": part})
+	c.part = part
 	return c
 }
 
--- a/internal/platform/connection.go
+++ b/internal/platform/connection.go
@@ -8,6 +8,10 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/samphirepath/samphirepath/internal/telemetry"
 )
 
 const (
@@ -20,15 +24,29 @@
 )
 
 // countedConn counts the writes to a connection. The count rises before the
-// write, so an unchanged count on a closed connection proves that nothing was sent.
+// write, so an unchanged count on a closed connection proves that nothing was
+// sent. It also adds the bytes of both directions to the metrics.
 type countedConn struct {
 	net.Conn
-	writes atomic.Int64
+	writes         atomic.Int64
+	sent, received tally.Counter
 }
 
 func (c *countedConn) Write(b []byte) (int, error) {
 	c.writes.Add(1)
-	return c.Conn.Write(b)
+	n, err := c.Conn.Write(b)
+	c.sent.Inc(int64(n))
+	return n, err
+}
+
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.received.Inc(int64(n))
+	return n, err
+}
+
+func newCountedConn(conn net.Conn, c Config) *countedConn {
+	return &countedConn{Conn: conn, sent: telemetry.ControlSent(c.Scope, c.part), received: telemetry.ControlReceived(c.Scope, c.part)}
 }
 
 // newTransport returns a pool of connections with the limits of the config.
@@ -40,7 +58,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &countedConn{Conn: conn}, nil
+			return newCountedConn(conn, c), nil
 		},
 		MaxConnsPerHost:        c.Connections,
 		MaxIdleConnsPerHost:    c.Connections,
--- a/internal/platform/fuzz_test.go
+++ b/internal/platform/fuzz_test.go
@@ -207,7 +207,7 @@
 				_, _ = far.Write(raw)
 			}
 		}()
-		return &countedConn{Conn: near}, nil
+		return newCountedConn(near, Config{}), nil
 	}
 	return client
 }
