Plan on changes of job rows instead of every store commit

Cause: the table version also rises with lease renewals and claims, so the planner ran at every poll although no job row had changed. Ruled out: filtering by prefix in the version; heartbeats need the whole one. Change: the follower counts row changes and signals only these.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -134,7 +134,7 @@
 	since    time.Time // takeover of the current epoch
 	dirty    bool
 	planned  time.Time
-	followed int64 // table version of the last plan
+	followed int64 // changes of the rows that the last plan knew
 	revision int64 // configuration revision of the last plan
 	applying bool
 	plan     planner.Plan
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -18,12 +18,12 @@
 		return
 	}
 	configured := c.cfg.View.Current()
-	version := c.cfg.Follower.Version()
-	changed := c.dirty || version != c.followed || configured.Head.Revision != c.revision
+	rows := c.cfg.Follower.Changes()
+	changed := c.dirty || rows != c.followed || configured.Head.Revision != c.revision
 	if !changed && now.Sub(c.planned) < planAtLeast {
 		return
 	}
-	c.dirty, c.planned, c.followed, c.revision = false, now, version, configured.Head.Revision
+	c.dirty, c.planned, c.followed, c.revision = false, now, rows, configured.Head.Revision
 	c.learnFailures()
 	snapshot := c.snapshot(now, configured)
 	began := time.Now()
--- a/internal/jobs/follower.go
+++ b/internal/jobs/follower.go
@@ -45,6 +45,7 @@
 	rows    map[string]*Row
 	sorted  []*Row // all rows by identifier, nil after a change
 	version int64
+	changes int64 // counts changes of rows
 	reached time.Time
 	changed chan struct{}
 }
@@ -133,10 +134,7 @@
 	for _, stored := range listing.Rows {
 		changed = f.putLocked(stored) || changed
 	}
-	if listing.Version > f.version {
-		f.version = listing.Version
-		changed = true
-	}
+	f.version = max(f.version, listing.Version)
 	f.cfg.Scope.Gauge("rows").Update(float64(len(f.rows)))
 	if changed {
 		f.signalLocked()
@@ -239,7 +237,15 @@
 	return f.reached
 }
 
-// Changed returns a channel that is closed at the next change.
+// Changes returns a number that rises with each change of a row. The version also
+// rises with commits to other rows of the store, such as lease renewals.
+func (f *Follower) Changes() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changes
+}
+
+// Changed returns a channel that is closed at the next change of a row.
 func (f *Follower) Changed() <-chan struct{} {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -248,6 +254,7 @@
 
 func (f *Follower) signalLocked() {
 	f.sorted = nil
+	f.changes++
 	close(f.changed)
 	f.changed = make(chan struct{})
 }
