Leave no job to a keeper that does not know its row

Cause: a daemon that comes up while the store is down is live for its peers and won jobs by the hash, but had no rows and renewed nothing. A stop that began after all tasks had succeeded sent the job back to waiting. Ruled out: marking such a daemon as draining, because it can serve requests. Conclusion: keepers are chosen among daemons that can keep.

--- a/internal/executor/faults_test.go
+++ b/internal/executor/faults_test.go
@@ -172,6 +172,27 @@
 		Expect(b.job("j")()).To(SatisfyAll(inState(api.JobStateRunning), HaveField("Attempt", 1)))
 	})
 
+	// Guards against jobs that are handed to a keeper without rows.
+	It("keeps tasks when a daemon comes up during an outage of the store", func() {
+		c := newCluster(4, "a", "b", "c")
+		a := c.start("a")
+		b := c.start("b")
+		for i := range 6 {
+			c.add(fmt.Sprintf("j%d", i), 2)
+		}
+		Eventually(func() int { return countIn(b, api.JobStateRunning) }).Should(Equal(6))
+		c.store.set(func() { c.store.down = true })
+		a.kill()
+		c.start("c")
+		Consistently(func() (n int) {
+			for i := range 6 {
+				n += c.live(fmt.Sprintf("j%d", i), running)
+			}
+			return n
+		}, 3*taskLease).Should(Equal(12))
+		c.store.set(func() { c.store.down = false })
+	})
+
 	// Guards against work that is lost when a zone leaves and returns.
 	It("checkpoints and stops work when the zone goes out, and resumes it", func() {
 		c := newCluster(3, "a")
--- a/internal/executor/stop.go
+++ b/internal/executor/stop.go
@@ -23,11 +23,17 @@
 	if wantsCheckpoint(job) {
 		e.checkpoint(ctx, job, kept)
 	}
-	if !e.endMembers(ctx, row, kept) {
+	succeeded, ended := e.endMembers(ctx, row, kept)
+	if !ended {
 		return
 	}
 	checkpoint := kept.common()
-	if e.transition(ctx, job, func(j api.Job) (api.Job, error) { return jobs.EndStop(j, checkpoint, time.Now()) }) {
+	if e.transition(ctx, job, func(j api.Job) (api.Job, error) {
+		if succeeded {
+			return jobs.Succeed(j, time.Now())
+		}
+		return jobs.EndStop(j, checkpoint, time.Now())
+	}) {
 		e.cfg.Scope.Counter("stopped").Inc(1)
 		e.cfg.Log.Info("job stopped", zap.String("job", job.ID), zap.String("reason", job.StopReason), zap.Int64("progress_ms", checkpoint.ProgressMs))
 	}
@@ -52,12 +58,13 @@
 	}
 }
 
-// endMembers stops the members until each has ended or certainly lapsed.
-func (e *Executor) endMembers(ctx context.Context, row *jobs.Row, kept *checkpoints) bool {
+// endMembers stops the members until each has ended or certainly lapsed. It
+// returns whether all had succeeded, and whether all have ended.
+func (e *Executor) endMembers(ctx context.Context, row *jobs.Row, kept *checkpoints) (succeeded, all bool) {
 	job := row.Job
 	began := time.Now()
 	lapse := lapse{version: row.Version, wait: e.cfg.TaskLease + e.cfg.MaxClockSkew}
-	ended := map[int]bool{}
+	ended, success := map[int]bool{}, map[int]bool{}
 	for pauseFor := retryPause; ctx.Err() == nil; pauseFor = min(2*pauseFor, maxStopPause) {
 		reports, answered := e.actWorkers(ctx, job, api.Stop)
 		kept.take(reports)
@@ -71,6 +78,7 @@
 			switch {
 			case known:
 				ended[place.Index] = report.State == api.TaskStateEnded
+				success[place.Index] = ended[place.Index] && report.Exit == api.TaskExitSucceeded
 			case answered[place.Worker]:
 				ended[place.Index] = ended[place.Index] || unknownEnded
 			default:
@@ -78,11 +86,11 @@
 			}
 		}
 		if allTrue(ended) {
-			return true
+			return len(success) == len(ended) && allTrue(success), true
 		}
 		wait(ctx, nil, pauseFor)
 	}
-	return false
+	return false, false
 }
 
 func allTrue(values map[int]bool) bool {
--- a/internal/jobs/transitions.go
+++ b/internal/jobs/transitions.go
@@ -157,9 +157,10 @@
 	return len(seen)
 }
 
-// Succeed ends a running job of which all tasks have ended in success.
+// Succeed ends a job of which all tasks have ended in success. A stop that began
+// too late does not undo the success.
 func Succeed(job api.Job, now time.Time) (api.Job, error) {
-	if job.State != api.JobStateRunning {
+	if job.State != api.JobStateRunning && job.State != api.JobStateStopping {
 		return job, wrongState(job, "succeeded")
 	}
 	job.State, job.EndedMs, job.Reason = api.JobStateSucceeded, now.UnixMilli(), ""
--- a/internal/jobs/transitions_test.go
+++ b/internal/jobs/transitions_test.go
@@ -48,7 +48,7 @@
 	Entry("run", "run", map[api.JobState]api.JobState{api.JobStatePlaced: api.JobStateRunning}),
 	Entry("preempt", "preempt", map[api.JobState]api.JobState{api.JobStatePlaced: api.JobStateStopping, api.JobStateRunning: api.JobStateStopping}),
 	Entry("end", "end", map[api.JobState]api.JobState{api.JobStateStopping: api.JobStateWaiting}),
-	Entry("succeed", "succeed", map[api.JobState]api.JobState{api.JobStateRunning: api.JobStateSucceeded}),
+	Entry("succeed", "succeed", map[api.JobState]api.JobState{api.JobStateRunning: api.JobStateSucceeded, api.JobStateStopping: api.JobStateSucceeded}),
 	Entry("refuse", "refuse", map[api.JobState]api.JobState{api.JobStateWaiting: api.JobStateRefused}),
 	Entry("cancel", "cancel", map[api.JobState]api.JobState{api.JobStateWaiting: api.JobStateCancelled, api.JobStatePlaced: api.JobStatePlaced,
 		api.JobStateRunning: api.JobStateRunning, api.JobStateStopping: api.JobStateStopping}),
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -117,13 +118,17 @@
 func (k *Keeper) adopt(now time.Time) {
 	live := k.cfg.Network.LiveVMs(k.cfg.Zone)
 	self := k.cfg.Network.Self().VM
+	announced := map[string]int64{self: math.MaxInt64} // this daemon has the rows that it looks at
+	for _, m := range k.cfg.Network.Members() {
+		announced[m.VM] = m.TableVersion
+	}
 	seen := map[string]bool{}
 	for _, row := range k.cfg.Follower.Rows() {
 		job := row.Job
 		if job.Zone != k.cfg.Zone || job.State != api.JobStatePlaced && job.State != api.JobStateRunning {
 			continue
 		}
-		if Owner(job.ID, live) != self {
+		if Owner(job.ID, informed(live, announced, row.Version)) != self {
 			continue
 		}
 		seen[job.ID] = true
@@ -141,6 +146,19 @@
 	k.cfg.Scope.Gauge("gangs").Update(float64(len(k.gangs)))
 }
 
+// informed returns the VMs that have followed the rows up to a version. A daemon
+// that came up while the table service is down does not know the jobs that it
+// would have to keep.
+func informed(vms []string, announced map[string]int64, version int64) []string {
+	out := make([]string, 0, len(vms))
+	for _, vm := range vms {
+		if announced[vm] >= version {
+			out = append(out, vm)
+		}
+	}
+	return out
+}
+
 // Owner returns which of the VMs keeps a job, by rendezvous hashing. The order of
 // the VMs does not matter.
 func Owner(job string, vms []string) string {
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -64,18 +64,31 @@
 	return out, nil
 }
 
-// loner is a network of one daemon.
-type loner struct{ peers.Network }
+// network holds daemon a and, when announced is not negative, daemon b.
+type network struct {
+	peers.Network
+	announced int64
+}
+
+func (*network) Self() peers.Member { return peers.Member{VM: "a", Zone: "z"} }
+
+func (n *network) Members() []peers.Member {
+	return []peers.Member{{VM: "b", Zone: "z", State: peers.Live, TableVersion: n.announced}}
+}
 
-func (loner) Self() peers.Member      { return peers.Member{VM: "a", Zone: "z"} }
-func (loner) Members() []peers.Member { return nil }
-func (loner) LiveVMs(string) []string { return []string{"a"} }
+func (n *network) LiveVMs(string) []string {
+	if n.announced < 0 {
+		return []string{"a"}
+	}
+	return []string{"a", "b"}
+}
 
 var _ = Describe("Keeper", func() {
 	var (
 		f        *fleet
 		k        *Keeper
 		follower *jobs.Follower
+		net      *network
 		told     map[string]api.TaskReport
 		ctx      = context.Background()
 	)
@@ -102,8 +115,9 @@
 	BeforeEach(func() {
 		f = &fleet{tasks: map[string]map[string]api.TaskReport{}, silent: map[string]bool{}, renews: map[string][][]api.TaskLease{}}
 		follower = jobs.NewFollower(jobs.FollowerConfig{})
+		net = &network{announced: -1}
 		told = map[string]api.TaskReport{}
-		k = New(Config{Zone: "z", Follower: follower, Network: loner{}, Workers: f,
+		k = New(Config{Zone: "z", Follower: follower, Network: net, Workers: f,
 			Address: func(w string) (string, bool) { return w, true }, Planning: func() bool { return true },
 			Local: func(_ string, tasks []api.TaskReport) {
 				for _, t := range tasks {
@@ -184,6 +198,20 @@
 		Expect(told[jobs.TaskID("j", 1, 0)]).To(HaveField("Reason", jobs.ReasonTaskUnknown))
 	})
 
+	// Guards against jobs that nobody renews because their keeper came up during an
+	// outage of the store and has no rows.
+	It("leaves no job to a daemon that has not followed its row", func() {
+		for i := range 10 {
+			gangOf(fmt.Sprintf("j%d", i), "w1")
+		}
+		net.announced = 0
+		round()
+		Expect(k.gangs).To(HaveLen(10))
+		net.announced = 1
+		round()
+		Expect(len(k.gangs)).To(BeNumerically("~", 5, 4))
+	})
+
 	// Guards against renewals that go on after the row says stopping.
 	It("drops a job that is being stopped", func() {
 		gangOf("j", "w1")
