Add the capacity measurement

Cause: docs/CAPACITY.md must be worked out from measured slopes and regenerated by one command. Ruled out: estimates from message sizes alone; a processor profile by package, which has too few samples at 1 to 2 % of a core. Change: test/capacity runs clusters at several sizes of tasks, workers, teams, daemons and changes, and one at the target size, reads /proc and the daemons' metrics, fits lines (gonum) and replaces the marked tables of the page.

--- /dev/null
+++ b/test/capacity/main.go
@@ -0,0 +1,70 @@
+// Command capacity measures what daemons spend on control at several sizes and
+// writes the tables of docs/CAPACITY.md. It starts the daemons and the stand-in
+// as processes and runs for less than ten minutes.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/rotisserie/eris"
+
+	"github.com/samphirepath/samphirepath/test/harness"
+)
+
+type arguments struct {
+	Page   string        `help:"Page whose tables are replaced." default:"docs/CAPACITY.md"`
+	Window time.Duration `help:"Time over which each size is measured." default:"15s"`
+	Settle time.Duration `help:"Time between the last start and the measurement." default:"6s"`
+	Only   string        `help:"Measure only the series with this name and write no page."`
+	Commit string        `help:"Commit that the page names." default:"unknown"`
+}
+
+func main() {
+	var args arguments
+	parser := kong.Parse(&args, kong.Description("Measures the cost of control at several sizes."))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	err := run(ctx, args)
+	_ = harness.RemoveBinaries()
+	parser.FatalIfErrorf(err)
+}
+
+func run(ctx context.Context, args arguments) error {
+	began := time.Now()
+	m := &measurer{window: args.Window, settle: args.Settle}
+	var results []series
+	for _, s := range allSeries() {
+		if args.Only != "" && args.Only != s.name {
+			continue
+		}
+		measured, err := m.series(ctx, s)
+		if err != nil {
+			return err
+		}
+		results = append(results, measured)
+	}
+	if args.Only != "" && args.Only != targetName {
+		fmt.Print(slopeTable(results))
+		return nil
+	}
+	fmt.Println("target size")
+	target, err := m.measure(ctx, targetSize())
+	if err != nil {
+		return eris.Wrap(err, "measure the target size")
+	}
+	tables := tables{
+		Header: fmt.Sprintf("Measured on %s at commit %s, %s per point; the whole run took %s.",
+			began.UTC().Format("2006-01-02 15:04 MST"), args.Commit, args.Window, time.Since(began).Round(time.Second)),
+		Slopes: slopeTable(results), Target: targetTable(target), Channels: channelTable(target), Events: eventTable(target),
+	}
+	fmt.Print(tables.text())
+	if args.Only != "" {
+		return nil
+	}
+	return tables.write(args.Page)
+}
--- /dev/null
+++ b/test/capacity/sizes.go
@@ -0,0 +1,133 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/samphirepath/samphirepath/api"
+	"github.com/samphirepath/samphirepath/internal/standin"
+	"github.com/samphirepath/samphirepath/test/harness"
+)
+
+// size is one point of the measurement.
+type size struct {
+	Zones           int
+	DaemonsPerZone  int
+	WorkersPerZone  int
+	TasksPerZone    int
+	Teams           int
+	ChangesPerMin   float64
+	MeasureFailover bool // also kill a planner and time urgent starts
+}
+
+// series varies one dimension of the base size.
+type series struct {
+	name   string
+	unit   string
+	target float64 // value of the dimension at the target size
+	values []float64
+	apply  func(*size, float64)
+	points []point
+}
+
+const (
+	targetName = "target"
+	// tasksPerJob is the gang size of the load; 4,500 tasks are 450 such gangs.
+	tasksPerJob = 10
+	// acceleratorsPerWorker gives 960 accelerators on 480 workers, a little above the 880 of the target.
+	acceleratorsPerWorker = 2
+	workersPerRack        = 8
+)
+
+func baseSize() size {
+	return size{Zones: 2, DaemonsPerZone: 2, WorkersPerZone: 24, TasksPerZone: 200, Teams: 50}
+}
+
+// targetSize is the size of letter 1 with two daemons a zone; changes of
+// configuration are made five times as often as the target's 560 a day, so that
+// the window holds some.
+func targetSize() size {
+	return size{Zones: 5, DaemonsPerZone: 2, WorkersPerZone: 96, TasksPerZone: 900, Teams: 330, ChangesPerMin: 12, MeasureFailover: true}
+}
+
+func allSeries() []series {
+	return []series{
+		{name: "tasks", unit: "task in the zone", target: 900, values: []float64{50, 200, 450, 900},
+			apply: func(s *size, v float64) { s.TasksPerZone = int(v) }},
+		{name: "workers", unit: "worker in the zone", target: 96, values: []float64{24, 48, 96},
+			apply: func(s *size, v float64) { s.WorkersPerZone = int(v) }},
+		{name: "teams", unit: "team", target: 330, values: []float64{10, 150, 330},
+			apply: func(s *size, v float64) { s.Teams = int(v) }},
+		{name: "peers", unit: "daemon in all zones", target: 10, values: []float64{4, 8, 16},
+			apply: func(s *size, v float64) { s.DaemonsPerZone = int(v) / s.Zones }},
+		{name: "changes", unit: "configuration change a minute", target: 560.0 / 24 / 60, values: []float64{0, 12, 60},
+			apply: func(s *size, v float64) { s.ChangesPerMin = v }},
+	}
+}
+
+func zoneName(i int) string { return fmt.Sprintf("zone-%d", i+1) }
+
+func (s size) options() harness.Options {
+	var zones []harness.Zone
+	for i := range s.Zones {
+		zones = append(zones, harness.Zone{
+			Name: zoneName(i), Region: fmt.Sprintf("region-%d", i%2+1), Daemons: s.DaemonsPerZone,
+			Workers: s.WorkersPerZone, Minions: 2,
+			Worker: standin.WorkerConfig{
+				Rack: zoneName(i) + "-rack", PerRack: workersPerRack,
+				Cores: 64, MemoryMB: 131072, Accelerators: acceleratorsPerWorker,
+			},
+		})
+	}
+	return harness.Options{Zones: zones, Seed: 1}
+}
+
+const (
+	callerToken  = "capacity-token"
+	organisation = "capacity"
+	batchEntry   = "load"
+	urgentEntry  = "urgent"
+)
+
+// catalogue has one organisation with the load and the teams of the size.
+func (s size) catalogue(quota int) api.Catalogue {
+	c := api.Catalogue{
+		Organisations: []api.Organisation{{Name: organisation, TokenSha256: harness.TokenHash(callerToken)}},
+		Teams:         []api.Team{},
+		Classes: []api.Class{
+			{Name: "load", Urgency: api.Batch, Adjacency: api.AdjacencyZone},
+			{Name: "urgent", Urgency: api.Urgent, Adjacency: api.AdjacencyRack},
+		},
+		Entries: []api.Entry{
+			{Name: batchEntry, Kind: api.EntryKindJob, Owner: organisation, Class: "load"},
+			{Name: urgentEntry, Kind: api.EntryKindJob, Owner: organisation, Class: "urgent"},
+		},
+	}
+	for i := range s.Teams {
+		c.Teams = append(c.Teams, api.Team{Name: teamName(i), Organisation: organisation, QuotaAccelerators: quota})
+	}
+	return c
+}
+
+func teamName(i int) string { return fmt.Sprintf("team-%d", i+1) }
+
+// job is the load's n-th gang of a zone. A fifth of the gangs use accelerators,
+// which fills the accelerators of the target.
+func (s size) job(zone string, n int) api.JobSpec {
+	accelerators := 0
+	if n%5 == 0 {
+		accelerators = 1
+	}
+	return api.JobSpec{
+		Key: fmt.Sprintf("%s-%d", zone, n), Name: "load", Entry: batchEntry, Team: teamName(n % s.Teams), Tasks: tasksPerJob,
+		Resources: api.Resources{Cores: 1, MemoryMb: 64, Accelerators: accelerators}, Zones: []string{zone},
+		RunTimeS: 3600, Checkpoint: true, Parameters: map[string]string{standin.ParamRunMs: "3600000"},
+	}
+}
+
+func urgentJob(zone string, n int) api.JobSpec {
+	return api.JobSpec{
+		Key: fmt.Sprintf("urgent-%s-%d", zone, n), Name: "urgent", Entry: urgentEntry, Tasks: 4,
+		Resources: api.Resources{Cores: 1, MemoryMb: 64}, Zones: []string{zone},
+		RunTimeS: 60, Parameters: map[string]string{standin.ParamRunMs: "300"},
+	}
+}
