Give the stand-in rates for the table and slow slots for minions

Cause: the delay of a minion was waited out before a slot was taken, so a slow minion ran as many requests as a quick one; the table service had no limit, while the platform handles several hundred writes and about two thousand reads a second. An answer without a body could not be truncated. Ruled out: a refusal above the rate, because the platform queues. Change: Faults.SlowMs, reads_per_second and writes_per_second of the table, truncation in the header of answers without a body, and a benchmark of Send. Conclusion: capacity can be tried against a table of a given rate.

--- /dev/null
+++ b/internal/platform/bench_test.go
@@ -0,0 +1,36 @@
+package platform_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/samphirepath/samphirepath/internal/platform"
+	"github.com/samphirepath/samphirepath/internal/standin"
+)
+
+// BenchmarkMinionSend measures one request over loopback, client and stand-in together.
+func BenchmarkMinionSend(b *testing.B) {
+	s, err := standin.New(standin.Config{Minions: []standin.MinionConfig{{ID: "m1", Zone: "z1"}}})
+	if err != nil {
+		b.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- s.Run(ctx) }()
+	scope := tally.NewTestScope("", nil)
+	client := platform.NewMinions(platform.Config{Scope: scope})
+	address := s.Addresses().Minions["m1"]
+	b.ReportAllocs()
+	for b.Loop() {
+		if reply := client.Send(ctx, address, request("r1", `{}`)); reply.Status != platform.MinionRan {
+			b.Fatal(reply.Status, reply.Err)
+		}
+	}
+	client.Close()
+	cancel()
+	if err := <-ended; err != nil {
+		b.Fatal(err)
+	}
+}
--- a/internal/platform/minions_test.go
+++ b/internal/platform/minions_test.go
@@ -164,6 +164,19 @@
 		gomega.Expect(mostAtOnce(s.Executions())).To(gomega.BeNumerically("<=", 2))
 	})
 
+	ginkgo.It("waits for the slots of a slow minion", func() {
+		s, address := hostMinion(standin.MinionConfig{Slots: 1})
+		setFaults(s, minionTarget, standin.Faults{SlowMs: 100})
+		client := minionsClient(platform.Config{})
+		started := time.Now()
+		var wg sync.WaitGroup
+		for i := range 2 {
+			wg.Go(func() { client.Send(ctx, address, request(fmt.Sprint(i), `{}`)) })
+		}
+		wg.Wait()
+		gomega.Expect(time.Since(started)).To(gomega.BeNumerically(">=", 200*time.Millisecond))
+	})
+
 	ginkgo.It("is told not run on a connection above the limit of the minion", func() {
 		s, address := hostMinion(standin.MinionConfig{Slots: 2, Connections: 4})
 		client := minionsClient(platform.Config{})
--- a/internal/platform/objects_test.go
+++ b/internal/platform/objects_test.go
@@ -85,6 +85,7 @@
 		ginkgo.Entry("refused connection", standin.Faults{Refuse: true}, beNotSent(), false),
 		ginkgo.Entry("down", standin.Faults{Down: true}, beNotSent(), false),
 		ginkgo.Entry("lost answer", standin.Faults{LoseEvery: 1}, beMaybeSent(), true),
+		ginkgo.Entry("answer cut in its header", standin.Faults{Truncate: true}, beMaybeSent(), true),
 		ginkgo.Entry("slower than the timeout", standin.Faults{DelayMs: 600}, beMaybeSent(), true),
 	)
 
--- a/internal/platform/table_test.go
+++ b/internal/platform/table_test.go
@@ -17,7 +17,7 @@
 )
 
 func hostTable() *standin.Standin {
-	return host(standin.Config{Seed: 7, Table: &standin.Listen{}})
+	return host(standin.Config{Seed: 7, Table: &standin.TableConfig{}})
 }
 
 func tableClient(address string, timeout time.Duration) *platform.TableClient {
@@ -89,6 +89,16 @@
 		gomega.Expect(result.Status).To(gomega.Equal(table.Committed))
 	})
 
+	ginkgo.It("waits for its turn when the table is at its rate", func() {
+		s := host(standin.Config{Table: &standin.TableConfig{WritesPerSecond: 20}})
+		client := tableClient(s.Addresses().Table, 5*time.Second)
+		started := time.Now()
+		for range 5 {
+			gomega.Expect(client.Commit(ctx, nil, oneWrite).Status).To(gomega.Equal(table.Committed))
+		}
+		gomega.Expect(time.Since(started)).To(gomega.BeNumerically(">=", 190*time.Millisecond))
+	})
+
 	// Guards against a false "unavailable" when a pooled connection breaks at the
 	// moment at which it is used again.
 	ginkgo.It("never says unavailable of a commit that took effect while the table comes and goes", func() {
--- a/internal/standin/config.go
+++ b/internal/standin/config.go
@@ -31,9 +31,9 @@
 	Seed  uint64 `toml:"seed" json:"seed"`
 	Admin Listen `toml:"admin" json:"admin"`
 
-	Table   *Listen    `toml:"table" json:"table"`
-	Objects *Listen    `toml:"objects" json:"objects"`
-	VMs     *VMsConfig `toml:"vms" json:"vms"`
+	Table   *TableConfig `toml:"table" json:"table"`
+	Objects *Listen      `toml:"objects" json:"objects"`
+	VMs     *VMsConfig   `toml:"vms" json:"vms"`
 
 	// ObjectsURL is the object store of the workers when this process hosts none.
 	ObjectsURL string         `toml:"objects_url" json:"objects_url"`
@@ -49,6 +49,14 @@
 	Listen string `toml:"listen" json:"listen"`
 }
 
+// TableConfig describes the table service. A rate of 0 has no limit; calls above
+// a rate wait for their turn.
+type TableConfig struct {
+	Listen          string  `toml:"listen" json:"listen"`
+	ReadsPerSecond  float64 `toml:"reads_per_second" json:"reads_per_second"`
+	WritesPerSecond float64 `toml:"writes_per_second" json:"writes_per_second"`
+}
+
 // VMsConfig describes the VM list. Hosted workers and minions are added to it.
 type VMsConfig struct {
 	Listen string       `toml:"listen" json:"listen"`
--- a/internal/standin/endpoint.go
+++ b/internal/standin/endpoint.go
@@ -122,7 +122,8 @@
 	return conn.Close()
 }
 
-// truncate sends the header and half of the body, then closes the connection.
+// truncate sends the header and half of the body, then closes the connection. An
+// answer without a body is cut in its header.
 func truncate(c echo.Context, answer reply) error {
 	conn, _, err := c.Response().Hijack()
 	if err != nil {
@@ -135,7 +136,7 @@
 // writeTruncated announces the whole body but writes only its first half.
 func writeTruncated(conn net.Conn, answer reply) error {
 	status := fmt.Sprintf("HTTP/1.1 %d %s\r\n", answer.status, http.StatusText(answer.status))
-	if _, err := io.WriteString(conn, status); err != nil {
+	if _, err := io.WriteString(conn, status); err != nil || len(answer.body) == 0 {
 		return err
 	}
 	header := answer.header.Clone()
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -16,7 +16,8 @@
 	// Silent keeps every call waiting. Once the switch is turned off, the waiting
 	// calls take effect even if their clients have gone, as in a paused process.
 	Silent bool `json:"silent,omitempty"`
-	// DelayMs holds back each call before it takes effect.
+	// DelayMs holds back each call before it takes effect, which it does even if
+	// its client has gone.
 	DelayMs int64 `json:"delay_ms,omitempty"`
 	// LoseEvery cuts the connection instead of answering each n-th call that
 	// changes something, after it took effect.
@@ -29,6 +30,8 @@
 	// FailStarts makes a worker fail every task that it starts.
 	FailStarts bool `json:"fail_starts,omitempty"`
 
+	// SlowMs makes each request on a minion take longer while it holds its slot.
+	SlowMs int64 `json:"slow_ms,omitempty"`
 	// Fail makes a minion answer every request with 500 after running it.
 	Fail bool `json:"fail,omitempty"`
 	// Leaving makes a minion say that it takes no new work; it still runs what it gets.
--- a/internal/standin/minion.go
+++ b/internal/standin/minion.go
@@ -109,7 +109,7 @@
 	faults := m.faults.get()
 	failed := message.Fail || faults.Fail
 	execution, count := m.begin(r, message.Key, faults.Leaving)
-	m.pause(time.Duration(message.SleepMs) * time.Millisecond)
+	m.pause(time.Duration(message.SleepMs+faults.SlowMs) * time.Millisecond)
 	m.finish(execution, failed)
 	return m.answer(r, MinionAnswer{
 		Minion: m.config.ID, RequestID: execution.RequestID, Echo: message.Echo, Execution: count,
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -106,7 +106,7 @@
 	if s.config.Table == nil {
 		return nil
 	}
-	s.table = newTableService(s.newService(TargetTable))
+	s.table = newTableService(s.newService(TargetTable), *s.config.Table)
 	return s.listen(TargetTable, s.config.Table.Listen, 0, s.table)
 }
 
--- a/internal/standin/table.go
+++ b/internal/standin/table.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 
 	"github.com/labstack/echo/v4"
+	"golang.org/x/time/rate"
 
 	"github.com/samphirepath/samphirepath/api"
 	"github.com/samphirepath/samphirepath/internal/platform"
@@ -32,20 +33,43 @@
 // tableService serves a table in memory.
 type tableService struct {
 	service
-	store *table.Memory
+	store  *table.Memory
+	reads  *rate.Limiter
+	writes *rate.Limiter
 
 	gets, lists, commits, committed, conflicts, readBytes, writtenBytes atomic.Int64
 }
 
-func newTableService(s service) *tableService {
-	return &tableService{service: s, store: table.NewMemory()}
+func newTableService(s service, c TableConfig) *tableService {
+	return &tableService{
+		service: s, store: table.NewMemory(),
+		reads: newLimiter(c.ReadsPerSecond), writes: newLimiter(c.WritesPerSecond),
+	}
+}
+
+// newLimiter allows one call at a time at the rate, so that calls above it queue.
+func newLimiter(perSecond float64) *rate.Limiter {
+	if perSecond <= 0 {
+		return rate.NewLimiter(rate.Inf, 1)
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), 1)
+}
+
+// limited waits for the turn of a call. The wait fails only when the process ends.
+func (t *tableService) limited(limiter *rate.Limiter, e endpoint) endpoint {
+	return func(r *http.Request, body []byte) reply {
+		if err := limiter.Wait(t.life); err != nil {
+			return notRunReply("service is ending")
+		}
+		return e(r, body)
+	}
 }
 
 func (t *tableService) routes() http.Handler {
 	e := echo.New()
-	e.GET(platform.PathRow, t.read(t.row))
-	e.GET(platform.PathRows, t.read(t.rows))
-	e.POST(platform.PathCommit, t.change(t.commit))
+	e.GET(platform.PathRow, t.read(t.limited(t.reads, t.row)))
+	e.GET(platform.PathRows, t.read(t.limited(t.reads, t.rows)))
+	e.POST(platform.PathCommit, t.change(t.limited(t.writes, t.commit)))
 	return e
 }
 
--- a/test/harness/cluster.go
+++ b/test/harness/cluster.go
@@ -37,6 +37,8 @@
 	VMListLag time.Duration
 	// Seed makes the random faults of the stand-in repeatable.
 	Seed uint64
+	// Table has the rates of the table service.
+	Table standin.TableConfig
 	// Proxies puts fault proxies between each daemon and the services of the
 	// platform, and in front of its peers' listener.
 	Proxies bool
@@ -158,7 +160,7 @@
 
 func (c *Cluster) startStandin() error {
 	config := standin.Config{
-		Seed: c.options.Seed, Table: &standin.Listen{}, Objects: &standin.Listen{},
+		Seed: c.options.Seed, Table: &c.options.Table, Objects: &standin.Listen{},
 		VMs: &standin.VMsConfig{Lag: api.Duration(c.options.VMListLag), Initial: c.entryVMs()},
 	}
 	for _, zone := range c.options.Zones {
