Use the usual names for contexts and records in the stand-in

Cause: some fields had figurative names (life, kept, barred). Ruled out: nothing else was considered; behaviour does not change. Change: ctx, cancel, recorded, checkpointed, stoppedEarly. Conclusion: the names follow the rest of the code.

--- a/internal/standin/endpoint.go
+++ b/internal/standin/endpoint.go
@@ -61,12 +61,12 @@
 
 // service binds endpoints to the faults of one service.
 type service struct {
-	life   context.Context // ends with the process
+	ctx    context.Context // ends with the process
 	faults *faultSwitch
 }
 
 // pause waits for a duration unless the process ends first.
-func (s service) pause(d time.Duration) { sleep(s.life, d) }
+func (s service) pause(d time.Duration) { sleep(s.ctx, d) }
 
 // read serves calls that change nothing; their answers are not lost on purpose.
 func (s service) read(e endpoint) echo.HandlerFunc { return s.handler(e, false) }
@@ -85,7 +85,7 @@
 		if err != nil {
 			return send(c, errorReply(http.StatusBadRequest, err))
 		}
-		if !s.faults.hold(s.life) {
+		if !s.faults.hold(s.ctx) {
 			return cut(c)
 		}
 		if s.faults.refuses() {
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -72,17 +72,17 @@
 }
 
 // hold waits out silence and delay. It returns false when the process ends first.
-func (f *faultSwitch) hold(life context.Context) bool {
+func (f *faultSwitch) hold(ctx context.Context) bool {
 	for {
 		f.mu.Lock()
 		faults, changed := f.faults, f.changed
 		f.mu.Unlock()
 		if !faults.Silent {
-			return sleep(life, time.Duration(faults.DelayMs)*time.Millisecond)
+			return sleep(ctx, time.Duration(faults.DelayMs)*time.Millisecond)
 		}
 		select {
 		case <-changed:
-		case <-life.Done():
+		case <-ctx.Done():
 			return false
 		}
 	}
--- a/internal/standin/minion.go
+++ b/internal/standin/minion.go
@@ -15,9 +15,9 @@
 	"github.com/samphirepath/samphirepath/internal/platform"
 )
 
-// keptExecutions is the number of executions that a minion remembers. When it
+// maxExecutions is the number of executions that a minion remembers. When it
 // is reached, the older half is dropped.
-const keptExecutions = 200_000
+const maxExecutions = 200_000
 
 // minionCall is the body that a minion understands; another body is echoed.
 type minionCall struct {
@@ -68,7 +68,7 @@
 	slots  chan struct{}
 
 	mu        sync.Mutex
-	kept      []*Execution
+	recorded  []*Execution
 	byRequest map[string]int
 	byKey     map[string]int
 	total     int64
@@ -134,7 +134,7 @@
 		return true
 	case <-ctx.Done():
 		return false
-	case <-m.life.Done():
+	case <-m.ctx.Done():
 		return false
 	}
 }
@@ -162,19 +162,19 @@
 	if key != "" {
 		m.byKey[key]++
 	}
-	m.kept = append(m.kept, execution)
-	if len(m.kept) >= keptExecutions {
-		m.dropOlder(len(m.kept) / 2)
+	m.recorded = append(m.recorded, execution)
+	if len(m.recorded) >= maxExecutions {
+		m.dropOlder(len(m.recorded) / 2)
 	}
 	return execution, m.byRequest[execution.RequestID]
 }
 
 func (m *minion) dropOlder(n int) {
-	for _, execution := range m.kept[:n] {
+	for _, execution := range m.recorded[:n] {
 		delete(m.byRequest, execution.RequestID)
 		delete(m.byKey, execution.Key)
 	}
-	m.kept = slices.Clone(m.kept[n:])
+	m.recorded = slices.Clone(m.recorded[n:])
 	m.dropped += int64(n)
 }
 
@@ -230,8 +230,8 @@
 func (m *minion) executions() []Execution {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	all := make([]Execution, 0, len(m.kept))
-	for _, execution := range m.kept {
+	all := make([]Execution, 0, len(m.recorded))
+	for _, execution := range m.recorded {
 		all = append(all, *execution)
 	}
 	return all
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -27,8 +27,8 @@
 type Standin struct {
 	config Config
 	logger *zap.Logger
-	life   context.Context
-	end    context.CancelFunc
+	ctx    context.Context
+	cancel context.CancelFunc
 
 	servers  map[string]*server      // by target
 	switches map[string]*faultSwitch // by target
@@ -67,7 +67,7 @@
 		servers: map[string]*server{}, switches: map[string]*faultSwitch{},
 		workers: map[string]*worker{}, minions: map[string]*minion{},
 	}
-	s.life, s.end = context.WithCancel(context.Background())
+	s.ctx, s.cancel = context.WithCancel(context.Background())
 	if err := s.build(); err != nil {
 		s.close()
 		return nil, err
@@ -89,7 +89,7 @@
 func (s *Standin) newService(target string) service {
 	faults := newFaultSwitch(s.config.Seed, uint64(len(s.switches)))
 	s.switches[target] = faults
-	return service{life: s.life, faults: faults}
+	return service{ctx: s.ctx, faults: faults}
 }
 
 func (s *Standin) listen(target, address string, connections int, hosted routed) error {
@@ -233,7 +233,7 @@
 }
 
 func (s *Standin) close() {
-	s.end()
+	s.cancel()
 	for _, server := range s.servers {
 		server.close()
 	}
--- a/internal/standin/table.go
+++ b/internal/standin/table.go
@@ -58,7 +58,7 @@
 // limited waits for the turn of a call. The wait fails only when the process ends.
 func (t *tableService) limited(limiter *rate.Limiter, e endpoint) endpoint {
 	return func(r *http.Request, body []byte) reply {
-		if err := limiter.Wait(t.life); err != nil {
+		if err := limiter.Wait(t.ctx); err != nil {
 			return notRunReply("service is ending")
 		}
 		return e(r, body)
@@ -75,7 +75,7 @@
 
 func (t *tableService) row(r *http.Request, _ []byte) reply {
 	t.gets.Add(1)
-	row, ok, err := t.store.Get(t.life, r.URL.Query().Get(platform.ParamKey))
+	row, ok, err := t.store.Get(t.ctx, r.URL.Query().Get(platform.ParamKey))
 	if err != nil {
 		return notRunReply(err.Error())
 	}
@@ -92,7 +92,7 @@
 	if err != nil {
 		return errorReply(http.StatusBadRequest, err)
 	}
-	listing, err := t.store.List(t.life, query.Get(platform.ParamPrefix), since)
+	listing, err := t.store.List(t.ctx, query.Get(platform.ParamPrefix), since)
 	if err != nil {
 		return notRunReply(err.Error())
 	}
@@ -126,7 +126,7 @@
 	for _, w := range message.Writes {
 		writes = append(writes, table.Write{Key: w.Key, Value: w.Value, Delete: w.Delete})
 	}
-	return t.commitReply(t.store.Commit(t.life, conditions, writes))
+	return t.commitReply(t.store.Commit(t.ctx, conditions, writes))
 }
 
 func (t *tableService) commitReply(result table.CommitResult) reply {
--- a/internal/standin/task.go
+++ b/internal/standin/task.go
@@ -33,19 +33,19 @@
 // state follows from the time alone, so that a paused process, once it
 // continues, ends each task at the moment at which it was due.
 type task struct {
-	spec      api.StartTask
-	state     api.TaskState
-	exit      api.TaskExit
-	reason    string
-	lease     int64
-	total     int64 // run time at full speed
-	progress  int64 // at the time since
-	since     int64 // last time at which the progress was settled
-	throttled bool
-	failsNow  bool
-	stopAt    int64
-	object    string // last checkpoint
-	kept      int64  // progress that the last checkpoint holds
+	spec         api.StartTask
+	state        api.TaskState
+	exit         api.TaskExit
+	reason       string
+	lease        int64
+	total        int64 // run time at full speed
+	progress     int64 // at the time since
+	since        int64 // last time at which the progress was settled
+	throttled    bool
+	failsNow     bool
+	stopAt       int64
+	object       string // last checkpoint
+	checkpointed int64  // progress that the last checkpoint holds
 
 	started, released, ended int64
 }
@@ -54,7 +54,7 @@
 func newTask(spec api.StartTask, workerID string, progress, now int64) *task {
 	t := &task{
 		spec: spec, state: api.TaskStateHeld, lease: spec.LeaseExpiresMs, total: runTime(spec),
-		progress: progress, object: spec.CheckpointObject, kept: progress, stopAt: never, started: now,
+		progress: progress, object: spec.CheckpointObject, checkpointed: progress, stopAt: never, started: now,
 	}
 	fail := spec.Parameters[ParamFail]
 	t.failsNow = fail == "now" || fail == "worker="+workerID
@@ -188,7 +188,7 @@
 	return api.TaskReport{
 		TaskID: t.spec.TaskID, State: t.state, Exit: t.exit, Reason: t.reason,
 		Accelerators: slices.Clone(t.spec.Accelerators), LeaseExpiresMs: t.lease,
-		CheckpointObject: t.object, ProgressMs: t.kept,
+		CheckpointObject: t.object, ProgressMs: t.checkpointed,
 	}
 }
 
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -31,16 +31,16 @@
 	objects platform.Objects
 	now     func() time.Time
 
-	mu       sync.Mutex
-	instance string
-	live     map[string]*task
-	ended    map[string]*task
-	order    []*task          // ended attempts by the time at which they were seen to end
-	resumed  map[string]int64 // progress with which an attempt began
-	barred   map[string]bool  // attempts stopped before their start arrived
-	past     []TaskHistory    // attempts of earlier instances
-	usage    usage
-	objectNo int
+	mu           sync.Mutex
+	instance     string
+	live         map[string]*task
+	ended        map[string]*task
+	order        []*task          // ended attempts by the time at which they were seen to end
+	resumed      map[string]int64 // progress with which an attempt began
+	stoppedEarly map[string]bool  // attempts stopped before their start arrived
+	past         []TaskHistory    // attempts of earlier instances
+	usage        usage
+	objectNo     int
 }
 
 // usage is what tasks used at a time.
@@ -60,7 +60,7 @@
 func (w *worker) reset() {
 	w.instance = uuid.NewString()
 	w.live, w.ended, w.order = map[string]*task{}, map[string]*task{}, nil
-	w.resumed, w.barred = map[string]int64{}, map[string]bool{}
+	w.resumed, w.stoppedEarly = map[string]int64{}, map[string]bool{}
 }
 
 // advance ends what is due and returns the time. It needs the lock.
@@ -168,7 +168,7 @@
 }
 
 func (w *worker) knownLocked(id string) *api.StartReply {
-	if w.barred[id] {
+	if w.stoppedEarly[id] {
 		reply := refuseStart(api.StartTask{TaskID: id}, "attempt was stopped before its start arrived")
 		return &reply
 	}
@@ -248,7 +248,7 @@
 	t := w.live[id]
 	if t == nil {
 		if action == api.Stop && w.ended[id] == nil {
-			w.barred[id] = true
+			w.stoppedEarly[id] = true
 		}
 		return
 	}
--- a/internal/standin/worker_http.go
+++ b/internal/standin/worker_http.go
@@ -33,7 +33,7 @@
 	if spec.TaskID == "" {
 		return errorReply(http.StatusBadRequest, eris.New("start without a task identifier"))
 	}
-	return jsonReply(http.StatusOK, w.start(w.life, spec))
+	return jsonReply(http.StatusOK, w.start(w.ctx, spec))
 }
 
 func (w *worker) serveRenew(_ *http.Request, body []byte) reply {
@@ -52,7 +52,7 @@
 	if !action.Action.Valid() {
 		return errorReply(http.StatusBadRequest, eris.Errorf("action %q is not known", action.Action))
 	}
-	return jsonReply(http.StatusOK, api.TaskReports{Tasks: w.act(w.life, action)})
+	return jsonReply(http.StatusOK, api.TaskReports{Tasks: w.act(w.ctx, action)})
 }
 
 // checkpoint writes an object for each running task among ids. A task whose
@@ -112,6 +112,6 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if t := w.find(c.TaskID); t != nil {
-		t.object, t.kept = c.key, c.ProgressMs
+		t.object, t.checkpointed = c.key, c.ProgressMs
 	}
 }
