--- a/internal/standin/endpoint.go
+++ b/internal/standin/endpoint.go
@@ -61,12 +61,12 @@
 
 // service binds endpoints to the faults of one service.
 type service struct {
-	life   context.Context // ends with the process
+	ctx    context.Context // ends with the process
 	faults *faultSwitch
 }
 
 // pause waits for a duration unless the process ends first.
-func (s service) pause(d time.Duration) { sleep(s.life, d) }
+func (s service) pause(d time.Duration) { sleep(s.ctx, d) }
 
 // read serves calls that change nothing; their answers are not lost on purpose.
 func (s service) read(e endpoint) echo.HandlerFunc { return s.handler(e, false) }
@@ -85,7 +85,7 @@
 		if err != nil {
 			return send(c, errorReply(http.StatusBadRequest, err))
 		}
-		if !s.faults.hold(s.life) {
+		if !s.faults.hold(s.ctx) {
 			return cut(c)
 		}
 		if s.faults.refuses() {
@@ -122,7 +122,8 @@
 	return conn.Close()
 }
 
-// truncate sends the header and half of the body, then closes the connection.
+// truncate sends the header and half of the body, then closes the connection. An
+// answer without a body is cut in its header.
 func truncate(c echo.Context, answer reply) error {
 	conn, _, err := c.Response().Hijack()
 	if err != nil {
@@ -135,7 +136,7 @@
 // writeTruncated announces the whole body but writes only its first half.
 func writeTruncated(conn net.Conn, answer reply) error {
 	status := fmt.Sprintf("HTTP/1.1 %d %s\r\n", answer.status, http.StatusText(answer.status))
-	if _, err := io.WriteString(conn, status); err != nil {
+	if _, err := io.WriteString(conn, status); err != nil || len(answer.body) == 0 {
 		return err
 	}
 	header := answer.header.Clone()
--- a/internal/standin/table.go
+++ b/internal/standin/table.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 
 	"github.com/labstack/echo/v4"
+	"golang.org/x/time/rate"
 
 	"github.com/samphirepath/samphirepath/api"
 	"github.com/samphirepath/samphirepath/internal/platform"
@@ -32,26 +33,49 @@
 // tableService serves a table in memory.
 type tableService struct {
 	service
-	store *table.Memory
+	store  *table.Memory
+	reads  *rate.Limiter
+	writes *rate.Limiter
 
 	gets, lists, commits, committed, conflicts, readBytes, writtenBytes atomic.Int64
 }
 
-func newTableService(s service) *tableService {
-	return &tableService{service: s, store: table.NewMemory()}
+func newTableService(s service, c TableConfig) *tableService {
+	return &tableService{
+		service: s, store: table.NewMemory(),
+		reads: newLimiter(c.ReadsPerSecond), writes: newLimiter(c.WritesPerSecond),
+	}
+}
+
+// newLimiter allows one call at a time at the rate, so that calls above it queue.
+func newLimiter(perSecond float64) *rate.Limiter {
+	if perSecond <= 0 {
+		return rate.NewLimiter(rate.Inf, 1)
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), 1)
+}
+
+// limited waits for the turn of a call. The wait fails only when the process ends.
+func (t *tableService) limited(limiter *rate.Limiter, e endpoint) endpoint {
+	return func(r *http.Request, body []byte) reply {
+		if err := limiter.Wait(t.ctx); err != nil {
+			return notRunReply("service is ending")
+		}
+		return e(r, body)
+	}
 }
 
 func (t *tableService) routes() http.Handler {
 	e := echo.New()
-	e.GET(platform.PathRow, t.read(t.row))
-	e.GET(platform.PathRows, t.read(t.rows))
-	e.POST(platform.PathCommit, t.change(t.commit))
+	e.GET(platform.PathRow, t.read(t.limited(t.reads, t.row)))
+	e.GET(platform.PathRows, t.read(t.limited(t.reads, t.rows)))
+	e.POST(platform.PathCommit, t.change(t.limited(t.writes, t.commit)))
 	return e
 }
 
 func (t *tableService) row(r *http.Request, _ []byte) reply {
 	t.gets.Add(1)
-	row, ok, err := t.store.Get(t.life, r.URL.Query().Get(platform.ParamKey))
+	row, ok, err := t.store.Get(t.ctx, r.URL.Query().Get(platform.ParamKey))
 	if err != nil {
 		return notRunReply(err.Error())
 	}
@@ -68,7 +92,7 @@
 	if err != nil {
 		return errorReply(http.StatusBadRequest, err)
 	}
-	listing, err := t.store.List(t.life, query.Get(platform.ParamPrefix), since)
+	listing, err := t.store.List(t.ctx, query.Get(platform.ParamPrefix), since)
 	if err != nil {
 		return notRunReply(err.Error())
 	}
@@ -102,7 +126,7 @@
 	for _, w := range message.Writes {
 		writes = append(writes, table.Write{Key: w.Key, Value: w.Value, Delete: w.Delete})
 	}
-	return t.commitReply(t.store.Commit(t.life, conditions, writes))
+	return t.commitReply(t.store.Commit(t.ctx, conditions, writes))
 }
 
 func (t *tableService) commitReply(result table.CommitResult) reply {
