Answer forwards in time and try all places of a request

A request that had failed on all own minions waited for one of the others until its deadline; a peer answered at its deadline, when the entry daemon had given up; and a retry could begin a pause that ended after the deadline. Ruled out: a longer deadline in the test. Change: excluded minions are used again when no other is in service, forwards keep 10 ms back for the way, a retry that cannot start in time is not begun, and a request that a peer declined goes elsewhere without a pause. Conclusion: refusals arrive as not_run before the deadline.

--- a/internal/router/claimed.go
+++ b/internal/router/claimed.go
@@ -83,7 +83,7 @@
 			c.answer <- reply // the caller sends it elsewhere or releases the claim
 			return
 		}
-		r.releaseClaim(ctx, c.held)
+		r.releaseClaim(ctx, c.held, releaseWait)
 		return
 	}
 	c.store(ctx, reply)
@@ -183,13 +183,14 @@
 // releaseUnsent releases the claim of a request that ended before it was sent.
 func (r *Router) releaseUnsent(ctx context.Context, j *job) {
 	if j.held != nil {
-		r.releaseClaim(ctx, *j.held)
+		r.releaseClaim(ctx, *j.held, time.Until(j.Deadline)/2)
 	}
 }
 
-// releaseClaim goes on when ctx has ended, because the key stays blocked otherwise.
-func (r *Router) releaseClaim(ctx context.Context, held claim.Held) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseWait)
+// releaseClaim goes on when ctx has ended, because the key stays blocked
+// otherwise. After the wait the claim is released in the background.
+func (r *Router) releaseClaim(ctx context.Context, held claim.Held, wait time.Duration) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), min(wait, releaseWait))
 	defer cancel()
 	if err := r.config.Claims.Release(ctx, held); err != nil {
 		r.log.Warn("claim is not released yet", zap.Error(err))
--- a/internal/router/credits.go
+++ b/internal/router/credits.go
@@ -55,6 +55,9 @@
 // With anyway set, a peer without free slots is returned rather than none, and
 // the request waits in its queue.
 func (p *pool) peerFor(w *waiter, now time.Time, anyway bool) string {
+	if !w.mayForward {
+		return ""
+	}
 	configuration, zone := p.view.Current(), p.network.Self().Zone
 	best, bestLeft, bestOwn, ties := "", 0, false, 0
 	for _, m := range p.network.Members() {
--- a/internal/router/forward.go
+++ b/internal/router/forward.go
@@ -18,6 +18,15 @@
 // the message has no field for it.
 const keyReusedStatus = 409
 
+// hopAllowance is the time kept back from a forward for the way to the peer and
+// back, so that a refusal at the deadline of the peer still arrives.
+const hopAllowance = 10 * time.Millisecond
+
+// forwardedTime returns the time that a peer may take out of the time left.
+func forwardedTime(left time.Duration) time.Duration {
+	return left - min(hopAllowance, left/10)
+}
+
 // forward sends a request to a peer that dispatches it on its own minions.
 func (r *Router) forward(ctx context.Context, j *job, vm string) step {
 	ctx, span := r.tracer.Start(ctx, "peer", trace.WithAttributes(attribute.String("peer", vm)))
@@ -27,7 +36,7 @@
 		Traceparent: traceparent(ctx),
 		RequestForward: &api.PeerRequestForward{
 			RequestID: j.ID, Organisation: j.Organisation, Request: j.Submit, Urgency: j.Urgency,
-			RemainingMs: time.Until(j.Deadline).Milliseconds(),
+			RemainingMs: forwardedTime(time.Until(j.Deadline)).Milliseconds(),
 			BodyLength:  int64(len(j.Submit.Body)), BodyChecksum: xxhash.Sum64(j.Submit.Body),
 		},
 	})
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -122,28 +123,31 @@
 // place returns a free minion of this daemon, or else a peer with free slots.
 // A daemon that has no minion in service relies on the queues of its peers.
 func (p *pool) place(w *waiter, now time.Time) (grant, bool) {
-	if m := p.freeMinion(w, now); m != nil {
-		m.busy++
-		return grant{minion: m}, true
+	m := p.freeMinion(w, now)
+	if m == nil || w.job.excludesMinion(m.vm.ID) {
+		if vm := p.peerFor(w, now, p.capacity() == 0); vm != "" {
+			p.credits.spend(vm)
+			return grant{peer: vm}, true
+		}
 	}
-	if !w.mayForward {
+	if m == nil {
 		return grant{}, false
 	}
-	if vm := p.peerFor(w, now, p.capacity() == 0); vm != "" {
-		p.credits.spend(vm)
-		return grant{peer: vm}, true
-	}
-	return grant{}, false
+	m.busy++
+	return grant{minion: m}, true
 }
 
 // freeMinion returns the usable minion with the fewest requests; ties are broken
-// at random, so that daemons that start together spread their requests.
+// at random, so that daemons that start together spread their requests. Minions
+// that failed the request are used again only when no other is in service: a
+// request that excludes all minions would wait until its deadline.
 func (p *pool) freeMinion(w *waiter, now time.Time) *minion {
 	var best *minion
 	ties := 0
+	all := w.job.excludesNothing() || !p.othersServe(w.job)
 	for _, m := range p.owned {
 		switch {
-		case !m.usable(now, p.slots) || w.job.excludesMinion(m.vm.ID):
+		case !m.usable(now, p.slots) || !all && w.job.excludesMinion(m.vm.ID):
 		case best == nil || m.busy < best.busy:
 			best, ties = m, 1
 		case m.busy == best.busy:
@@ -155,6 +159,11 @@
 	return best
 }
 
+// othersServe tells whether a minion that the request does not exclude is in service.
+func (p *pool) othersServe(j *job) bool {
+	return slices.ContainsFunc(p.owned, func(m *minion) bool { return m.serving() && !j.excludesMinion(m.vm.ID) })
+}
+
 // admit decides whether a request that found no place may wait.
 func (p *pool) admit(w *waiter, now time.Time) *refusal {
 	if len(p.owned) == 0 || p.capacity() == 0 && !w.mayForward {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -28,6 +28,8 @@
 	tickEvery = 25 * time.Millisecond
 	// drainPoll is the interval at which Drain looks for requests in flight.
 	drainPoll = 5 * time.Millisecond
+	// longestPause bounds the wait before a retry.
+	longestPause = 100 * time.Millisecond
 	// defaultEjection is the first time for which a failing minion gets no requests.
 	defaultEjection = time.Second
 	// longestEjection bounds the back-off of a minion that keeps failing.
@@ -115,11 +117,12 @@
 		config.Ejection = defaultEjection
 	}
 	r := &Router{
-		log:    config.Log.Named("router"),
-		scope:  config.Scope.SubScope("router"),
-		tracer: config.Tracer,
-		config: config,
-		budget: retry.NewBudget(retry.BudgetConfig{Percent: config.Limits.RetryBudgetPercent}),
+		log:     config.Log.Named("router"),
+		scope:   config.Scope.SubScope("router"),
+		tracer:  config.Tracer,
+		config:  config,
+		backoff: retry.Backoff{Max: longestPause},
+		budget:  retry.NewBudget(retry.BudgetConfig{Percent: config.Limits.RetryBudgetPercent}),
 	}
 	r.pool = newPool(config, r.log, r.scope)
 	config.Network.Handle(peers.KindRequestForward, r.serveForward)
--- a/internal/router/submit.go
+++ b/internal/router/submit.go
@@ -27,6 +27,7 @@
 	elsewhere  bool            // a peer may have claimed it
 	held       *claim.Held     // claim made by this daemon and not dispatched
 	last       *Reply          // what to answer when no further attempt gets a place
+	declined   *Reply          // what the last peer that took nothing said
 }
 
 func (j *job) excludesMinion(id string) bool { return j.minions[id] }
@@ -62,22 +63,41 @@
 	j.minions, j.peers = map[string]bool{}, map[string]bool{}
 	ctx, cancel := context.WithDeadline(ctx, j.Deadline)
 	defer cancel()
-	defer func() { r.releaseUnsent(ctx, j) }()
+	defer r.releaseUnsent(ctx, j)
 	for try := 1; ; try++ {
 		s := r.attempt(ctx, j)
+		reply := s.reply
 		if !s.retry || ctx.Err() != nil || !r.mayRetry(j, s) {
-			return r.finish(j, s.reply)
+			return r.finish(j, reply)
 		}
-		reply := s.reply
-		if !s.free {
-			j.last = &reply
+		if s.free {
+			j.declined = &reply
+			continue // the next try goes elsewhere
 		}
-		if err := r.backoff.Wait(ctx, try); err != nil {
+		j.last = &reply
+		if !r.pause(ctx, j, try) {
 			return r.finish(j, reply)
 		}
 	}
 }
 
+// pause waits before a retry. It returns false at once when the deadline would
+// come first, so that a peer that waits for the answer still gets it.
+func (r *Router) pause(ctx context.Context, j *job, try int) bool {
+	delay := r.backoff.Delay(try)
+	if time.Until(j.Deadline) <= delay {
+		return false
+	}
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // mayRetry charges the retry. Requests that a peer forwarded are retried by the
 // daemon that received them, so that the budgets of two hops do not multiply.
 func (r *Router) mayRetry(j *job, s step) bool {
@@ -125,6 +145,8 @@
 		return *j.last
 	case j.elsewhere:
 		return unknown(j, "a peer may have dispatched the request; "+why.reason)
+	case j.declined != nil && why.kind == Unavailable:
+		return *j.declined // says more than that no other place is left
 	default:
 		return refuse(j, why.kind, why.reason, why.retryAfter)
 	}
