--- a/internal/router/claimed.go
+++ b/internal/router/claimed.go
@@ -15,7 +15,10 @@
 
 const (
 	// claimWait bounds the time for a claim, because its slot is idle meanwhile.
-	claimWait = 2 * time.Second
+	claimWait = time.Second
+	// slowClaim is the time after which a claim that failed counts against the
+	// table service even if its request ran out of time.
+	slowClaim = 300 * time.Millisecond
 	// storeResultWait is the time for which an answer waits until its result is
 	// stored; after that it is passed on and stored in the background.
 	storeResultWait = 250 * time.Millisecond
@@ -42,6 +45,7 @@
 	j.held = nil
 	call := &claimedCall{router: r, job: *j, held: held, minion: m, answer: make(chan platform.MinionReply, 1)}
 	r.flights.extend()
+	sent := time.Now()
 	go call.run(context.WithoutCancel(ctx))
 	select {
 	case reply := <-call.answer:
@@ -51,6 +55,8 @@
 	if !call.taken.CompareAndSwap(false, true) {
 		return r.judgeClaimed(j, m, <-call.answer, held)
 	}
+	r.pool.markLate(m, 1)
+	r.pool.markHanging(m, j.Submit.Entry, time.Since(sent))
 	j.attempts++
 	return step{reply: unknown(j, "no answer by the deadline; a late answer is kept and can be fetched by key")}
 }
@@ -83,13 +89,16 @@
 			c.answer <- reply // the caller sends it elsewhere or releases the claim
 			return
 		}
+		r.pool.markLate(c.minion, -1)
 		r.releaseClaim(ctx, c.held, releaseWait)
 		return
 	}
 	c.store(ctx, reply)
 	if c.taken.CompareAndSwap(false, true) {
 		c.answer <- reply
+		return
 	}
+	r.pool.markLate(c.minion, -1)
 }
 
 // store keeps the result under the claim. It takes at most half of the time that
@@ -119,7 +128,7 @@
 	started := time.Now()
 	out := r.config.Claims.Claim(claimCtx, claim.Request{Organisation: j.Organisation, Key: j.Submit.Key, BodyHash: bodyHash(j.Submit)})
 	r.scope.Timer("claim_time").Record(time.Since(started))
-	r.reportStore(ctx, out)
+	r.reportStore(ctx, out, time.Since(started))
 	switch out.Status {
 	case claim.Acquired:
 		j.held = &out.Held
@@ -138,12 +147,12 @@
 	return step{reply: r.replyOfRow(j, out.Row, out.Err)}, false
 }
 
-// reportStore tells the gate whether the table service answered. A claim cut
-// short by its caller tells nothing.
-func (r *Router) reportStore(ctx context.Context, out claim.Outcome) {
+// reportStore tells the gate whether the table service answered. A claim that
+// was soon cut short by its caller tells nothing.
+func (r *Router) reportStore(ctx context.Context, out claim.Outcome, took time.Duration) {
 	if out.Status != claim.NotAcquired {
 		r.gate.report(true, time.Now())
-	} else if ctx.Err() == nil {
+	} else if ctx.Err() == nil || took >= slowClaim {
 		r.gate.report(false, time.Now())
 	}
 }
--- a/internal/router/health.go
+++ b/internal/router/health.go
@@ -36,6 +36,7 @@
 	listed  bool   // named by the newest VM list
 	leaving bool   // final for the instance
 	busy    int
+	late    int // of these, claimed requests whose caller no longer waits
 	score   float64
 	strikes int       // ejections without a good answer in between
 	until   time.Time // no requests before; afterwards one at a time until a good answer
--- a/internal/router/measure_test.go
+++ b/internal/router/measure_test.go
@@ -120,15 +120,22 @@
 	g.Expect(share).To(BeNumerically(">=", 95))
 }
 
-// Guards against retry storms when many minions fail.
+// Guards against retry storms when many minions fail at once, fail slowly or
+// cannot be reached.
 func TestMeasureRetryAmplification(t *testing.T) {
+	for mode, service := range map[string]time.Duration{"fails": time.Millisecond, "broken": measureService, "unreachable": 0} {
+		t.Run(mode, func(t *testing.T) { measureAmplification(t, mode, service) })
+	}
+}
+
+func measureAmplification(t *testing.T, mode string, service time.Duration) {
 	g := NewWithT(t)
 	c := measureCluster()
 	defer c.close()
 	for i := range measureMinions / 4 {
 		m := c.minions[fmt.Sprint("m", i)]
 		m.mu.Lock()
-		m.mode, m.service = "fails", time.Millisecond
+		m.mode, m.service = mode, service
 		m.mu.Unlock()
 	}
 	m := c.drive(load{rate: measureCapacity / 2, duration: 3 * time.Second, deadline: 400 * time.Millisecond})
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -199,7 +199,7 @@
 	n := 0
 	for _, m := range p.owned {
 		if m.serving() {
-			n += p.slots
+			n += p.slots - m.late
 		}
 	}
 	return n
@@ -243,6 +243,26 @@
 	return serving < len(p.owned)/leastServing
 }
 
+// markLate records that a claimed request has passed its deadline and keeps its
+// slot, or, with a negative change, that its answer has come. Waiting requests
+// cannot count on that slot.
+func (p *pool) markLate(m *minion, change int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m.late += change
+}
+
+// markHanging counts a request that took much too long as a failure, without
+// waiting for the end of its connection.
+func (p *pool) markHanging(m *minion, entry string, took time.Duration) {
+	if !p.hangs(entry, took) {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m.observe(failing, "no answer by the deadline", time.Now(), p.fewServe(), p.pauses)
+}
+
 // markLeaving takes a minion out for good because it said that it leaves.
 func (p *pool) markLeaving(m *minion) {
 	p.mu.Lock()
