Keep slots for urgent requests while there are some

Ruled out: a fixed reserve, which wastes slots when nothing is urgent. Change: as many slots as urgent requests used together lately, at most an eighth, are left free by other requests; the reserve halves in ten seconds.

--- a/internal/router/claimed.go
+++ b/internal/router/claimed.go
@@ -33,12 +33,12 @@
 func (r *Router) dispatchClaimed(ctx context.Context, j *job, m *minion) step {
 	if j.held == nil {
 		if s, acquired := r.claim(ctx, j); !acquired {
-			r.pool.release(m, j.Submit.Entry, noObservation, "", 0)
+			r.pool.release(m, j, noObservation, "", 0)
 			return s
 		}
 	}
 	if ctx.Err() != nil {
-		r.pool.release(m, j.Submit.Entry, noObservation, "", 0)
+		r.pool.release(m, j, noObservation, "", 0)
 		return step{reply: r.refused(j, &refusal{Overloaded, "the deadline came before the request was sent", leastRetryAfter})}
 	}
 	held := *j.held
--- a/internal/router/dispatch.go
+++ b/internal/router/dispatch.go
@@ -43,7 +43,7 @@
 	if seen == failing && ctx.Err() != nil && !r.pool.hangs(j.Submit.Entry, took) {
 		seen = cutOff
 	}
-	r.pool.release(m, j.Submit.Entry, seen, describe(reply), took)
+	r.pool.release(m, j, seen, describe(reply), took)
 	span.SetAttributes(attribute.Int("status", reply.Code))
 	return reply
 }
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -64,6 +64,7 @@
 	queue    *queue
 	estimate *estimator
 	credits  credits
+	reserve  reserve
 }
 
 func newPool(config Config, log *zap.Logger, scope tally.Scope) *pool {
@@ -133,8 +134,16 @@
 	if m == nil {
 		return grant{}, false
 	}
+	return p.take(m, w), true
+}
+
+// take gives a slot of the minion to the waiter.
+func (p *pool) take(m *minion, w *waiter) grant {
 	m.busy++
-	return grant{minion: m}, true
+	if w.rank == 0 {
+		p.reserve.add()
+	}
+	return grant{minion: m}
 }
 
 // freeMinion returns the usable minion with the fewest requests; ties are broken
@@ -142,6 +151,9 @@
 // that failed the request are used again only when no other is in service: a
 // request that excludes all minions would wait until its deadline.
 func (p *pool) freeMinion(w *waiter, now time.Time) *minion {
+	if kept := p.reserve.kept(p.capacity()); w.rank > 0 && kept > 0 && p.unused(now) <= kept {
+		return nil
+	}
 	var best *minion
 	ties := 0
 	all := w.job.excludesNothing() || !p.othersServe(w.job)
@@ -206,15 +218,18 @@
 }
 
 // release gives a place on a minion back with what was learnt about it.
-func (p *pool) release(m *minion, entry string, o observation, reason string, took time.Duration) {
+func (p *pool) release(m *minion, j *job, o observation, reason string, took time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	m.busy--
+	if rank(j.Urgency) == 0 {
+		p.reserve.busy--
+	}
 	switch o {
 	case answered:
-		p.estimate.observe(entry, took)
+		p.estimate.observe(j.Submit.Entry, took)
 	case cutOff:
-		p.estimate.observeCut(entry, took)
+		p.estimate.observeCut(j.Submit.Entry, took)
 	}
 	before := m.status()
 	m.observe(o, reason, time.Now(), p.fewServe(), p.pauses)
@@ -287,9 +302,8 @@
 				max(p.estimate.wait(p.queue.ahead(w.rank), p.capacity()), leastRetryAfter)}})
 			continue
 		}
-		m.busy++
 		p.queue.served(w.rank)
-		p.answer(w, grant{minion: m})
+		p.answer(w, p.take(m, w))
 	}
 }
 
@@ -305,6 +319,7 @@
 	defer p.mu.Unlock()
 	now := time.Now()
 	p.own()
+	p.reserve.decay()
 	p.pump(now)
 	p.offerToPeers(now)
 	p.free.Store(int64(p.countFree(now)))
@@ -331,13 +346,18 @@
 }
 
 func (p *pool) countFree(now time.Time) int {
+	return max(0, p.unused(now)-p.reserve.kept(p.capacity())-p.queue.total)
+}
+
+// unused returns the slots of the own minions in service that hold no request.
+func (p *pool) unused(now time.Time) int {
 	free := 0
 	for _, m := range p.owned {
 		if m.serving() && m.usable(now, p.slots) {
 			free += p.slots - m.busy
 		}
 	}
-	return max(0, free-p.queue.total)
+	return free
 }
 
 func zoneIsOut(c api.Configuration, zone string) bool {
