--- a/internal/router/claimed.go
+++ b/internal/router/claimed.go
@@ -15,7 +15,10 @@
 
 const (
 	// claimWait bounds the time for a claim, because its slot is idle meanwhile.
-	claimWait = 2 * time.Second
+	claimWait = time.Second
+	// slowClaim is the time after which a claim that failed counts against the
+	// table service even if its request ran out of time.
+	slowClaim = 300 * time.Millisecond
 	// storeResultWait is the time for which an answer waits until its result is
 	// stored; after that it is passed on and stored in the background.
 	storeResultWait = 250 * time.Millisecond
@@ -30,18 +33,19 @@
 func (r *Router) dispatchClaimed(ctx context.Context, j *job, m *minion) step {
 	if j.held == nil {
 		if s, acquired := r.claim(ctx, j); !acquired {
-			r.pool.release(m, j.Submit.Entry, noObservation, "", 0)
+			r.pool.release(m, j, noObservation, "", 0)
 			return s
 		}
 	}
 	if ctx.Err() != nil {
-		r.pool.release(m, j.Submit.Entry, noObservation, "", 0)
+		r.pool.release(m, j, noObservation, "", 0)
 		return step{reply: r.refused(j, &refusal{Overloaded, "the deadline came before the request was sent", leastRetryAfter})}
 	}
 	held := *j.held
 	j.held = nil
 	call := &claimedCall{router: r, job: *j, held: held, minion: m, answer: make(chan platform.MinionReply, 1)}
 	r.flights.extend()
+	sent := time.Now()
 	go call.run(context.WithoutCancel(ctx))
 	select {
 	case reply := <-call.answer:
@@ -51,6 +55,8 @@
 	if !call.taken.CompareAndSwap(false, true) {
 		return r.judgeClaimed(j, m, <-call.answer, held)
 	}
+	r.pool.markLate(m, 1)
+	r.pool.markHanging(m, j.Submit.Entry, time.Since(sent))
 	j.attempts++
 	return step{reply: unknown(j, "no answer by the deadline; a late answer is kept and can be fetched by key")}
 }
@@ -83,13 +89,16 @@
 			c.answer <- reply // the caller sends it elsewhere or releases the claim
 			return
 		}
-		r.releaseClaim(ctx, c.held)
+		r.pool.markLate(c.minion, -1)
+		r.releaseClaim(ctx, c.held, releaseWait)
 		return
 	}
 	c.store(ctx, reply)
 	if c.taken.CompareAndSwap(false, true) {
 		c.answer <- reply
+		return
 	}
+	r.pool.markLate(c.minion, -1)
 }
 
 // store keeps the result under the claim. It takes at most half of the time that
@@ -119,7 +128,7 @@
 	started := time.Now()
 	out := r.config.Claims.Claim(claimCtx, claim.Request{Organisation: j.Organisation, Key: j.Submit.Key, BodyHash: bodyHash(j.Submit)})
 	r.scope.Timer("claim_time").Record(time.Since(started))
-	r.reportStore(ctx, out)
+	r.reportStore(ctx, out, time.Since(started))
 	switch out.Status {
 	case claim.Acquired:
 		j.held = &out.Held
@@ -138,12 +147,12 @@
 	return step{reply: r.replyOfRow(j, out.Row, out.Err)}, false
 }
 
-// reportStore tells the gate whether the table service answered. A claim cut
-// short by its caller tells nothing.
-func (r *Router) reportStore(ctx context.Context, out claim.Outcome) {
+// reportStore tells the gate whether the table service answered. A claim that
+// was soon cut short by its caller tells nothing.
+func (r *Router) reportStore(ctx context.Context, out claim.Outcome, took time.Duration) {
 	if out.Status != claim.NotAcquired {
 		r.gate.report(true, time.Now())
-	} else if ctx.Err() == nil {
+	} else if ctx.Err() == nil || took >= slowClaim {
 		r.gate.report(false, time.Now())
 	}
 }
@@ -183,13 +192,14 @@
 // releaseUnsent releases the claim of a request that ended before it was sent.
 func (r *Router) releaseUnsent(ctx context.Context, j *job) {
 	if j.held != nil {
-		r.releaseClaim(ctx, *j.held)
+		r.releaseClaim(ctx, *j.held, time.Until(j.Deadline)/2)
 	}
 }
 
-// releaseClaim goes on when ctx has ended, because the key stays blocked otherwise.
-func (r *Router) releaseClaim(ctx context.Context, held claim.Held) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseWait)
+// releaseClaim goes on when ctx has ended, because the key stays blocked
+// otherwise. After the wait the claim is released in the background.
+func (r *Router) releaseClaim(ctx context.Context, held claim.Held, wait time.Duration) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), min(wait, releaseWait))
 	defer cancel()
 	if err := r.config.Claims.Release(ctx, held); err != nil {
 		r.log.Warn("claim is not released yet", zap.Error(err))
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -63,6 +64,7 @@
 	queue    *queue
 	estimate *estimator
 	credits  credits
+	reserve  reserve
 }
 
 func newPool(config Config, log *zap.Logger, scope tally.Scope) *pool {
@@ -122,28 +124,42 @@
 // place returns a free minion of this daemon, or else a peer with free slots.
 // A daemon that has no minion in service relies on the queues of its peers.
 func (p *pool) place(w *waiter, now time.Time) (grant, bool) {
-	if m := p.freeMinion(w, now); m != nil {
-		m.busy++
-		return grant{minion: m}, true
+	m := p.freeMinion(w, now)
+	if m == nil || w.job.excludesMinion(m.vm.ID) {
+		if vm := p.peerFor(w, now, p.capacity() == 0); vm != "" {
+			p.credits.spend(vm)
+			return grant{peer: vm}, true
+		}
 	}
-	if !w.mayForward {
+	if m == nil {
 		return grant{}, false
 	}
-	if vm := p.peerFor(w, now, p.capacity() == 0); vm != "" {
-		p.credits.spend(vm)
-		return grant{peer: vm}, true
+	return p.take(m, w), true
+}
+
+// take gives a slot of the minion to the waiter.
+func (p *pool) take(m *minion, w *waiter) grant {
+	m.busy++
+	if w.rank == 0 {
+		p.reserve.add()
 	}
-	return grant{}, false
+	return grant{minion: m}
 }
 
 // freeMinion returns the usable minion with the fewest requests; ties are broken
-// at random, so that daemons that start together spread their requests.
+// at random, so that daemons that start together spread their requests. Minions
+// that failed the request are used again only when no other is in service: a
+// request that excludes all minions would wait until its deadline.
 func (p *pool) freeMinion(w *waiter, now time.Time) *minion {
+	if kept := p.reserve.kept(p.capacity()); w.rank > 0 && kept > 0 && p.unused(now) <= kept {
+		return nil
+	}
 	var best *minion
 	ties := 0
+	all := w.job.excludesNothing() || !p.othersServe(w.job)
 	for _, m := range p.owned {
 		switch {
-		case !m.usable(now, p.slots) || w.job.excludesMinion(m.vm.ID):
+		case !m.usable(now, p.slots) || !all && w.job.excludesMinion(m.vm.ID):
 		case best == nil || m.busy < best.busy:
 			best, ties = m, 1
 		case m.busy == best.busy:
@@ -155,6 +171,11 @@
 	return best
 }
 
+// othersServe tells whether a minion that the request does not exclude is in service.
+func (p *pool) othersServe(j *job) bool {
+	return slices.ContainsFunc(p.owned, func(m *minion) bool { return m.serving() && !j.excludesMinion(m.vm.ID) })
+}
+
 // admit decides whether a request that found no place may wait.
 func (p *pool) admit(w *waiter, now time.Time) *refusal {
 	if len(p.owned) == 0 || p.capacity() == 0 && !w.mayForward {
@@ -190,22 +211,25 @@
 	n := 0
 	for _, m := range p.owned {
 		if m.serving() {
-			n += p.slots
+			n += p.slots - m.late
 		}
 	}
 	return n
 }
 
 // release gives a place on a minion back with what was learnt about it.
-func (p *pool) release(m *minion, entry string, o observation, reason string, took time.Duration) {
+func (p *pool) release(m *minion, j *job, o observation, reason string, took time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	m.busy--
+	if rank(j.Urgency) == 0 {
+		p.reserve.busy--
+	}
 	switch o {
 	case answered:
-		p.estimate.observe(entry, took)
+		p.estimate.observe(j.Submit.Entry, took)
 	case cutOff:
-		p.estimate.observeCut(entry, took)
+		p.estimate.observeCut(j.Submit.Entry, took)
 	}
 	before := m.status()
 	m.observe(o, reason, time.Now(), p.fewServe(), p.pauses)
@@ -234,6 +258,26 @@
 	return serving < len(p.owned)/leastServing
 }
 
+// markLate records that a claimed request has passed its deadline and keeps its
+// slot, or, with a negative change, that its answer has come. Waiting requests
+// cannot count on that slot.
+func (p *pool) markLate(m *minion, change int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m.late += change
+}
+
+// markHanging counts a request that took much too long as a failure, without
+// waiting for the end of its connection.
+func (p *pool) markHanging(m *minion, entry string, took time.Duration) {
+	if !p.hangs(entry, took) {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m.observe(failing, "no answer by the deadline", time.Now(), p.fewServe(), p.pauses)
+}
+
 // markLeaving takes a minion out for good because it said that it leaves.
 func (p *pool) markLeaving(m *minion) {
 	p.mu.Lock()
@@ -258,9 +302,8 @@
 				max(p.estimate.wait(p.queue.ahead(w.rank), p.capacity()), leastRetryAfter)}})
 			continue
 		}
-		m.busy++
 		p.queue.served(w.rank)
-		p.answer(w, grant{minion: m})
+		p.answer(w, p.take(m, w))
 	}
 }
 
@@ -276,6 +319,7 @@
 	defer p.mu.Unlock()
 	now := time.Now()
 	p.own()
+	p.reserve.decay()
 	p.pump(now)
 	p.offerToPeers(now)
 	p.free.Store(int64(p.countFree(now)))
@@ -302,13 +346,18 @@
 }
 
 func (p *pool) countFree(now time.Time) int {
+	return max(0, p.unused(now)-p.reserve.kept(p.capacity())-p.queue.total)
+}
+
+// unused returns the slots of the own minions in service that hold no request.
+func (p *pool) unused(now time.Time) int {
 	free := 0
 	for _, m := range p.owned {
 		if m.serving() && m.usable(now, p.slots) {
 			free += p.slots - m.busy
 		}
 	}
-	return max(0, free-p.queue.total)
+	return free
 }
 
 func zoneIsOut(c api.Configuration, zone string) bool {
