--- a/guarantee/guarantee.go
+++ b/guarantee/guarantee.go
@@ -5,6 +5,8 @@
 package guarantee
 
 import (
+	"cmp"
+
 	"github.com/samphirepath/samphirepath/api"
 	"github.com/samphirepath/samphirepath/internal/packing"
 )
@@ -29,6 +31,9 @@
 	// Loss is the work that is lost if an accelerator is taken from the borrower
 	// that holds it, by accelerator index; nil means that nothing is lost.
 	Loss []int64
+	// Closed says that the worker gets no new tasks (it is silent or quarantined).
+	// Covered placements on it keep their reservation, but no other lies there.
+	Closed bool
 }
 
 // NewWorker returns an empty worker.
@@ -41,6 +46,10 @@
 type Guarantee struct {
 	Organisation string
 	Shape        api.Shape
+	// Turn gives the order in which shapes that jobs wait for get free places: 1
+	// comes first, 0 means that no job waits. The caller should keep the order
+	// while a job waits for places that become free one after the other.
+	Turn int
 }
 
 // Covered is a placement inside the guarantee of its organisation.
@@ -48,6 +57,7 @@
 	JobID        string
 	Organisation string
 	Resources    api.Resources // of each task
+	Adjacency    api.Adjacency // that the job asks for
 	Tasks        []api.TaskPlacement
 }
 
@@ -76,6 +86,36 @@
 	Demoted []string
 }
 
+// Worse tells whether a guarantee misses more in this result than in another
+// one for the same guarantees.
+func (r Result) Worse(than Result) bool {
+	for i, res := range r.Reservations {
+		if len(res.Tasks) < len(than.Reservations[i].Tasks) {
+			return true
+		}
+	}
+	return false
+}
+
+// ComparePreference orders the shapes of an organisation by which of them a job
+// should use: tasks closest in size, then the same adjacency, then the loosest
+// adjacency, then the nearest number of tasks. A job of a guaranteed shape thus
+// uses this shape and leaves the others whole.
+func ComparePreference(a, b api.Shape, tasks int, r api.Resources, adjacency api.Adjacency) int {
+	distance := func(x, y int) int { return max(x-y, y-x) }
+	other := func(s api.Shape) int {
+		if s.Adjacency == adjacency {
+			return 0
+		}
+		return 1
+	}
+	return cmp.Or(
+		cmp.Compare(distance(a.Resources.Accelerators, r.Accelerators), distance(b.Resources.Accelerators, r.Accelerators)),
+		cmp.Compare(other(a), other(b)),
+		cmp.Compare(closeness(b.Adjacency), closeness(a.Adjacency)),
+		cmp.Compare(distance(a.Tasks, tasks), distance(b.Tasks, tasks)))
+}
+
 // Of returns the guaranteed shapes of a zone, in the order of the catalogue.
 func Of(catalogue api.Catalogue, zone string) []Guarantee {
 	var out []Guarantee
--- a/guarantee/pins.go
+++ b/guarantee/pins.go
@@ -10,23 +10,41 @@
 
 // pinAll puts the covered placements into the shapes of their organisations.
 // Those that fit into none are demoted.
-func (r *reserver) pinAll(a *attempt) {
-	for c := range r.covered {
+func (r *reserver) pinAll(a *attempt, order []int) {
+	for _, c := range order {
 		if !r.pinJob(a, c) {
 			a.demoted[c] = true
+			a.unpinned = append(a.unpinned, c)
 		}
 	}
 }
 
-// pinJob pins all tasks of a placement or none.
+// pinJob pins all tasks of a placement or none: to one shape if one holds them
+// all, otherwise to several shapes of the organisation.
 func (r *reserver) pinJob(a *attempt, c int) bool {
 	job := &r.covered[c]
-	shapes := r.byOrg[job.Organisation]
-	if len(shapes) == 0 || len(job.Tasks) == 0 {
+	if len(job.Tasks) == 0 {
 		return false
 	}
-	saved := r.save(a, job, shapes)
-	for _, t := range job.Tasks {
+	shapes := slices.Clone(r.byOrg[job.Organisation])
+	if len(shapes) > 1 {
+		slices.SortStableFunc(shapes, func(x, y int) int {
+			return ComparePreference(r.guarantees[x].Shape, r.guarantees[y].Shape, len(job.Tasks), job.Resources, job.Adjacency)
+		})
+		first := r.rotation[job.Organisation] % len(shapes)
+		shapes = append(shapes[first:len(shapes):len(shapes)], shapes[:first]...)
+		for _, g := range shapes {
+			if r.pinTasks(a, c, []int{g}) {
+				return true
+			}
+		}
+	}
+	return len(shapes) > 0 && r.pinTasks(a, c, shapes)
+}
+
+func (r *reserver) pinTasks(a *attempt, c int, shapes []int) bool {
+	saved := r.save(a, &r.covered[c], shapes)
+	for _, t := range r.covered[c].Tasks {
 		if !r.pinTask(a, c, t, shapes) {
 			saved.restore(a)
 			return false
@@ -67,26 +85,23 @@
 }
 
 // pinTask pins a task to the shape that needs the fewest additional tasks for
-// it, and among those to the one whose tasks are closest in size.
+// it, and among those to the preferred one, which comes first.
 func (r *reserver) pinTask(a *attempt, c int, t api.TaskPlacement, shapes []int) bool {
 	w, ok := r.index[t.Worker]
 	if !ok {
 		return false
 	}
 	task := packing.RoomOf(r.covered[c].Resources, 1, packing.SetOf(t.Accelerators))
-	type option struct{ shape, extra, waste int }
+	type option struct{ shape, extra int }
 	var options []option
 	for _, g := range shapes {
 		extra, ok := r.extraTasks(a, g, w, task)
 		if !ok {
 			continue
 		}
-		waste := r.guarantees[g].Shape.Resources.Accelerators - task.Accelerators.Len()
-		options = append(options, option{g, extra, max(waste, -waste)})
+		options = append(options, option{g, extra})
 	}
-	slices.SortStableFunc(options, func(x, y option) int {
-		return cmp.Or(cmp.Compare(x.extra, y.extra), cmp.Compare(x.waste, y.waste))
-	})
+	slices.SortStableFunc(options, func(x, y option) int { return cmp.Compare(x.extra, y.extra) })
 	for _, o := range options {
 		if r.pinTo(a, o.shape, w, o.extra, c, task) {
 			return true
--- a/guarantee/reserve.go
+++ b/guarantee/reserve.go
@@ -3,14 +3,15 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"slices"
 
 	"github.com/samphirepath/samphirepath/api"
 	"github.com/samphirepath/samphirepath/internal/packing"
 )
 
-// maxOrders bounds how many orders of the shapes are tried when some do not
-// fit. Each try moves the shapes that were short to the front.
+// maxOrders bounds how many orders of the shapes and covered placements are
+// tried when some do not fit. Each try moves those to the front.
 const maxOrders = 8
 
 // Reserve computes a reservation for each guarantee. Reservations never
@@ -20,18 +21,41 @@
 // place either, the shape stays around the placement and is short.
 func Reserve(workers []Worker, guarantees []Guarantee, covered []Covered) Result {
 	r := newReserver(workers, guarantees, covered)
-	order := r.hardestFirst()
-	last := r.attempt(order)
+	pins := count(len(covered))
+	last := r.attempt(r.firstOrder(true), pins)
 	best := last
-	for n := 1; n < maxOrders && best.missing > 0; n++ {
-		order = shortFirst(order, last.short)
-		if last = r.attempt(order); last.better(best) {
+	// Later attempts start from an order that depends only on the covered
+	// placements, and the second one ignores what borrowers hold, so that
+	// guarantees which fit once fit again while nothing but borrowers has changed.
+	shapes := r.firstOrder(false)
+	for n := 1; n < maxOrders && len(last.short)+len(last.unpinned) > 0; n++ {
+		r.ignoreCost = n == 1
+		if n > 1 {
+			shapes, pins = moveToFront(shapes, last.short), moveToFront(pins, last.unpinned)
+			r.changePreference(last)
+		}
+		if last = r.attempt(shapes, pins); last.better(best) {
 			best = last
 		}
 	}
 	return r.result(best)
 }
 
+// changePreference lets the covered placements of the organisations concerned
+// use other shapes in the next attempt.
+func (r *reserver) changePreference(a *attempt) {
+	changed := make(map[string]bool)
+	for _, g := range a.short {
+		changed[r.guarantees[g].Organisation] = true
+	}
+	for _, c := range a.unpinned {
+		changed[r.covered[c].Organisation] = true
+	}
+	for organisation := range changed {
+		r.rotation[organisation]++
+	}
+}
+
 type reserver struct {
 	workers    []Worker
 	guarantees []Guarantee
@@ -40,37 +64,37 @@
 	packer     *packing.Packer
 	fleet      *packing.Fleet
 	byOrg      map[string][]int
+	open       []int          // workers that may get reservations
+	rotation   map[string]int // offset in the order of preference of shapes
+	ignoreCost bool
 }
 
 // attempt is the state and outcome of one order of the shapes.
 type attempt struct {
-	rooms   []Room // usable and not yet reserved
-	areas   []area // one for each guarantee
-	demoted []bool // one for each covered placement
-	short   []int
-	missing int // tasks times their accelerators, at least one for each task
-}
-
-// area is the reservation of one shape while it is built.
-type area struct {
-	parts []part
-	tasks int
+	rooms         []Room // usable and not yet reserved
+	areas         []area // one for each guarantee
+	demoted       []bool // one for each covered placement
+	moved         []bool // one for each guarantee
+	short         []int  // shapes that are short or had to move
+	unpinned      []int  // covered placements that fit into no shape
+	missing       int    // tasks times their accelerators, at least one for each task
+	missingWanted int    // of these, what jobs wait for
 }
 
-// part is what an area takes on one worker.
-type part struct {
-	worker int
-	tasks  int
-	pinned Room // held by covered placements
-	pins   []int
-	room   Room
+func (a *attempt) better(b *attempt) bool {
+	return cmp.Or(cmp.Compare(a.missing, b.missing), cmp.Compare(a.missingWanted, b.missingWanted), cmp.Compare(demotions(a.demoted), demotions(b.demoted))) < 0
 }
 
-func (a *attempt) better(b *attempt) bool {
-	return cmp.Or(cmp.Compare(a.missing, b.missing), cmp.Compare(count(a.demoted), count(b.demoted))) < 0
+// count returns the numbers from 0 to n-1.
+func count(n int) []int {
+	out := make([]int, n)
+	for i := range out {
+		out[i] = i
+	}
+	return out
 }
 
-func count(flags []bool) (n int) {
+func demotions(flags []bool) (n int) {
 	for _, f := range flags {
 		if f {
 			n++
@@ -82,13 +106,17 @@
 func newReserver(workers []Worker, guarantees []Guarantee, covered []Covered) *reserver {
 	racks, models := make([]string, len(workers)), make([]string, len(workers))
 	index := make(map[string]int, len(workers))
+	open := make([]int, 0, len(workers))
 	for i := range workers {
 		racks[i], models[i], index[workers[i].ID] = workers[i].Rack, workers[i].AcceleratorModel, i
+		if !workers[i].Closed {
+			open = append(open, i)
+		}
 	}
 	fleet := packing.NewFleet(racks, models)
 	r := &reserver{
 		workers: workers, guarantees: guarantees, covered: covered, index: index,
-		fleet: fleet, packer: packing.NewPacker(fleet), byOrg: make(map[string][]int),
+		fleet: fleet, packer: packing.NewPacker(fleet), byOrg: make(map[string][]int), open: open, rotation: make(map[string]int),
 	}
 	for i, g := range guarantees {
 		r.byOrg[g.Organisation] = append(r.byOrg[g.Organisation], i)
@@ -96,21 +124,25 @@
 	return r
 }
 
-// hardestFirst orders the shapes by how hard they are to place: those of
-// organisations with covered placements, which must stay where they are, then
-// close adjacency, then large tasks, then many tasks.
-func (r *reserver) hardestFirst() []int {
+// firstOrder puts shapes that jobs wait for first if turns is set, then those of organisations
+// with covered placements, which should stay where they are, then the hardest to
+// place: close adjacency, large tasks, many tasks.
+func (r *reserver) firstOrder(turns bool) []int {
 	pinned := make(map[string]int)
 	for _, c := range r.covered {
 		pinned[c.Organisation] = 1
 	}
-	order := make([]int, len(r.guarantees))
-	for i := range order {
-		order[i] = i
+	turn := func(g int) int {
+		if t := r.guarantees[g].Turn; turns && t > 0 {
+			return t
+		}
+		return math.MaxInt
 	}
+	order := count(len(r.guarantees))
 	slices.SortStableFunc(order, func(a, b int) int {
 		x, y := r.guarantees[a].Shape, r.guarantees[b].Shape
 		return cmp.Or(
+			cmp.Compare(turn(a), turn(b)),
 			cmp.Compare(pinned[r.guarantees[b].Organisation], pinned[r.guarantees[a].Organisation]),
 			cmp.Compare(closeness(x.Adjacency), closeness(y.Adjacency)),
 			cmp.Compare(y.Resources.Accelerators, x.Resources.Accelerators),
@@ -132,38 +164,56 @@
 	}
 }
 
-func shortFirst(order, short []int) []int {
-	out := slices.Clone(short)
+func moveToFront(order, first []int) []int {
+	out := slices.Clone(first)
 	for _, i := range order {
-		if !slices.Contains(short, i) {
+		if !slices.Contains(first, i) {
 			out = append(out, i)
 		}
 	}
 	return out
 }
 
-func (r *reserver) attempt(order []int) *attempt {
+func (r *reserver) attempt(order, pins []int) *attempt {
 	a := &attempt{
 		rooms:   make([]Room, len(r.workers)),
 		areas:   make([]area, len(r.guarantees)),
 		demoted: make([]bool, len(r.covered)),
+		moved:   make([]bool, len(r.guarantees)),
 	}
 	for i := range r.workers {
 		a.rooms[i] = r.workers[i].Usable
 	}
-	r.pinAll(a)
+	r.pinAll(a, pins)
+	r.close(a)
 	for _, g := range order {
 		r.complete(a, g)
 	}
 	for _, g := range order {
-		if missing := r.guarantees[g].Shape.Tasks - a.areas[g].tasks; missing > 0 {
+		missing := r.guarantees[g].Shape.Tasks - a.areas[g].tasks
+		if a.moved[g] {
 			a.short = append(a.short, g)
-			a.missing += missing * max(1, r.guarantees[g].Shape.Resources.Accelerators)
+		} else if missing > 0 {
+			a.short = append(a.short, g)
+			amount := missing * max(1, r.guarantees[g].Shape.Resources.Accelerators)
+			a.missing += amount
+			if r.guarantees[g].Turn > 0 {
+				a.missingWanted += amount
+			}
 		}
 	}
 	return a
 }
 
+// close leaves nothing on workers that get no new tasks beyond what is pinned.
+func (r *reserver) close(a *attempt) {
+	for i := range r.workers {
+		if r.workers[i].Closed {
+			a.rooms[i] = Room{}
+		}
+	}
+}
+
 // complete reserves what the pins of a shape leave of it.
 func (r *reserver) complete(a *attempt, g int) {
 	shape := r.guarantees[g].Shape
@@ -186,7 +236,9 @@
 func (r *reserver) move(a *attempt, g int) bool {
 	old := a.areas[g]
 	for _, p := range old.parts {
-		a.rooms[p.worker] = a.rooms[p.worker].Add(p.room)
+		if !r.workers[p.worker].Closed {
+			a.rooms[p.worker] = a.rooms[p.worker].Add(p.room)
+		}
 	}
 	a.areas[g] = area{}
 	if r.extend(a, g, r.guarantees[g].Shape.Tasks) {
@@ -195,6 +247,7 @@
 				a.demoted[pin] = true
 			}
 		}
+		a.moved[g] = true
 		return true
 	}
 	for _, p := range old.parts {
@@ -207,12 +260,16 @@
 // extend reserves n more tasks of a shape next to those that it has.
 func (r *reserver) extend(a *attempt, g, n int) bool {
 	shape := r.guarantees[g].Shape
+	var cost func(w, n int) int64
+	if !r.ignoreCost {
+		cost = func(w, n int) int64 { return r.cost(a, w, n, shape.Resources) }
+	}
 	places, ok := r.packer.Place(packing.Query{
 		Need: packing.Need{Tasks: n, Resources: shape.Resources, Adjacency: shape.Adjacency,
 			Model: shape.AcceleratorModel},
 		Rooms:      a.rooms,
 		Candidates: r.candidates(a.areas[g], shape.Adjacency),
-		Cost:       func(w, n int) int64 { return r.cost(a, w, n, shape.Resources) },
+		Cost:       cost,
 		Pick:       r.pick,
 	})
 	if !ok {
@@ -232,41 +289,24 @@
 // candidates are the workers that a shape may use, given where its pins lie.
 func (r *reserver) candidates(a area, adjacency api.Adjacency) []int {
 	if len(a.parts) == 0 || adjacency == api.AdjacencyZone {
-		return r.fleet.All
+		return r.open
 	}
 	first := a.parts[0].worker
 	if adjacency == api.AdjacencyWorker {
+		if r.workers[first].Closed {
+			return nil
+		}
 		return []int{first}
 	}
 	var out []int
-	for w, rack := range r.fleet.Racks {
-		if rack == r.fleet.Racks[first] {
+	for _, w := range r.open {
+		if r.fleet.Racks[w] == r.fleet.Racks[first] {
 			out = append(out, w)
 		}
 	}
 	return out
 }
 
-func (a *area) part(worker int) *part {
-	for i := range a.parts {
-		if a.parts[i].worker == worker {
-			return &a.parts[i]
-		}
-	}
-	a.parts = append(a.parts, part{worker: worker})
-	return &a.parts[len(a.parts)-1]
-}
-
-// peek returns a copy of the part on a worker, empty if there is none.
-func (a *area) peek(worker int) part {
-	for _, p := range a.parts {
-		if p.worker == worker {
-			return p
-		}
-	}
-	return part{worker: worker}
-}
-
 func (r *reserver) result(a *attempt) Result {
 	var out Result
 	for g := range r.guarantees {
--- a/guarantee/reserve_test.go
+++ b/guarantee/reserve_test.go
@@ -101,6 +101,36 @@
 		}
 	})
 
+	It("serves shapes that jobs wait for first, so that reclaimed places stay theirs", func() {
+		workers := racks(2)
+		workers[0].Free, workers[0].Loss = guarantee.Room{}, []int64{1, 1, 1, 1, 1, 1, 1, 1}
+		guarantees := of(shape(1, 8, zone), shape(1, 8, zone))
+		guarantees[1].Turn = 1
+		r := guarantee.Reserve(workers, guarantees, nil)
+		Expect(workersOf(r.Reservations[1])).To(Equal([]string{"w1"}))
+	})
+
+	It("keeps covered placements on closed workers and reserves nothing else there", func() {
+		workers := racks(2)
+		workers[0].Closed = true
+		r := guarantee.Reserve(workers, of(shape(1, 4, zone), shape(2, 4, zone)), []guarantee.Covered{covered("j", "a", 1, on("w0", 7))})
+		Expect(r.Demoted).To(BeEmpty())
+		Expect(workersOf(r.Reservations[0])).To(Equal([]string{"w0"}))
+		Expect(workersOf(r.Reservations[1])).To(Equal([]string{"w1", "w1"}))
+		Expect(r.Shortfalls).To(BeEmpty())
+	})
+
+	It("uses the shape that a job asks for, and leaves the others whole", func() {
+		guarantees := []guarantee.Guarantee{{Organisation: "a", Shape: shape(1, 8, rack)}, {Organisation: "a", Shape: shape(1, 8, zone)}}
+		job := covered("j", "a", 8, on("w0", 0, 1, 2, 3, 4, 5, 6, 7))
+		for i, adjacency := range []api.Adjacency{rack, zone} {
+			job.Adjacency = adjacency
+			r := guarantee.Reserve(racks(2), guarantees, []guarantee.Covered{job})
+			Expect(workersOf(r.Reservations[i])).To(Equal([]string{"w0"}))
+			Expect(workersOf(r.Reservations[1-i])).To(Equal([]string{"w1"}))
+		}
+	})
+
 	It("keeps covered placements inside when workers come and go", func() {
 		job := covered("j", "a", 3, on("w4", 5, 6, 7))
 		before := racks(3, 3)
--- a/internal/planner/backfill.go
+++ b/internal/planner/backfill.go
@@ -46,9 +46,12 @@
 		if _, ok := h.rooms[p.Worker]; !ok {
 			h.workers = append(h.workers, p.Worker)
 		}
-		h.rooms[p.Worker] = h.rooms[p.Worker].Add(room.Min(r.free[p.Worker]))
+		h.rooms[p.Worker] = h.rooms[p.Worker].Add(room)
 		r.delayUntilFree(h, p)
 	}
+	for _, i := range h.workers {
+		h.rooms[i] = h.rooms[i].Min(r.free[i])
+	}
 	r.take(w, places)
 	r.holds = append(r.holds, h)
 }
--- a/internal/planner/borrow.go
+++ b/internal/planner/borrow.go
@@ -74,7 +74,7 @@
 		Pick: r.pickCheapest,
 	})
 	detail := fmt.Sprintf("Urgent job %s of %s needs the place.", w.job.Spec.Name, w.job.Organisation)
-	if !ok || !r.makeRoom(w, places, mayPreempt, detail) {
+	if !ok || !r.makeRoom(w, places, mayPreempt, detail, func() bool { return true }) {
 		r.setFailed(w, kindUrgent)
 		return false
 	}
--- a/internal/planner/cover.go
+++ b/internal/planner/cover.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 
+	"github.com/samphirepath/samphirepath/api"
 	"github.com/samphirepath/samphirepath/guarantee"
 	"github.com/samphirepath/samphirepath/internal/packing"
 )
@@ -23,45 +24,95 @@
 		w.blocked = reason
 		return
 	}
+	if tasks, ok := r.pending[w.job.ID]; ok && r.coverPending(w, r.assignments(tasks)) {
+		return
+	}
 	kind := "reservation of " + w.job.Organisation
 	if r.hasFailed(w, kind) {
 		return
 	}
-	for _, i := range a.candidates {
-		r.scratch[i] = a.rest[i].Min(r.free[i])
-	}
-	places, ok := r.packer.Place(packing.Query{Need: w.need, Rooms: r.scratch, Candidates: a.candidates})
-	if ok {
-		r.place(w, places, true)
-		a.take(w, places)
+	// A preferred shape is reclaimed even if another one of the organisation is
+	// free, so that the others stay whole for the jobs that need them.
+	if slices.ContainsFunc(a.options(w), func(o *area) bool { return r.coverFree(w, o) || r.reclaim(w, o) }) {
 		return
 	}
-	if !r.reclaim(w, a) {
-		r.setFailed(w, kind)
+	r.setFailed(w, kind)
+}
+
+// coverFree places a job on free places of an area.
+func (r *round) coverFree(w *waitingJob, a *area) bool {
+	for _, p := range a.parts {
+		r.scratch[p.worker] = p.room.Min(r.free[p.worker])
 	}
+	places, ok := r.packer.Place(packing.Query{Need: w.need, Rooms: r.scratch, Candidates: a.workers})
+	if !ok || !r.keeps(w, a, places) {
+		return false
+	}
+	r.place(w, places, true)
+	return true
 }
 
-// reclaim preempts the borrowers in the reservation with the least lost work
-// and keeps the places for the job.
+// reclaim preempts the borrowers in an area with the least lost work and keeps
+// the places for the job.
 func (r *round) reclaim(w *waitingJob, a *area) bool {
+	for _, p := range a.parts {
+		r.scratch[p.worker] = p.room
+	}
 	places, ok := r.packer.Place(packing.Query{
-		Need: w.need, Rooms: a.rest, Candidates: a.candidates,
-		Cost: func(worker, n int) int64 { return r.preemptCost(a.rest[worker], worker, n, w) },
+		Need: w.need, Rooms: r.scratch, Candidates: a.workers,
+		Cost: func(worker, n int) int64 { return r.preemptCost(r.scratch[worker], worker, n, w) },
 		Pick: r.pickCheapest,
 	})
 	if !ok {
 		return false
 	}
+	return r.reclaimPlaces(w, places, func() bool { return r.keeps(w, a, places) })
+}
+
+// coverPending goes on with a reclaim that an earlier plan began. The places are
+// inside the reservation and are kept for the job already.
+func (r *round) coverPending(w *waitingJob, places []packing.Assignment) bool {
+	if !r.freeTogether(w, places) {
+		return r.reclaimPlaces(w, places, always)
+	}
+	r.place(w, places, true)
+	return true
+}
+
+func always() bool { return true }
+
+// freeTogether tells whether the places are free even if several are on one worker.
+func (r *round) freeTogether(w *waitingJob, places []packing.Assignment) bool {
+	sum := make(map[int]packing.Room)
+	for _, p := range places {
+		sum[p.Worker] = sum[p.Worker].Add(packing.RoomOf(w.need.Resources, 1, p.Accelerators))
+		if !r.free[p.Worker].Covers(sum[p.Worker]) {
+			return false
+		}
+	}
+	return true
+}
+
+func (r *round) assignments(tasks []api.TaskPlacement) []packing.Assignment {
+	out := make([]packing.Assignment, len(tasks))
+	for i, t := range tasks {
+		out[i] = packing.Assignment{Worker: r.index[t.Worker], Accelerators: packing.SetOf(t.Accelerators)}
+	}
+	return out
+}
+
+// reclaimPlaces preempts what occupies places in the guarantee of the job.
+func (r *round) reclaimPlaces(w *waitingJob, places []packing.Assignment, confirm func() bool) bool {
 	mayPreempt := func(x *active) bool {
 		// An earlier job of the same organisation keeps its place, or the two
 		// would preempt each other by turns.
 		return !x.covered && (x.job.Organisation != w.job.Organisation || r.before(w, x))
 	}
 	detail := fmt.Sprintf("Organisation %s needs its guaranteed capacity for job %s.", w.job.Organisation, w.job.Spec.Name)
-	if !r.makeRoom(w, places, mayPreempt, detail) {
+	if !r.makeRoom(w, places, mayPreempt, detail, confirm) {
 		return false
 	}
-	a.take(w, places)
+	r.plan.Pending = append(r.plan.Pending, Placement{JobID: w.job.ID, Tasks: r.tasks(places), Covered: true})
 	r.wait(w, fmt.Sprintf("Needs %s; this is inside the guarantee of %s. %s", r.describe(w), w.job.Organisation, r.whoStops(places, w)))
 	return true
 }
@@ -74,24 +125,21 @@
 	return compareAge(w.job, x.job) < 0
 }
 
-func (a *area) take(w *waitingJob, places []packing.Assignment) {
-	for _, p := range places {
-		a.rest[p.Worker] = a.rest[p.Worker].Sub(packing.RoomOf(w.need.Resources, 1, p.Accelerators))
-	}
-}
-
 // makeRoom preempts what occupies the places and holds them for the job. It
-// changes nothing if the allowed victims do not suffice.
-func (r *round) makeRoom(w *waitingJob, places []packing.Assignment, may func(*active) bool, detail string) bool {
-	wanted := r.wanted(w, places)
-	if len(wanted) > 0 {
-		victims, ok := guarantee.Victims(r.borrowers(wanted, may), wanted)
-		if !ok {
+// changes nothing if the allowed victims do not suffice or confirm says no.
+func (r *round) makeRoom(w *waitingJob, places []packing.Assignment, may func(*active) bool, detail string, confirm func() bool) bool {
+	var victims []string
+	if wanted := r.wanted(w, places); len(wanted) > 0 {
+		ok := false
+		if victims, ok = guarantee.Victims(r.borrowers(wanted, may), wanted); !ok {
 			return false
 		}
-		for _, id := range victims {
-			r.preempt(r.byJob[id], w.job.ID, detail)
-		}
+	}
+	if !confirm() {
+		return false
+	}
+	for _, id := range victims {
+		r.preempt(r.byJob[id], w.job.ID, detail)
 	}
 	r.hold(w, places)
 	return true
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -17,9 +17,9 @@
 		return planZoneOut(&snapshot)
 	}
 	r := newRound(&snapshot)
-	r.reserve()
-	r.preemptLeaving()
 	waiting := r.admit()
+	r.reserve(waiting)
+	r.preemptLeaving()
 	for _, w := range waiting {
 		r.cover(w)
 	}
@@ -82,18 +82,20 @@
 
 // place records the placement of a job and takes its places.
 func (r *round) place(w *waitingJob, places []packing.Assignment, covered bool) {
-	p := Placement{JobID: w.job.ID, Tasks: make([]api.TaskPlacement, len(places)), Covered: covered}
-	for i, a := range places {
-		p.Tasks[i] = api.TaskPlacement{
-			Index: i, Worker: r.s.Workers[a.Worker].ID, Accelerators: a.Accelerators.Indices(),
-		}
-	}
 	r.take(w, places)
 	r.usage.add(w.job.Organisation, w.job.Spec.Team, w.accelerators())
-	r.plan.Placements = append(r.plan.Placements, p)
+	r.plan.Placements = append(r.plan.Placements, Placement{JobID: w.job.ID, Tasks: r.tasks(places), Covered: covered})
 	w.done = true
 }
 
+func (r *round) tasks(places []packing.Assignment) []api.TaskPlacement {
+	out := make([]api.TaskPlacement, len(places))
+	for i, a := range places {
+		out[i] = api.TaskPlacement{Index: i, Worker: r.s.Workers[a.Worker].ID, Accelerators: a.Accelerators.Indices()}
+	}
+	return out
+}
+
 // take removes places from everything that later jobs may use.
 func (r *round) take(w *waitingJob, places []packing.Assignment) {
 	for _, a := range places {
--- a/internal/planner/plan_test.go
+++ b/internal/planner/plan_test.go
@@ -121,6 +121,28 @@
 		Expect(p.Preemptions).To(BeEmpty())
 	})
 
+	It("goes on with a reclaim on the same places", func() {
+		s := snapshot(zone(2, 2), []api.Organisation{organisation("a", shape(2, 4, api.AdjacencyZone)), organisation("b")},
+			job("x", "b", 1, 8, running(false, time.Minute, whole(0))), job("y", "b", 1, 8, running(false, time.Hour, whole(1))),
+			job("own", "a", 2, 4))
+		p := planner.Compute(s)
+		Expect(victims(p)).To(Equal([]string{"x"}))
+		Expect(p.Pending).To(HaveLen(1))
+		s.Pending = p.Pending
+		s.Jobs[0].State, s.Jobs[0].Placement = api.JobStateWaiting, nil
+		s.Jobs = append(s.Jobs, job("rush", "b", 1, 8, urgency(api.Urgent)))
+		p = planner.Compute(s)
+		Expect(placed(p, "own").Tasks).To(Equal(s.Pending[0].Tasks))
+		Expect(p.Pending).To(BeEmpty())
+	})
+
+	It("demotes covered jobs whose guarantee is gone", func() {
+		p := planner.Compute(snapshot(zone(1, 1), []api.Organisation{organisation("a"), organisation("b", shape(1, 8, api.AdjacencyZone))},
+			job("x", "a", 1, 8, running(true, time.Minute, whole(0))), job("own", "b", 1, 8)))
+		Expect(p.Demoted).To(Equal([]string{"x"}))
+		Expect(victims(p)).To(Equal([]string{"x"}))
+	})
+
 	It("covers small jobs until the shape is used up", func() {
 		p := planner.Compute(snapshot(zone(2, 2), []api.Organisation{organisation("a", shape(2, 4, api.AdjacencyWorker))},
 			job("x", "a", 1, 5), job("y", "a", 1, 3), job("z", "a", 1, 1)))
--- a/internal/planner/reserve.go
+++ b/internal/planner/reserve.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/samphirepath/samphirepath/api"
@@ -9,48 +10,125 @@
 )
 
 // reserve computes the reservations of the zone and what is left of them.
-func (r *round) reserve() {
-	guarantees := guarantee.Of(r.s.Catalogue, r.s.Zone)
-	if len(guarantees) == 0 {
-		return
-	}
+func (r *round) reserve(waiting []*waitingJob) {
 	covered := r.covered()
-	result := guarantee.Reserve(r.liveWorkers(), guarantees, covered)
-	for _, c := range covered {
-		r.active[r.byJob[c.JobID]].covered = !slices.Contains(result.Demoted, c.JobID)
+	running := len(covered)
+	covered = append(covered, r.reclaimed(waiting)...)
+	r.promise = promise{workers: r.reservable(), guarantees: r.guarantees(waiting), covered: covered}
+	result := guarantee.Reserve(r.promise.workers, r.promise.guarantees, covered)
+	r.promise.result = result
+	r.promise.covered = slices.DeleteFunc(slices.Clone(covered), func(c guarantee.Covered) bool {
+		return slices.Contains(result.Demoted, c.JobID)
+	})
+	for i, c := range covered {
+		demoted := slices.Contains(result.Demoted, c.JobID)
+		switch {
+		case i >= running && !demoted:
+			r.pending[c.JobID] = c.Tasks
+		case i < running && demoted:
+			r.plan.Demoted = append(r.plan.Demoted, c.JobID)
+		case i < running:
+			r.active[r.byJob[c.JobID]].covered = true
+		}
 	}
-	r.publish(result)
-	for _, res := range result.Reservations {
-		a := r.areaOf(res.Guarantee.Organisation)
-		for _, t := range res.Tasks {
-			w := r.index[t.Worker]
-			a.rest[w] = a.rest[w].Add(packing.RoomOf(res.Guarantee.Shape.Resources, 1, packing.SetOf(t.Accelerators)))
-			if !slices.Contains(a.candidates, w) {
-				a.candidates = append(a.candidates, w)
-			}
+	r.adopt(result)
+}
+
+// reclaimed lists the places that the previous plan began to reclaim for jobs
+// that still wait.
+func (r *round) reclaimed(waiting []*waitingJob) []guarantee.Covered {
+	var out []guarantee.Covered
+	for _, p := range r.s.Pending {
+		i := slices.IndexFunc(waiting, func(w *waitingJob) bool { return w.job.ID == p.JobID })
+		if i < 0 || len(p.Tasks) != waiting[i].need.Tasks || !r.allOpen(p.Tasks) {
+			continue
 		}
+		out = append(out, waiting[i].covered(p.Tasks))
 	}
-	for i := range r.active {
-		if act := &r.active[i]; act.covered {
-			a := r.areaOf(act.job.Organisation)
-			for _, p := range act.parts {
-				a.rest[p.worker] = a.rest[p.worker].Sub(p.room)
-			}
+	return out
+}
+
+func (r *round) allOpen(tasks []api.TaskPlacement) bool {
+	for _, t := range tasks {
+		if w, ok := r.index[t.Worker]; !ok || r.s.Workers[w].State != WorkerLive {
+			return false
+		}
+	}
+	return true
+}
+
+func (w *waitingJob) covered(tasks []api.TaskPlacement) guarantee.Covered {
+	return guarantee.Covered{
+		JobID: w.job.ID, Organisation: w.job.Organisation, Resources: w.need.Resources,
+		Adjacency: w.need.Adjacency, Tasks: tasks,
+	}
+}
+
+// adopt makes reservations those of the plan.
+func (r *round) adopt(result guarantee.Result) {
+	r.setAreas(result.Reservations, r.promise.covered)
+	r.plan.Reservations, r.plan.Shortfalls = nil, nil
+	r.publish(result)
+}
+
+// promise is the input of the reservations, to check further covered placements.
+type promise struct {
+	workers    []guarantee.Worker
+	guarantees []guarantee.Guarantee
+	covered    []guarantee.Covered
+	result     guarantee.Result
+}
+
+// keeps tells whether all guarantees can be kept as before if the job is
+// covered on the places of an area, and if so takes the job into account.
+func (r *round) keeps(w *waitingJob, a *area, places []packing.Assignment) bool {
+	p := &r.promise
+	covered := append(slices.Clone(p.covered), w.covered(r.tasks(places)))
+	organisation := r.areas[w.job.Organisation]
+	if a == organisation.options(w)[0] {
+		// The job lies inside the shape that it should use, so that the
+		// reservations stay as they are.
+		for _, t := range places {
+			organisation.take(t.Worker, packing.RoomOf(w.need.Resources, 1, t.Accelerators))
 		}
+		p.covered = covered
+		return true
 	}
+	result := guarantee.Reserve(p.workers, p.guarantees, covered)
+	if result.Worse(p.result) || len(result.Demoted) > 0 {
+		return false
+	}
+	p.covered, p.result = covered, result
+	r.adopt(result)
+	return true
 }
 
-func (r *round) areaOf(organisation string) *area {
-	a := r.areas[organisation]
-	if a == nil {
-		a = &area{rest: make([]packing.Room, len(r.s.Workers))}
-		r.areas[organisation] = a
+// guarantees lists the shapes of the zone. Organisations whose jobs wait for
+// their guarantee take turns in the order of these jobs, so that places which
+// are reclaimed one after the other are not reserved for somebody else meanwhile.
+func (r *round) guarantees(waiting []*waitingJob) []guarantee.Guarantee {
+	out := guarantee.Of(r.s.Catalogue, r.s.Zone)
+	turns := make(map[string]int)
+	for _, w := range waiting {
+		o := w.job.Organisation
+		if turns[o] == 0 && slices.ContainsFunc(out, func(g guarantee.Guarantee) bool { return mayCover(g, w) }) {
+			turns[o] = len(turns) + 1
+		}
+	}
+	for i := range out {
+		out[i].Turn = turns[out[i].Organisation]
 	}
-	return a
+	return out
+}
+
+// mayCover tells whether a job could be covered by a shape.
+func mayCover(g guarantee.Guarantee, w *waitingJob) bool {
+	return g.Organisation == w.job.Organisation &&
+		w.need.Resources.Accelerators <= g.Shape.Tasks*g.Shape.Resources.Accelerators
 }
 
-// covered lists the covered placements that lie on live workers only, the
-// oldest first. Others cannot be inside a reservation.
+// covered lists the covered placements, the oldest first, without those that
+// lose a worker: they end, and cannot be inside a reservation.
 func (r *round) covered() []guarantee.Covered {
 	var out []guarantee.Covered
 	for i := range r.active {
@@ -58,34 +136,40 @@
 		if !a.job.Covered {
 			continue
 		}
-		live := len(a.parts) == len(a.job.Placement)
+		lost := len(a.parts) < len(a.job.Placement)
 		for _, p := range a.parts {
-			live = live && r.s.Workers[p.worker].State == WorkerLive
+			lost = lost || r.s.Workers[p.worker].State == WorkerLeaving
 		}
-		if !live {
-			r.plan.Demoted = append(r.plan.Demoted, a.job.ID)
-			continue
+		if !lost {
+			out = append(out, guarantee.Covered{
+				JobID: a.job.ID, Organisation: a.job.Organisation,
+				Resources: a.job.Spec.Resources, Adjacency: a.job.Adjacency, Tasks: a.job.Placement,
+			})
 		}
-		out = append(out, guarantee.Covered{
-			JobID: a.job.ID, Organisation: a.job.Organisation,
-			Resources: a.job.Spec.Resources, Tasks: a.job.Placement,
-		})
 	}
 	slices.SortStableFunc(out, func(x, y guarantee.Covered) int {
-		return compareAge(r.active[r.byJob[x.JobID]].job, r.active[r.byJob[y.JobID]].job)
+		a, b := r.active[r.byJob[x.JobID]].job, r.active[r.byJob[y.JobID]].job
+		return cmp.Or(cmp.Compare(a.PlacedMs, b.PlacedMs), compareAge(a, b))
 	})
 	return out
 }
 
-// liveWorkers lists the workers on which reservations may lie.
-func (r *round) liveWorkers() []guarantee.Worker {
-	out := make([]guarantee.Worker, 0, len(r.live))
-	for _, i := range r.live {
+// reservable lists the workers on which reservations may lie.
+func (r *round) reservable() []guarantee.Worker {
+	out := make([]guarantee.Worker, 0, len(r.s.Workers))
+	for i := range r.s.Workers {
 		w := &r.s.Workers[i]
-		out = append(out, guarantee.Worker{
+		if w.State == WorkerLeaving {
+			continue
+		}
+		g := guarantee.Worker{
 			ID: w.ID, Rack: w.Rack, AcceleratorModel: w.AcceleratorModel,
 			Usable: r.base[i], Free: r.free[i], Ending: r.ending[i], Loss: r.loss[i],
-		})
+		}
+		if w.State != WorkerLive {
+			g.Usable, g.Closed = r.capacity[i], true
+		}
+		out = append(out, g)
 	}
 	return out
 }
@@ -95,17 +179,16 @@
 	for _, res := range result.Reservations {
 		if len(res.Tasks) > 0 {
 			r.plan.Reservations = append(r.plan.Reservations, Reservation{
-				Organisation: res.Guarantee.Organisation, Tasks: res.Tasks,
+				Organisation: res.Guarantee.Organisation, Tasks: res.Tasks, Shape: res.Guarantee.Shape,
 			})
 		}
 	}
 	for _, s := range result.Shortfalls {
 		r.plan.Shortfalls = append(r.plan.Shortfalls, Shortfall{
 			Organisation: s.Guarantee.Organisation, MissingTasks: s.MissingTasks,
-			MissingAccelerators: s.MissingAccelerators, Reason: s.Reason,
+			MissingAccelerators: s.MissingAccelerators, Reason: s.Reason, Shape: s.Guarantee.Shape,
 		})
 	}
-	r.plan.Demoted = append(r.plan.Demoted, result.Demoted...)
 }
 
 // computeOutside derives what is free outside of the unused reservations.
@@ -116,8 +199,8 @@
 		if a == nil {
 			continue
 		}
-		for _, w := range a.candidates {
-			r.outside[w] = r.outside[w].Sub(a.rest[w])
+		for _, p := range a.parts {
+			r.outside[p.worker] = r.outside[p.worker].Sub(p.room)
 		}
 	}
 }
--- a/internal/planner/round.go
+++ b/internal/planner/round.go
@@ -31,6 +31,8 @@
 	byWorker  [][]int32      // positions in active of those that hold a place there
 	loss      [][]int64      // lost work by worker and accelerator
 	areas     map[string]*area
+	promise   promise
+	pending   map[string][]api.TaskPlacement // places being reclaimed, by waiting job
 	usage     *usage
 	entries   map[string]*api.Entry
 	holds     []*backfillHold
@@ -60,12 +62,6 @@
 	room   packing.Room
 }
 
-// area is what is left of the reservations of an organisation.
-type area struct {
-	rest       []packing.Room
-	candidates []int
-}
-
 func newRound(s *Snapshot) *round {
 	n := len(s.Workers)
 	rooms := make([]packing.Room, 7*n)
@@ -77,7 +73,7 @@
 		s: s, plan: Plan{Reasons: make(map[string]string)}, index: make(map[string]int, n),
 		capacity: next(), base: next(), free: next(), ending: next(), outside: next(), scratch: next(), hard: next(),
 		byWorker: make([][]int32, n), loss: make([][]int64, n), areas: make(map[string]*area),
-		byJob: make(map[string]int), failed: make(map[failure]bool), fitted: make(map[needKey]bool), sentences: make(map[string]string),
+		byJob: make(map[string]int), pending: make(map[string][]api.TaskPlacement), failed: make(map[failure]bool), fitted: make(map[needKey]bool), sentences: make(map[string]string),
 	}
 	r.addWorkers()
 	r.addActive()
--- a/internal/planner/types.go
+++ b/internal/planner/types.go
@@ -54,6 +54,9 @@
 	// in other zones, for quotas.
 	TeamUsageElsewhere         map[string]int
 	OrganisationUsageElsewhere map[string]int
+	// Pending is Plan.Pending of the previous plan. Without it (after a failover) a
+	// reclaim may choose other victims than the previous plan did.
+	Pending []Placement
 	// Incomplete says that workers of the zone may be missing from Workers (after
 	// a start, or while a rack is lost). No job is refused for lack of capacity.
 	Incomplete bool
@@ -95,24 +98,31 @@
 	MissingTasks        int
 	MissingAccelerators int
 	Reason              string
+	Shape               api.Shape // the whole guaranteed shape
 }
 
 // Reservation is the concrete place of a guaranteed shape.
 type Reservation struct {
 	Organisation string
 	Tasks        []api.TaskPlacement
+	Shape        api.Shape // the guaranteed shape; Tasks has fewer tasks if it is short
 }
 
 // Plan is the outcome of one planning round.
 type Plan struct {
-	Placements   []Placement
-	Preemptions  []Preemption
-	Refusals     []Refusal
+	Placements  []Placement
+	Preemptions []Preemption
+	Refusals    []Refusal
+	// Pending lists the places that are being reclaimed for waiting jobs. They are
+	// not committed; pass them on to the next plan in Snapshot.Pending.
+	Pending      []Placement
 	Reservations []Reservation
 	Shortfalls   []Shortfall
 	// Demoted lists jobs that are marked as covered, but lie outside the
 	// reservations of this plan, because workers or guarantees have changed. They
-	// count as borrowers: preemptions of this plan may name them.
+	// are borrowers from now on: preemptions of this plan may name them, and the
+	// applier clears their mark, so that they do not compete for the reservation
+	// with jobs that are covered later.
 	Demoted []string
 	// Reasons says in a plain sentence why each job that still waits does so.
 	Reasons map[string]string
