--- a/internal/control/tasks.go
+++ b/internal/control/tasks.go
@@ -19,6 +19,9 @@
 
 // takeTasks keeps the ends of tasks of this zone's current attempts.
 func (c *Control) takeTasks(worker string, tasks []api.TaskReport) {
+	if c.epoch == 0 {
+		return // the keeper repeats it to the planner
+	}
 	for _, t := range tasks {
 		id, attempt, index, ok := jobs.ParseTaskID(t.TaskID)
 		if !ok || t.State != api.TaskStateEnded {
--- a/internal/jobs/row.go
+++ b/internal/jobs/row.go
@@ -103,13 +103,15 @@
 }
 
 // HomeZone returns the zone whose planner does the housekeeping of a job that no
-// zone holds: the last zone that held it, else the first that may run it.
+// zone holds: the zone that held it last, else the first that may run it. Zones
+// that do not exist any more are passed over.
 func HomeZone(job api.Job, zones []api.Zone) string {
-	if job.Zone != "" {
-		return job.Zone
-	}
-	if len(job.Spec.Zones) > 0 {
-		return job.Spec.Zones[0]
+	for _, zone := range append([]string{job.Zone}, job.Spec.Zones...) {
+		for _, z := range zones {
+			if z.Name == zone {
+				return zone
+			}
+		}
 	}
 	if len(zones) > 0 {
 		return zones[0].Name
--- a/internal/jobs/transitions_test.go
+++ b/internal/jobs/transitions_test.go
@@ -98,6 +98,16 @@
 	}
 })
 
+// Guards against ended jobs that no planner deletes.
+var _ = DescribeTable("home zone", func(job api.Job, want string) {
+	Expect(jobs.HomeZone(job, testConfiguration().Head.Zones)).To(Equal(want))
+},
+	Entry("held last", api.Job{Zone: "y", Spec: api.JobSpec{Zones: []string{"z"}}}, "y"),
+	Entry("allowed", api.Job{Spec: api.JobSpec{Zones: []string{"y", "z"}}}, "y"),
+	Entry("held in a zone that is gone", api.Job{Zone: "x", Spec: api.JobSpec{Zones: []string{"x", "y"}}}, "y"),
+	Entry("any", api.Job{}, "z"),
+)
+
 // Guards against jobs that the catalogue does not allow.
 var _ = DescribeTable("validation", func(change func(*api.JobSpec), organisation, want string) {
 	s := spec("k")
