--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -178,7 +178,8 @@
 func (e *Executor) placed() []*jobs.Row {
 	var out []*jobs.Row
 	for _, row := range e.cfg.Follower.Rows() {
-		if row.Job.State == api.JobStatePlaced && row.Job.Zone == e.cfg.Zone && !e.busy(row.Job) {
+		startable := row.Job.State == api.JobStatePlaced && row.Job.Zone == e.cfg.Zone && !row.Job.CancelRequested
+		if startable && !e.busy(row.Job) {
 			out = append(out, row)
 		}
 	}
