Count each part of a frame as a sign of life

Ruled out: heartbeats on a connection of their own, because they would not show that the link itself works; smaller frames, because the schema has no message for parts. Change: frames are read in parts and each part counts for the link and the membership; a write may take four times as long as a loss, silence ends the link earlier; the reason for the end of a link is logged. New tests: a frame that takes longer than a loss, and cuts at random while calls run.

--- a/internal/peers/calls.go
+++ b/internal/peers/calls.go
@@ -74,6 +74,13 @@
 	return l.send(&message, kind) != nil
 }
 
+// touch notes a sign of life of the peer of a link.
+func (m *Mesh) touch(l *link, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.members.touch(l.vm, l.incarnation, 0, now)
+}
+
 // receive handles a frame; false means that its sender has been superseded.
 func (m *Mesh) receive(l *link, envelope *api.PeerEnvelope, kind Kind) bool {
 	m.mu.Lock()
--- a/internal/peers/hello.go
+++ b/internal/peers/hello.go
@@ -138,10 +138,9 @@
 }
 
 var (
-	errSelf      = eris.New("the address is that of this daemon")
-	errClaimed   = eris.New("another process claims the VM of this daemon")
-	errDuplicate = eris.New("a better link to the peer exists")
-	errOutdated  = eris.New("a newer process runs on the VM of the peer")
+	errSelf     = eris.New("the address is that of this daemon")
+	errClaimed  = eris.New("another process claims the VM of this daemon")
+	errOutdated = eris.New("a newer process runs on the VM of the peer")
 )
 
 // register makes the link the one in use for its peer, unless a better one exists.
@@ -164,11 +163,11 @@
 	switch {
 	case old == nil:
 	case old.incarnation != l.incarnation:
-		old.close()
+		old.close(errSuperseded)
 	case m.preferred(old) && !m.preferred(l) && old.silence() < 2*m.heartbeatEvery(l.zone):
-		return errDuplicate
+		return errReplaced
 	default:
-		time.AfterFunc(retireAfter, old.close)
+		time.AfterFunc(retireAfter, func() { old.close(errReplaced) })
 	}
 	m.links[l.vm] = l
 	return nil
--- a/internal/peers/link.go
+++ b/internal/peers/link.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"sync"
 	"time"
 
 	"github.com/coder/websocket"
+	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"github.com/samphirepath/samphirepath/api"
@@ -17,6 +19,8 @@
 	helloTimeout = 2 * time.Second
 	// retireAfter lets calls on a link that another one has replaced finish.
 	retireAfter = 2 * time.Second
+	// slowWriteFactor times the time until a loss is the longest write of a frame.
+	slowWriteFactor = 4
 )
 
 // link is one connection to another daemon after the hello.
@@ -31,11 +35,13 @@
 	kick        chan struct{} // asks for a heartbeat at once
 	done        chan struct{} // closed when the link has ended
 	closeOnce   sync.Once
+	reason      error // why the link has ended, set before done is closed
 	opened      time.Time
 
-	mu       sync.Mutex
-	lastRead time.Time
-	waiting  map[uint64]chan *api.PeerEnvelope
+	mu        sync.Mutex
+	lastRead  time.Time
+	lastTouch time.Time
+	waiting   map[uint64]chan *api.PeerEnvelope
 }
 
 func newLink(m *Mesh, conn *websocket.Conn, hello *api.PeerHello, dialled bool) *link {
@@ -55,24 +61,22 @@
 		select {
 		case <-l.done:
 		case <-ctx.Done():
+			l.close(ctx.Err())
 		}
 		cancel()
-		l.close()
 	}()
 	var writers sync.WaitGroup
 	writers.Go(func() { l.write(ctx) })
 	writers.Go(func() { l.beat(ctx) })
-	err := l.read(ctx)
-	l.close()
+	l.close(l.read(ctx))
 	writers.Wait()
-	if ctx.Err() == nil || !errors.Is(err, context.Canceled) {
-		l.mesh.logger.Debug("Link ended.", zap.String("peer", l.vm), zap.Error(err))
-	}
+	l.mesh.logger.Debug("Link ended.", zap.String("peer", l.vm), zap.Error(l.reason))
 }
 
 // close ends the link without a closing handshake: the peer may not answer.
-func (l *link) close() {
+func (l *link) close(reason error) {
 	l.closeOnce.Do(func() {
+		l.reason = reason
 		close(l.done)
 		_ = l.conn.CloseNow()
 	})
@@ -80,22 +84,16 @@
 
 func (l *link) read(ctx context.Context) error {
 	for {
-		kind, data, err := l.conn.Read(ctx)
+		data, err := l.readFrame(ctx)
 		if err != nil {
 			return err
 		}
-		if kind != websocket.MessageBinary {
-			return errTextFrame
-		}
 		envelope, message, err := decode(data)
 		if err != nil {
 			l.mesh.metrics.faults.Inc(1)
 			return err
 		}
 		l.mesh.metrics.received(message, len(data))
-		l.mu.Lock()
-		l.lastRead = time.Now()
-		l.mu.Unlock()
 		//nolint:contextcheck // Handlers outlive the link and take the context of Run.
 		if !l.mesh.receive(l, envelope, message) {
 			return errSuperseded
@@ -103,14 +101,57 @@
 	}
 }
 
+// readFrame reads one frame. Each part of it counts as a sign of life, because
+// the heartbeats of the peer wait while it sends a large frame.
+func (l *link) readFrame(ctx context.Context) ([]byte, error) {
+	kind, reader, err := l.conn.Reader(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if kind != websocket.MessageBinary {
+		return nil, errTextFrame
+	}
+	return io.ReadAll(&liveReader{reader: reader, link: l})
+}
+
+// liveReader notes the time of each read.
+type liveReader struct {
+	reader io.Reader
+	link   *link
+}
+
+func (r *liveReader) Read(p []byte) (int, error) {
+	n, err := r.reader.Read(p)
+	if n > 0 {
+		r.link.progress(time.Now())
+	}
+	return n, err
+}
+
+// progress notes a sign of life, for the membership not more often than needed.
+func (l *link) progress(now time.Time) {
+	l.mu.Lock()
+	l.lastRead = now
+	touch := now.Sub(l.lastTouch) > l.mesh.config.HeartbeatEvery/2
+	if touch {
+		l.lastTouch = now
+	}
+	l.mu.Unlock()
+	if touch {
+		l.mesh.touch(l, now)
+	}
+}
+
 var (
 	errTextFrame  = errors.New("a text frame arrived")
 	errSuperseded = errors.New("a newer process runs on the VM of the peer")
+	errSilent     = errors.New("the peer is silent")
+	errReplaced   = errors.New("a better link to the peer exists")
 )
 
-// write sends queued frames. A write that takes as long as a loss ends the link.
+// write sends queued frames. A peer that is alive may read slowly, so a write
+// may take several times as long as a loss; silence ends the link earlier.
 func (l *link) write(ctx context.Context) {
-	defer l.close()
 	for {
 		o := l.queue.pop(ctx)
 		if o == nil {
@@ -119,25 +160,25 @@
 		if !o.claim() {
 			continue
 		}
-		if !l.writeFrame(ctx, o) {
+		if err := l.writeFrame(ctx, o); err != nil {
+			l.close(eris.Wrap(err, "write a frame"))
 			return
 		}
 	}
 }
 
-func (l *link) writeFrame(ctx context.Context, o *outgoing) bool {
-	ctx, cancel := context.WithTimeout(ctx, l.mesh.members.lost(l.zone))
+func (l *link) writeFrame(ctx context.Context, o *outgoing) error {
+	ctx, cancel := context.WithTimeout(ctx, slowWriteFactor*l.mesh.members.lost(l.zone))
 	defer cancel()
 	if err := l.conn.Write(ctx, websocket.MessageBinary, o.data); err != nil {
-		return false
+		return err
 	}
 	l.mesh.metrics.sent(o.kind, len(o.data))
-	return true
+	return nil
 }
 
 // beat sends heartbeats and ends the link when the peer has been silent too long.
 func (l *link) beat(ctx context.Context) {
-	defer l.close()
 	ticker := time.NewTicker(l.mesh.heartbeatEvery(l.zone))
 	defer ticker.Stop()
 	for {
@@ -156,6 +197,7 @@
 			l.excuse() // This process did not run; the peer may have sent all the time.
 		}
 		if l.silence() > lost {
+			l.close(errSilent)
 			return
 		}
 	}
--- a/internal/peers/mesh.go
+++ b/internal/peers/mesh.go
@@ -232,7 +232,7 @@
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	for _, l := range m.links {
-		l.close()
+		l.close(context.Canceled)
 	}
 }
 
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -196,6 +196,87 @@
 		Eventually(second.call("a")).WithTimeout(within).Should(Equal(Answered))
 	})
 
+	It("does not lose a peer while one frame takes longer than a loss", func() {
+		first := start("a", nil)
+		proxy := newProxy(first.address)
+		second := start("b", seeds(proxy.address))
+		Eventually(second.call("a")).WithTimeout(within).Should(Equal(Answered))
+		proxy.slow(3 * time.Millisecond) // 1 MiB takes more than 3 times the 250 ms of a loss
+		began := time.Now()
+		sent := make(chan CallStatus, 1)
+		go func() {
+			_, status := second.Call(context.Background(), "a", api.PeerEnvelope{
+				RequestForward: &api.PeerRequestForward{Request: api.RequestSubmit{Body: make([]byte, 1<<20)}},
+			})
+			sent <- status
+		}()
+		for len(sent) == 0 {
+			Expect(first.stateOf("b")()).To(Equal(Live))
+			Expect(second.stateOf("a")()).To(Equal(Live))
+			time.Sleep(5 * time.Millisecond)
+		}
+		Expect(<-sent).To(Equal(Answered))
+		Expect(time.Since(began)).To(BeNumerically(">", 3*first.config.LostAfter))
+	})
+
+	It("never runs a call that was reported as not sent, and none twice, while links are cut", func() {
+		var mu sync.Mutex
+		runs := map[string]int{}
+		first := start("a", nil, func(m *Mesh) {
+			m.Handle(KindRequestForward, func(_ context.Context, _ Member, e *api.PeerEnvelope) *api.PeerEnvelope {
+				mu.Lock()
+				defer mu.Unlock()
+				runs[e.RequestForward.RequestID]++
+				return &api.PeerEnvelope{RequestResult: &api.PeerRequestResult{RequestID: e.RequestForward.RequestID}}
+			})
+		})
+		proxy := newProxy(first.address)
+		second := start("b", seeds(proxy.address))
+		Eventually(second.call("a")).WithTimeout(within).Should(Equal(Answered))
+		statuses := map[string]CallStatus{}
+		var group sync.WaitGroup
+		end := time.Now().Add(2 * time.Second)
+		for client := range 8 {
+			group.Go(func() {
+				defer GinkgoRecover()
+				for i := 0; time.Now().Before(end); i++ {
+					id := fmt.Sprint(client, ".", i)
+					answer, status := second.Call(context.Background(), "a", api.PeerEnvelope{
+						RequestForward: &api.PeerRequestForward{RequestID: id, Request: api.RequestSubmit{Body: make([]byte, 20_000)}},
+					})
+					if status == Answered {
+						Expect(answer.RequestResult.RequestID).To(Equal(id), "crossed answers")
+					}
+					mu.Lock()
+					statuses[id] = status
+					mu.Unlock()
+					time.Sleep(time.Millisecond)
+				}
+			})
+		}
+		for time.Now().Before(end) {
+			proxy.cutAfter(150_000)
+			time.Sleep(100 * time.Millisecond)
+		}
+		group.Wait()
+		first.stop()
+		counts := map[CallStatus]int{}
+		for id, status := range statuses {
+			counts[status]++
+			switch status {
+			case NotSent:
+				Expect(runs[id]).To(BeZero(), id)
+			case Answered:
+				Expect(runs[id]).To(Equal(1), id)
+			default:
+				Expect(runs[id]).To(BeNumerically("<=", 1), id)
+			}
+		}
+		Expect(counts[Answered]).To(BeNumerically(">", 0))
+		Expect(counts[Lost]).To(BeNumerically(">", 0))
+		AddReportEntry("calls by status", fmt.Sprint(counts))
+	})
+
 	It("passes small messages in front of queued bodies", func() {
 		q := newQueue()
 		Expect(q.push(&outgoing{kind: KindRequestForward, data: make([]byte, maxQueuedBulkBytes+1)})).To(BeTrue())
