Log changes of the states of peers, slow down repeated commits

Cause: a peer that fell silent showed only at level debug; a commit whose answer was lost was repeated 50 times a second for up to 10 s. Ruled out: a log line for each link that ends, because links are replaced in ordinary operation. Change: a line and a gauge when the state of a member changes; the pause between repeated commits doubles from 20 ms to 500 ms with jitter; the seeded races of the linearizability test run side by side. Conclusion: planners who read the logs see who is silent since when.

--- a/internal/peers/dial.go
+++ b/internal/peers/dial.go
@@ -39,7 +39,9 @@
 func (m *Mesh) keepLinks(ctx context.Context) {
 	ticker := time.NewTicker(dialTick)
 	defer ticker.Stop()
+	states := &stateReporter{mesh: m}
 	for {
+		states.report()
 		for address, t := range m.dueTargets(time.Now()) {
 			//nolint:contextcheck // goRun passes the context of Run, which is ctx.
 			if !m.goRun(func(ctx context.Context) { m.dialTarget(ctx, address, t) }) {
--- a/internal/peers/metrics.go
+++ b/internal/peers/metrics.go
@@ -9,9 +9,9 @@
 // metrics counts frames. Sizes are those of the frames without the few bytes of
 // framing that WebSocket and TCP add.
 type metrics struct {
-	scope           tally.Scope
 	faults          tally.Counter
 	connects        tally.Counter
+	live            tally.Gauge
 	controlSent     tally.Counter
 	controlReceived tally.Counter
 	bytesSent       map[Kind]tally.Counter
@@ -24,9 +24,9 @@
 func newMetrics(root tally.Scope) *metrics {
 	scope := telemetry.Scope(root).SubScope("peers")
 	m := &metrics{
-		scope:           scope,
 		faults:          scope.Counter("frame_faults"),
 		connects:        scope.Counter("links_opened"),
+		live:            scope.Gauge("live"),
 		controlSent:     telemetry.ControlSent(root, "peers"),
 		controlReceived: telemetry.ControlReceived(root, "peers"),
 		bytesSent:       map[Kind]tally.Counter{},
--- a/revision/writer.go
+++ b/revision/writer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"strconv"
 	"time"
 
@@ -12,8 +13,12 @@
 	"github.com/samphirepath/samphirepath/table"
 )
 
-// settleWait is the pause between attempts to settle a write whose answer was lost.
-const settleWait = 20 * time.Millisecond
+// Pauses between attempts to settle a write whose answer was lost. They grow,
+// because a table service that loses answers is often overloaded.
+const (
+	firstSettleWait = 20 * time.Millisecond
+	maxSettleWait   = 500 * time.Millisecond
+)
 
 // Record is the part of a head row that the writer reads. A head row is a JSON
 // object with at least these fields.
@@ -122,7 +127,7 @@
 	conditions, writes := w.transaction(base, next.Revision, values)
 	own := Head{Record: next, Value: values.Head}
 	sent, refused := false, false
-	for {
+	for wait := firstSettleWait; ; wait = min(2*wait, maxSettleWait) {
 		committed := w.store.Commit(ctx, conditions, writes)
 		switch committed.Status {
 		case table.Committed:
@@ -142,7 +147,7 @@
 		}
 		// Repeating the commit is safe: the conditions on the head let at most
 		// one of the attempts take effect.
-		if pause(ctx) {
+		if pause(ctx, wait) {
 			continue
 		}
 		if refused && !sent {
@@ -186,8 +191,8 @@
 	return Result{Status: Conflict, Current: current}, true
 }
 
-func pause(ctx context.Context) bool {
-	timer := time.NewTimer(settleWait)
+func pause(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait/2 + rand.N(wait/2))
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
--- a/revision/writer_test.go
+++ b/revision/writer_test.go
@@ -193,11 +193,16 @@
 	})
 
 	It("is linearizable over a store that loses and delays answers", func() {
+		var group sync.WaitGroup
 		for seed := range uint64(20) {
-			history := runRace(seed)
-			Expect(porcupine.CheckOperationsTimeout(headModel, history, 10*time.Second)).
-				To(Equal(porcupine.Ok), "seed %d", seed)
+			group.Go(func() {
+				defer GinkgoRecover()
+				history := runRace(seed)
+				Expect(porcupine.CheckOperationsTimeout(headModel, history, 10*time.Second)).
+					To(Equal(porcupine.Ok), "seed %d", seed)
+			})
 		}
+		group.Wait()
 	})
 })
 
