Drop an unused parameter of the capacity measurement

Cause: the linter reports it. Ruled out: a nolint mark. Change: call takes no context; its closure holds one. Before and after: 1 report before, none after.

--- a/test/capacity/measure.go
+++ b/test/capacity/measure.go
@@ -126,14 +126,14 @@
 }
 
 func (r *runner) running(ctx context.Context) (int, error) {
-	list, err := call[api.JobList](ctx, r.cluster.Daemons[0].CallersURL(), callerToken, func(c *api.Client) (*http.Response, error) {
+	list, err := call[api.JobList](r.cluster.Daemons[0].CallersURL(), callerToken, func(c *api.Client) (*http.Response, error) {
 		return c.ListJobs(ctx, &api.ListJobsParams{State: string(api.JobStateRunning)})
 	})
 	return len(list.Jobs), err
 }
 
 func (r *runner) submit(ctx context.Context, spec api.JobSpec) (string, error) {
-	job, err := call[api.Job](ctx, r.cluster.Daemons[0].CallersURL(), callerToken, func(c *api.Client) (*http.Response, error) {
+	job, err := call[api.Job](r.cluster.Daemons[0].CallersURL(), callerToken, func(c *api.Client) (*http.Response, error) {
 		return c.SubmitJob(ctx, spec)
 	})
 	return job.ID, err
@@ -145,7 +145,7 @@
 	d := r.cluster.Daemons[r.changes%len(r.cluster.Daemons)]
 	r.changes++
 	began := time.Now()
-	head, err := call[api.ConfigurationHead](ctx, d.OperatorsURL(), harness.OperatorToken, func(c *api.Client) (*http.Response, error) {
+	head, err := call[api.ConfigurationHead](d.OperatorsURL(), harness.OperatorToken, func(c *api.Client) (*http.Response, error) {
 		return c.ApplyCatalogue(ctx, api.CatalogueApply{
 			ExpectedRevision: int64(r.changes - 1), Catalogue: r.size.catalogue(100 + r.changes), ChangedBy: "capacity",
 		})
@@ -165,7 +165,7 @@
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	for {
-		status, err := call[api.Status](ctx, d.OperatorsURL(), harness.OperatorToken, func(c *api.Client) (*http.Response, error) {
+		status, err := call[api.Status](d.OperatorsURL(), harness.OperatorToken, func(c *api.Client) (*http.Response, error) {
 			return c.GetStatus(ctx)
 		})
 		if err == nil && status.Revision >= revision {
@@ -292,7 +292,7 @@
 		if d.Settings.Daemon.Zone != zone {
 			continue
 		}
-		status, err := call[api.Status](ctx, d.OperatorsURL(), harness.OperatorToken, func(c *api.Client) (*http.Response, error) {
+		status, err := call[api.Status](d.OperatorsURL(), harness.OperatorToken, func(c *api.Client) (*http.Response, error) {
 			return c.GetStatus(ctx)
 		})
 		if err != nil {
@@ -312,7 +312,7 @@
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	for {
-		job, err := call[api.Job](ctx, r.cluster.Daemons[0].CallersURL(), callerToken, func(c *api.Client) (*http.Response, error) {
+		job, err := call[api.Job](r.cluster.Daemons[0].CallersURL(), callerToken, func(c *api.Client) (*http.Response, error) {
 			return c.GetJob(ctx, id)
 		})
 		if err == nil && job.StartedMs > 0 {
@@ -324,7 +324,7 @@
 	}
 }
 
-func call[T any](ctx context.Context, server, token string, do func(*api.Client) (*http.Response, error)) (T, error) {
+func call[T any](server, token string, do func(*api.Client) (*http.Response, error)) (T, error) {
 	var out T
 	client, err := api.NewClient(server, api.WithRequestEditorFn(func(_ context.Context, request *http.Request) error {
 		request.Header.Set("Authorization", "Bearer "+token)
