--- a/internal/entry/server_test.go
+++ b/internal/entry/server_test.go
@@ -10,6 +10,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"testing"
 	"time"
 
 	"github.com/labstack/echo/v4"
