Test what a person sees of a running system

Cause: HTTP errors, settings problems, explanations, traces and metrics had tests in their parts only, not on a running daemon. Ruled out: repeating the parts' tables; each case here needs the wired process. Change: test/product starts two daemons and a stand-in.

--- /dev/null
+++ b/test/product/person_test.go
@@ -0,0 +1,134 @@
+package product
+
+import (
+	"encoding/json"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/samphirepath/samphirepath/api"
+	"github.com/samphirepath/samphirepath/test/harness"
+)
+
+var _ = Describe("settings", func() {
+	// An operator who repairs one mistake at a time restarts a daemon three times.
+	It("reports three faults of a file at once and starts nothing", func() {
+		binaries, err := harness.Build()
+		Expect(err).NotTo(HaveOccurred())
+		text, err := os.ReadFile("../../examples/samphirepathd.toml")
+		Expect(err).NotTo(HaveOccurred())
+		broken := strings.NewReplacer(`poll_every = "500ms"`, `poll_every = "500"`, `callers = "127.0.0.1:8080"`, `callers = "localhost:8080"`,
+			`level = "info"`, `levle = "info"`).Replace(string(text))
+		file := filepath.Join(GinkgoT().TempDir(), "broken.toml")
+		Expect(os.WriteFile(file, []byte(broken), 0o600)).To(Succeed())
+		for _, verb := range []string{"check-settings", "run"} {
+			output, err := exec.Command(binaries.Daemon, verb, file).CombinedOutput()
+			Expect(err).To(HaveOccurred())
+			Expect(err.(*exec.ExitError).ExitCode()).To(Equal(2))
+			Expect(string(output)).To(And(ContainSubstring("poll_every"), ContainSubstring("callers"), ContainSubstring("levle")))
+		}
+	})
+
+	It("accepts the example file", func() {
+		binaries, err := harness.Build()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(exec.Command(binaries.Daemon, "check-settings", "../../examples/samphirepathd.toml").Run()).To(Succeed())
+	})
+})
+
+var _ = Describe("explain", func() {
+	// A caller who is told only "waiting" cannot decide what to give up.
+	It("names the reason why a gang waits, and what an organisation holds", func(ctx SpecContext) {
+		submit := func(key string, accelerators int) string {
+			status, body := call(ctx, http.MethodPost, cluster.Daemons[0].CallersURL()+"/v1/jobs", northToken, encode(job(key, accelerators)))
+			Expect(status).To(Equal(http.StatusCreated), string(body))
+			var accepted api.Job
+			Expect(json.Unmarshal(body, &accepted)).To(Succeed())
+			return accepted.ID
+		}
+		state := func(id string) func() string {
+			return func() string {
+				_, out, _ := tool(northToken, "job", "get", id)
+				return out
+			}
+		}
+		first := submit("holds", 4)
+		Eventually(state(first), "8s", "50ms").Should(ContainSubstring("running"))
+		second := submit("waits", 4) // the quota of the organisation is 6
+		Eventually(func() string {
+			_, out, _ := tool(northToken, "explain", second)
+			return out
+		}, "8s", "50ms").Should(And(ContainSubstring("quota"), ContainSubstring("6")))
+		_, out, _ := tool(northToken, "explain", "north")
+		Expect(out).To(ContainSubstring("4"))
+		_, out, _ = tool(northToken, "explain", first)
+		Expect(out).To(ContainSubstring("kiruna-worker-"))
+		code, _, _ := tool(southToken, "explain", second)
+		Expect(code).To(Equal(5), "another organisation must not see the job")
+		for _, id := range []string{first, second} {
+			code, _, errOut := tool(northToken, "job", "cancel", id)
+			Expect(code).To(Equal(0), errOut)
+		}
+	})
+})
+
+var _ = Describe("traces", func() {
+	const traceID = "4bf92f3577b34da6a3ce929d0e0e4736"
+
+	// Without the trace identifier on every hop, a slow request cannot be followed.
+	It("shows each hop of a forwarded request under one trace identifier", func(ctx SpecContext) {
+		for _, d := range cluster.Daemons { // one of the two forwards to the owner of the minion
+			status, body := call(ctx, http.MethodPost, d.CallersURL()+"/v1/requests", northToken,
+				encode(api.RequestSubmit{Entry: "plans", Key: "trace-" + d.ID(), Body: []byte(`{}`)}),
+				"traceparent", "00-"+traceID+"-00f067aa0ba902b7-01")
+			Expect(status).To(Equal(http.StatusOK), string(body))
+		}
+		hops := func() map[string]int {
+			counts := map[string]int{}
+			for _, d := range cluster.Daemons {
+				data, err := os.ReadFile(filepath.Join(d.Dir, d.ID()+".spans"))
+				Expect(err).NotTo(HaveOccurred())
+				for name, n := range spanNames(data, traceID) {
+					counts[name] += n
+				}
+			}
+			return counts
+		}
+		Eventually(hops, "10s", "100ms").Should(And(
+			HaveKeyWithValue(HavePrefix("entry"), BeNumerically(">=", 2)),
+			HaveKeyWithValue(ContainSubstring("peer"), BeNumerically(">=", 1)),
+			HaveKeyWithValue(ContainSubstring("minion"), BeNumerically(">=", 2)),
+		))
+	})
+})
+
+// spanNames counts the spans of a trace by name in the output of the file exporter.
+func spanNames(data []byte, trace string) map[string]int {
+	counts := map[string]int{}
+	decoder := json.NewDecoder(strings.NewReader(string(data)))
+	for {
+		var span struct {
+			Name        string
+			SpanContext struct{ TraceID string }
+		}
+		if decoder.Decode(&span) != nil {
+			return counts
+		}
+		if span.SpanContext.TraceID == trace {
+			counts[span.Name]++
+		}
+	}
+}
+
+var _ = Describe("metrics", func() {
+	It("serves the Prometheus text format with the processor time of the process", func(ctx SpecContext) {
+		status, body := call(ctx, http.MethodGet, cluster.Daemons[0].OperatorsURL()+"/metrics", "", nil)
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(string(body)).To(And(ContainSubstring("process_cpu_seconds_total"), ContainSubstring("samphirepath_configuration_revision")))
+	})
+})
