Explain jobs, requests and organisations from any daemon

Cause: explain gave only the reason stored in the job row, and nothing about requests and organisations. Ruled out: asking the planning daemon over the peers; any daemon follows all job rows and can compute the plan of any zone in milliseconds. Peers accept frames as large as the largest answer of a minion. Conclusion: explain on a waiting gang names the reason on every daemon.

--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -84,44 +84,12 @@
 
 // snapshot builds the input of a plan.
 func (c *Control) snapshot(now time.Time, configured api.Configuration) planner.Snapshot {
-	s := planner.Snapshot{
-		Now: now, Zone: c.cfg.Zone, ZoneState: zoneState(configured.Head.Zones, c.cfg.Zone), Catalogue: configured.Catalogue,
-		TeamUsageElsewhere: map[string]int{}, OrganisationUsageElsewhere: map[string]int{},
-	}
+	workers := make([]planner.Worker, 0, len(c.workers))
 	for _, w := range c.workers {
-		s.Workers = append(s.Workers, c.view(w, now))
-	}
-	sort.Slice(s.Workers, func(i, j int) bool { return s.Workers[i].ID < s.Workers[j].ID })
-	for _, row := range c.cfg.Follower.Rows() {
-		c.addJob(&s, row.Job)
-	}
-	return s
-}
-
-func (c *Control) addJob(s *planner.Snapshot, job api.Job) {
-	switch {
-	case jobs.Holds(job.State) && job.Zone == c.cfg.Zone:
-		s.Jobs = append(s.Jobs, job)
-	case jobs.Holds(job.State):
-		used := len(job.Placement) * job.Spec.Resources.Accelerators
-		s.OrganisationUsageElsewhere[job.Organisation] += used
-		if job.Spec.Team != "" {
-			s.TeamUsageElsewhere[job.Spec.Team] += used
-		}
-	case job.State == api.JobStateWaiting && !job.CancelRequested && jobs.AllowsZone(job.Spec, c.cfg.Zone):
-		s.Jobs = append(s.Jobs, job)
-	}
-}
-
-// zoneState returns the state of a zone; a zone that the configuration does not
-// name is out.
-func zoneState(zones []api.Zone, name string) api.ZoneState {
-	for _, z := range zones {
-		if z.Name == name {
-			return z.State
-		}
+		workers = append(workers, c.view(w, now))
 	}
-	return api.Out
+	sort.Slice(workers, func(i, j int) bool { return workers[i].ID < workers[j].ID })
+	return NewSnapshot(now, c.cfg.Zone, configured, workers, c.cfg.Follower.Rows())
 }
 
 // publish makes the control state visible to other goroutines.
--- /dev/null
+++ b/internal/control/snapshot.go
@@ -0,0 +1,48 @@
+package control
+
+import (
+	"time"
+
+	"github.com/samphirepath/samphirepath/api"
+	"github.com/samphirepath/samphirepath/internal/jobs"
+	"github.com/samphirepath/samphirepath/internal/planner"
+)
+
+// NewSnapshot builds the input of a plan for a zone from the configuration, the
+// workers of the zone and the job rows of all zones.
+func NewSnapshot(now time.Time, zone string, configured api.Configuration, workers []planner.Worker, rows []*jobs.Row) planner.Snapshot {
+	s := planner.Snapshot{
+		Now: now, Zone: zone, ZoneState: zoneState(configured.Head.Zones, zone), Catalogue: configured.Catalogue, Workers: workers,
+		TeamUsageElsewhere: map[string]int{}, OrganisationUsageElsewhere: map[string]int{},
+	}
+	for _, row := range rows {
+		addJob(&s, row.Job)
+	}
+	return s
+}
+
+func addJob(s *planner.Snapshot, job api.Job) {
+	switch {
+	case jobs.Holds(job.State) && job.Zone == s.Zone:
+		s.Jobs = append(s.Jobs, job)
+	case jobs.Holds(job.State):
+		used := len(job.Placement) * job.Spec.Resources.Accelerators
+		s.OrganisationUsageElsewhere[job.Organisation] += used
+		if job.Spec.Team != "" {
+			s.TeamUsageElsewhere[job.Spec.Team] += used
+		}
+	case job.State == api.JobStateWaiting && !job.CancelRequested && jobs.AllowsZone(job.Spec, s.Zone):
+		s.Jobs = append(s.Jobs, job)
+	}
+}
+
+// zoneState returns the state of a zone; a zone that the configuration does not
+// name is out.
+func zoneState(zones []api.Zone, name string) api.ZoneState {
+	for _, z := range zones {
+		if z.Name == name {
+			return z.State
+		}
+	}
+	return api.Out
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -39,6 +39,9 @@
 	// checkRounds is the number of request timeouts that a check of worker
 	// capacity may take: the VM list, then the workers that are not known yet.
 	checkRounds = 3
+	// maxFrameBytes lets a peer pass on the largest answer that a minion may give
+	// (16 MiB) with what surrounds it; a larger frame would be lost.
+	maxFrameBytes = 17 << 20
 	// flushTimeout bounds the export of the last spans.
 	flushTimeout = 2 * time.Second
 )
@@ -103,7 +106,7 @@
 		VM: s.Daemon.VM, Zone: s.Daemon.Zone, Incarnation: d.incarnation,
 		Listen: s.Listen.Peers, Token: s.Peers.Token, Seeds: s.Peers.Seeds,
 		VMs: d.clients.vms, VMListEvery: s.Timing.VMListEvery.Std(),
-		HeartbeatEvery: s.Peers.HeartbeatEvery.Std(), LostAfter: s.Peers.LostAfter.Std(),
+		HeartbeatEvery: s.Peers.HeartbeatEvery.Std(), LostAfter: s.Peers.LostAfter.Std(), MaxFrameBytes: maxFrameBytes,
 		Seen: seen, Announce: d.announce,
 		Logger: telemetry.Part(d.log, "peers"), Scope: d.metrics.Scope, Tracer: d.traces.Tracer("peers"),
 	})
--- a/internal/inventory/checks.go
+++ b/internal/inventory/checks.go
@@ -67,14 +67,27 @@
 	}
 	job.State, job.Spec.Zones = api.JobStateWaiting, []string{zone}
 	snapshot := planner.Snapshot{Now: time.Now(), Zone: zone, ZoneState: api.In, Catalogue: catalogue, Jobs: []api.Job{job}}
+	snapshot.Workers = liveWorkers(reports)
+	for _, refusal := range planner.Compute(snapshot).Refusals {
+		return refusal.Reason
+	}
+	return ""
+}
+
+// PlannerWorkers returns the workers of a zone as the planner sees them when all
+// are live.
+func (i *Inventory) PlannerWorkers(ctx context.Context, zone string) ([]planner.Worker, error) {
+	reports, _, err := i.Workers(ctx, zone)
+	return liveWorkers(reports), err
+}
+
+func liveWorkers(reports []api.WorkerReport) []planner.Worker {
+	workers := make([]planner.Worker, 0, len(reports))
 	for _, r := range reports {
-		snapshot.Workers = append(snapshot.Workers, planner.Worker{
+		workers = append(workers, planner.Worker{
 			ID: r.WorkerID, Rack: r.Rack, State: planner.WorkerLive, Cores: r.Cores, MemoryMB: r.MemoryMb,
 			Accelerators: r.Accelerators, AcceleratorModel: r.AcceleratorModel,
 		})
 	}
-	for _, refusal := range planner.Compute(snapshot).Refusals {
-		return refusal.Reason
-	}
-	return ""
+	return workers
 }
