Let in an earlier process of a VM once the later one is silent

Cause: a daemon restarted with a clock set back would have been refused as an earlier process until its clock passed that of the process before. The report of states every 50 ms cost processor time. Ruled out: no order between incarnations, because a frozen daemon that wakes would supersede its successor at a peer that never met the earlier one. Change: the later incarnation wins, an earlier one is refused only while the later one is not silent; states are reported every 250 ms. Conclusion: a wrong clock delays a restarted daemon by one loss time at most.

--- a/internal/peers/dial.go
+++ b/internal/peers/dial.go
@@ -17,7 +17,9 @@
 
 // Times between attempts to dial.
 const (
-	dialTick     = 50 * time.Millisecond
+	dialTick = 50 * time.Millisecond
+	// reportTicks is the number of ticks between reports of the states of members.
+	reportTicks  = 5
 	firstBackoff = 100 * time.Millisecond
 	maxBackoff   = 2 * time.Second
 	// stableAfter is the life of a link after which a new dial needs no back-off.
@@ -40,8 +42,10 @@
 	ticker := time.NewTicker(dialTick)
 	defer ticker.Stop()
 	states := &stateReporter{mesh: m}
-	for {
-		states.report()
+	for tick := 0; ; tick++ {
+		if tick%reportTicks == 0 {
+			states.report()
+		}
 		for address, t := range m.dueTargets(time.Now()) {
 			//nolint:contextcheck // goRun passes the context of Run, which is ctx.
 			if !m.goRun(func(ctx context.Context) { m.dialTarget(ctx, address, t) }) {
--- a/internal/peers/membership.go
+++ b/internal/peers/membership.go
@@ -29,7 +29,7 @@
 	left     map[instanceKey]bool // listed as leaving
 	past     map[instanceKey]bool // listed before another instance of the VM
 	drained  map[string]bool      // incarnations that announced draining
-	replaced map[string]bool      // incarnations with a newer process on their VM
+	replaced map[string]bool      // incarnations that another process on their VM has followed
 }
 
 // instanceKey names an instance of a VM.
@@ -112,7 +112,7 @@
 func (s *membership) meet(hello *api.PeerHello, revision int64, address string, now time.Time) bool {
 	r := s.record(hello.VM)
 	if r.Incarnation != hello.Incarnation {
-		if s.replaced[hello.Incarnation] || olderProcess(hello.Incarnation, r.Incarnation) {
+		if s.superseded(r, hello.Incarnation, now) {
 			return false
 		}
 		if r.Incarnation != "" {
@@ -127,17 +127,33 @@
 	return true
 }
 
-// olderProcess tells whether incarnation a is known to have started before b.
-func olderProcess(a, b string) bool {
-	first, err := uuid.Parse(a)
-	if err != nil || first.Version() != 7 {
+// superseded tells whether a process is an earlier one on the VM of the record.
+// Of two incarnations that carry their time the later one wins. The earlier one
+// is still let in once the later one is silent: its clock may have been wrong.
+func (s *membership) superseded(r *memberRecord, incarnation string, now time.Time) bool {
+	switch compareIncarnations(incarnation, r.Incarnation) {
+	case 1:
 		return false
+	case -1:
+		return s.snapshot(r, now).State != Silent
+	default:
+		return s.replaced[incarnation]
+	}
+}
+
+// compareIncarnations orders incarnations made by NewIncarnation by their time;
+// others compare as 0.
+func compareIncarnations(a, b string) int {
+	const timeOrdered = 7
+	first, err := uuid.Parse(a)
+	if err != nil || first.Version() != timeOrdered {
+		return 0
 	}
 	second, err := uuid.Parse(b)
-	if err != nil || second.Version() != 7 {
-		return false
+	if err != nil || second.Version() != timeOrdered {
+		return 0
 	}
-	return strings.Compare(first.String(), second.String()) < 0
+	return strings.Compare(first.String(), second.String())
 }
 
 // touch notes a frame of a daemon.
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -384,6 +384,16 @@
 		Expect(s.meet(hello("p"), 0, "", now)).To(BeFalse())
 	})
 
+	It("lets the later process of a VM win, whichever it meets first", func() {
+		older, newer := NewIncarnation(), NewIncarnation()
+		s := newMembership("a", "a", time.Second)
+		Expect(s.meet(hello(newer), 0, "", now)).To(BeTrue())
+		Expect(s.meet(hello(older), 0, "", now)).To(BeFalse(), "woken while the later one is live")
+		silent := now.Add(2 * time.Second)
+		Expect(s.meet(hello(older), 0, "", silent)).To(BeTrue(), "restarted with a clock set back")
+		Expect(s.meet(hello(newer), 0, "", silent)).To(BeTrue())
+	})
+
 	It("waits four times as long for a daemon in another zone", func() {
 		s := newMembership("a", "z", time.Second)
 		Expect(s.meet(hello("p"), 0, "", now)).To(BeTrue())
