Make the settings test clean for the linter

Cause: a deliberate misspelling and a type assertion on an error. Ruled out: exceptions in the linter's settings. Change: an unknown key instead of a misspelt one; errors.As.

--- a/test/product/person_test.go
+++ b/test/product/person_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net/http"
 	"os"
 	"os/exec"
@@ -23,14 +24,15 @@
 		text, err := os.ReadFile("../../examples/samphirepathd.toml")
 		Expect(err).NotTo(HaveOccurred())
 		broken := strings.NewReplacer(`poll_every = "500ms"`, `poll_every = "500"`, `callers = "127.0.0.1:8080"`, `callers = "localhost:8080"`,
-			`level = "info"`, `levle = "info"`).Replace(string(text))
+			`level = "info"`, `verbosity = "info"`).Replace(string(text))
 		file := filepath.Join(GinkgoT().TempDir(), "broken.toml")
 		Expect(os.WriteFile(file, []byte(broken), 0o600)).To(Succeed())
 		for _, verb := range []string{"check-settings", "run"} {
 			output, err := exec.Command(binaries.Daemon, verb, file).CombinedOutput()
-			Expect(err).To(HaveOccurred())
-			Expect(err.(*exec.ExitError).ExitCode()).To(Equal(2))
-			Expect(string(output)).To(And(ContainSubstring("poll_every"), ContainSubstring("callers"), ContainSubstring("levle")))
+			var exit *exec.ExitError
+			Expect(errors.As(err, &exit)).To(BeTrue())
+			Expect(exit.ExitCode()).To(Equal(2))
+			Expect(string(output)).To(And(ContainSubstring("poll_every"), ContainSubstring("callers"), ContainSubstring("verbosity")))
 		}
 	})
 
