Wait for requests that only lost peers can run

Cause: when a forward was lost and no other place was left, the entry daemon answered unknown at once although the lost peer could still run the request. Ruled out: nothing. Change: it polls the claim row until the deadline. The fault 'call late' (the link breaks and the call is served all the same) joins the tests. Conclusion: a lost forward ends with its result whenever that comes in time.

--- a/internal/router/claimed.go
+++ b/internal/router/claimed.go
@@ -141,7 +141,7 @@
 		return step{reply: r.refused(j, &refusal{Unavailable, "the request could not be claimed in the table service", retryAfterUnavailable})}, false
 	case claim.InProgress:
 		if j.elsewhere || j.peers[out.Row.VM] {
-			return r.awaitResult(ctx, j), false
+			return r.awaitResult(ctx, j, true), false
 		}
 	}
 	return step{reply: r.replyOfRow(j, out.Row, out.Err)}, false
@@ -171,13 +171,17 @@
 }
 
 // awaitResult polls the claim row of a request that a peer may have dispatched.
-// It offers the request elsewhere when the row shows that it has not been sent.
-func (r *Router) awaitResult(ctx context.Context, j *job) step {
+// With offer set it returns when the row shows that the request has not been sent
+// yet, so that it can be offered elsewhere.
+func (r *Router) awaitResult(ctx context.Context, j *job, offer bool) step {
 	for try := 1; ; try++ {
 		row, exists, err := r.config.Claims.Lookup(ctx, j.Organisation, j.Submit.Key)
 		if err == nil {
 			switch {
 			case !exists || row.State == api.ClaimStateNotRun:
+				if !offer {
+					break
+				}
 				return step{reply: unknown(j, "the peer that got the request was lost; whether it ran is not known"), retry: true, free: true}
 			case row.BodyHash != bodyHash(j.Submit) || row.State == api.ClaimStateDone:
 				return step{reply: r.replyOfRow(j, row, nil)}
--- a/internal/router/cluster_test.go
+++ b/internal/router/cluster_test.go
@@ -197,10 +197,18 @@
 	if fault == "call lost" {
 		return nil, peers.Lost
 	}
+	serve := func() *api.PeerEnvelope {
+		return copyEnvelope(to.handlers[peers.KindRequestForward](context.WithoutCancel(ctx), d.Self(), copyEnvelope(&message)))
+	}
+	if fault == "call late" { // the link breaks, and the call is served all the same
+		d.cluster.group.Go(func() {
+			time.Sleep(rand.N(60 * time.Millisecond))
+			serve()
+		})
+		return nil, peers.Lost
+	}
 	answers := make(chan *api.PeerEnvelope, 1)
-	go func() {
-		answers <- copyEnvelope(to.handlers[peers.KindRequestForward](context.WithoutCancel(ctx), d.Self(), copyEnvelope(&message)))
-	}()
+	go func() { answers <- serve() }()
 	select {
 	case answer := <-answers:
 		return spoil(answer, fault)
--- a/internal/router/faults_test.go
+++ b/internal/router/faults_test.go
@@ -59,6 +59,7 @@
 		Entry("none", "", true, api.OutcomeRan, 1),
 		Entry("not sent, claimed", "not sent", true, api.OutcomeRan, 1),
 		Entry("call lost, claimed", "call lost", true, api.OutcomeRan, 1),
+		Entry("call late, claimed", "call late", true, api.OutcomeRan, 1),
 		Entry("answer lost, claimed", "answer lost", true, api.OutcomeRan, 1),
 		Entry("answer truncated, claimed", "truncated", true, api.OutcomeRan, 1),
 		Entry("answer altered, claimed", "altered", true, api.OutcomeRan, 1),
@@ -69,6 +70,17 @@
 		Entry("answer crossed, idempotent", "crossed", false, api.OutcomeRan, 2),
 	)
 
+	// Guards against not_run for a request that lost peers still run, and against
+	// giving up before its result is there.
+	It("waits for a request that only lost peers can run", func() {
+		c.callFault = func(*daemon, *daemon) string { return "call late" }
+		reply := c.daemons[0].submit("k", "body", true, wait)
+		Expect(reply.Result.Outcome).To(Equal(api.OutcomeRan), reply.Result.Reason)
+		c.storeFault = func(*daemon) string { return "unavailable" }
+		reply = c.daemons[0].submit("k2", "body 2", true, wait)
+		Expect(reply.Result.Outcome).To(Equal(api.OutcomeUnknown), reply.Result.Reason)
+	})
+
 	// Guards against a second dispatch of a request whose daemon died, and against
 	// not_run for one that may have run.
 	DescribeTable("death of the dispatching daemon", func(afterDispatch bool, runs int) {
--- a/internal/router/forward.go
+++ b/internal/router/forward.go
@@ -98,7 +98,7 @@
 		return step{reply: unknown(j, "the peer that got the request was lost"), retry: true}
 	}
 	j.elsewhere = true
-	return r.awaitResult(ctx, j)
+	return r.awaitResult(ctx, j, true)
 }
 
 // servedForwards holds the cancel functions of the requests that peers forwarded.
--- a/internal/router/random_test.go
+++ b/internal/router/random_test.go
@@ -46,7 +46,7 @@
 	defer c.close()
 	c.mu.Lock()
 	c.callFault = func(*daemon, *daemon) string {
-		return random.pick(30, "not sent", "call lost", "answer lost", "truncated", "altered", "crossed")
+		return random.pick(30, "not sent", "call lost", "call late", "answer lost", "truncated", "altered", "crossed")
 	}
 	c.storeFault = func(*daemon) string { return random.pick(20, "unavailable", "answer lost") }
 	c.mu.Unlock()
@@ -84,7 +84,7 @@
 		}
 	}
 	group.Wait()
-	time.Sleep(100 * time.Millisecond) // requests that run without their caller
+	time.Sleep(500 * time.Millisecond) // requests that run without their caller
 	counts := map[api.Outcome]int{}
 	for i, outcome := range outcomes {
 		counts[outcome]++
--- a/internal/router/submit.go
+++ b/internal/router/submit.go
@@ -126,6 +126,8 @@
 		mayForward: j.mayForward && j.held == nil, maxQueued: j.MaxQueued, job: j,
 	})
 	switch {
+	case g.refusal != nil && j.elsewhere:
+		return r.awaitResult(ctx, j, false) // the lost peer may still run it
 	case g.refusal != nil:
 		return step{reply: r.refused(j, g.refusal)}
 	case g.peer != "":
