Measure failures at the target size and draft the capacity page

Cause: the page must say for each failure what is rebuilt from where, how long it takes and what it costs the table service. Ruled out: estimates from the code paths.

--- a/test/capacity/main.go
+++ b/test/capacity/main.go
@@ -61,6 +61,7 @@
 		Header: fmt.Sprintf("Measured on %s at commit %s, %s per point; the whole run took %s.",
 			began.UTC().Format("2006-01-02 15:04 MST"), args.Commit, args.Window, time.Since(began).Round(time.Second)),
 		Slopes: slopeTable(results), Target: targetTable(target), Channels: channelTable(target), Events: eventTable(target),
+		Failures: failureTable(target.failures),
 	}
 	fmt.Print(tables.text())
 	if args.Only != "" {
--- a/test/capacity/measure.go
+++ b/test/capacity/measure.go
@@ -44,6 +44,7 @@
 	urgent  []time.Duration // time from submission to the start of an urgent gang
 	// takeover is the same time for a job submitted right after its planner was killed.
 	takeover time.Duration
+	failures []event
 }
 
 type measurer struct {
@@ -132,6 +133,35 @@
 	return len(list.Jobs), err
 }
 
+func (r *runner) jobs(ctx context.Context) ([]api.Job, error) {
+	list, err := call[api.JobList](r.cluster.Daemons[0].CallersURL(), callerToken, func(c *api.Client) (*http.Response, error) {
+		return c.ListJobs(ctx, &api.ListJobsParams{})
+	})
+	return list.Jobs, err
+}
+
+// await polls the jobs until the condition holds.
+func (r *runner) await(ctx context.Context, holds func([]api.Job) bool) error {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	for {
+		jobs, err := r.jobs(ctx)
+		if err == nil && holds(jobs) {
+			return nil
+		}
+		if !sleep(ctx, 10*pollEvery) {
+			return eris.Errorf("jobs did not reach the state waited for (%v)", err)
+		}
+	}
+}
+
+func (r *runner) changeZone(ctx context.Context, state api.ZoneState) error {
+	_, err := call[api.ConfigurationHead](r.cluster.Daemons[0].OperatorsURL(), harness.OperatorToken, func(c *api.Client) (*http.Response, error) {
+		return c.ChangeZone(ctx, zoneName(0), api.ZoneChange{State: state, ChangedBy: "capacity", Reason: "measurement"})
+	})
+	return err
+}
+
 func (r *runner) submit(ctx context.Context, spec api.JobSpec) (string, error) {
 	job, err := call[api.Job](r.cluster.Daemons[0].CallersURL(), callerToken, func(c *api.Client) (*http.Response, error) {
 		return c.SubmitJob(ctx, spec)
@@ -265,6 +295,10 @@
 		}
 		p.urgent = append(p.urgent, took)
 	}
+	var err error
+	if p.failures, err = r.failures(ctx); err != nil {
+		return err
+	}
 	planner, err := r.planner(ctx, zone)
 	if err != nil {
 		return err
--- a/test/capacity/report.go
+++ b/test/capacity/report.go
@@ -198,6 +198,17 @@
 		timesText(p.spread), timesText(p.urgent), timesText([]time.Duration{p.takeover}))
 }
 
+// failureTable gives the cost of failures and operations at the target size.
+func failureTable(events []event) string {
+	var b strings.Builder
+	b.WriteString("| event | outcome | time | reads of a row | listings | commits | KB read |\n|---|---|---|---|---|---|---|\n")
+	for _, e := range events {
+		fmt.Fprintf(&b, "| %s | %s | %s | %d | %d | %d | %.0f |\n", e.name, e.outcome, e.took.Round(10*time.Millisecond),
+			e.table.Gets, e.table.Lists, e.table.Commits, float64(e.table.ReadBytes)/kilobyte)
+	}
+	return b.String()
+}
+
 func timesText(times []time.Duration) string {
 	if len(times) == 0 {
 		return "0 | - | -"
@@ -207,14 +218,14 @@
 }
 
 // tables are the generated parts of the page, each between two marks.
-type tables struct{ Header, Slopes, Target, Channels, Events string }
+type tables struct{ Header, Slopes, Target, Channels, Events, Failures string }
 
 func (t tables) parts() map[string]string {
-	return map[string]string{"header": t.Header + "\n", "slopes": t.Slopes, "target": t.Target, "channels": t.Channels, "events": t.Events}
+	return map[string]string{"header": t.Header + "\n", "slopes": t.Slopes, "target": t.Target, "channels": t.Channels, "events": t.Events, "failures": t.Failures}
 }
 
 func (t tables) text() string {
-	return strings.Join([]string{t.Header, t.Target, t.Events, t.Channels, t.Slopes}, "\n")
+	return strings.Join([]string{t.Header, t.Target, t.Events, t.Failures, t.Channels, t.Slopes}, "\n")
 }
 
 // write replaces the parts of the page between <!-- NAME --> and <!-- /NAME -->.
