Take periodic checkpoints and let each task go on from its own

Cause: a checkpoint was taken only before a preemption or a zone change, so a job of many hours that lost a worker started from the beginning. The job row kept one object for the whole gang, so every task would have loaded the state of the task that had kept least. Ruled out: checkpoints by the keepers, which may be several daemons after a rehash; the planning daemon's commits are fenced.

--- a/api/api.gen.go
+++ b/api/api.gen.go
@@ -425,8 +425,11 @@
 	Attempt         int  `json:"attempt,omitempty"`
 	CancelRequested bool `json:"cancel_requested,omitempty"`
 
-	// CheckpointObject Object that holds the newest checkpoint.
-	CheckpointObject string `json:"checkpoint_object,omitempty"`
+	// CheckpointMs Unix time in milliseconds at which the newest checkpoint was recorded.
+	CheckpointMs int64 `json:"checkpoint_ms,omitempty"`
+
+	// Checkpoints Newest checkpoint of each task, by index; all or none. Each task goes on from its own.
+	Checkpoints []TaskCheckpoint `json:"checkpoints,omitempty"`
 
 	// Class Class of the entry at submission.
 	Class string `json:"class"`
@@ -445,7 +448,7 @@
 	Placement   []TaskPlacement `json:"placement,omitempty"`
 	Preemptions int             `json:"preemptions,omitempty"`
 
-	// ProgressMs Work kept by the newest checkpoint, in milliseconds.
+	// ProgressMs Work kept by the newest checkpoint of the task that has kept least, in milliseconds.
 	ProgressMs int64 `json:"progress_ms,omitempty"`
 
 	// Reason Why the job waits, failed or was refused.
@@ -1034,6 +1037,17 @@
 // TaskActionKind Operation on tasks of a worker.
 type TaskActionKind string
 
+// TaskCheckpoint Checkpoint of one task of a gang.
+type TaskCheckpoint struct {
+	Index int `json:"index"`
+
+	// Object Object that holds the checkpoint.
+	Object string `json:"object"`
+
+	// ProgressMs Work that it keeps, in milliseconds.
+	ProgressMs int64 `json:"progress_ms"`
+}
+
 // TaskExit Why a task ended.
 type TaskExit string
 
@@ -1086,6 +1100,9 @@
 
 // TimingSettings Intervals and timeouts.
 type TimingSettings struct {
+	// CheckpointEvery Interval of checkpoints of running jobs that can write them. Default 10m.
+	CheckpointEvery Duration `json:"checkpoint_every" toml:"checkpoint_every"`
+
 	// CheckpointWait Longest wait for a checkpoint before a stop. Default 3s.
 	CheckpointWait Duration `json:"checkpoint_wait" toml:"checkpoint_wait"`
 
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -15,8 +15,12 @@
 		Now: now, Zone: zone, ZoneState: zoneState(configured.Head.Zones, zone), Catalogue: configured.Catalogue, Workers: workers,
 		TeamUsageElsewhere: map[string]int{}, OrganisationUsageElsewhere: map[string]int{},
 	}
+	s.LastCheckpoint = map[string]time.Time{}
 	for _, row := range rows {
 		addJob(&s, row.Job)
+		if row.Job.CheckpointMs > 0 {
+			s.LastCheckpoint[row.Job.ID] = time.UnixMilli(row.Job.CheckpointMs)
+		}
 	}
 	return s
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -182,7 +182,7 @@
 		Zone: zone, Follower: d.follower, Applier: applier, Workers: d.clients.workers, View: d.configuration,
 		Network: d.mesh, Places: d.control, Leading: d.control.Leading,
 		TaskLease: t.TaskLease.Std(), ZoneConfirmation: t.ZoneConfirmation.Std(), MaxClockSkew: t.MaxClockSkew.Std(),
-		CheckpointWait: t.CheckpointWait.Std(), StartWait: t.StartWait.Std(), StartsPerSecond: s.Limits.StartsPerSecond,
+		CheckpointWait: t.CheckpointWait.Std(), CheckpointEvery: t.CheckpointEvery.Std(), StartWait: t.StartWait.Std(), StartsPerSecond: s.Limits.StartsPerSecond,
 		Log: telemetry.Part(d.log, "executor"), Scope: d.metrics.Scope.SubScope("executor"), Tracer: d.traces.Tracer("executor"),
 	})
 	d.keeper = keeper.New(keeper.Config{
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -64,8 +64,10 @@
 	ZoneConfirmation time.Duration
 	MaxClockSkew     time.Duration
 	CheckpointWait   time.Duration
-	StartWait        time.Duration
-	StartsPerSecond  int
+	// CheckpointEvery is the interval of checkpoints of running jobs.
+	CheckpointEvery time.Duration
+	StartWait       time.Duration
+	StartsPerSecond int
 
 	Log    *zap.Logger
 	Scope  tally.Scope
@@ -79,6 +81,7 @@
 
 	mu         sync.Mutex
 	operations map[string]*operation // by job
+	tried      map[string]time.Time  // last periodic checkpoint tried, by job
 	running    sync.WaitGroup
 }
 
@@ -96,7 +99,7 @@
 		take time.Duration
 	}{
 		{&cfg.TaskLease, 20 * time.Second}, {&cfg.ZoneConfirmation, 2 * time.Second},
-		{&cfg.MaxClockSkew, 500 * time.Millisecond}, {&cfg.CheckpointWait, 3 * time.Second},
+		{&cfg.MaxClockSkew, 500 * time.Millisecond}, {&cfg.CheckpointWait, 3 * time.Second}, {&cfg.CheckpointEvery, 10 * time.Minute},
 		{&cfg.StartWait, 3 * time.Second},
 	}
 	for _, d := range defaults {
@@ -118,7 +121,7 @@
 	}
 	// The burst lets the largest gang start at once.
 	limiter := rate.NewLimiter(rate.Limit(cfg.StartsPerSecond), max(cfg.StartsPerSecond, jobs.MaxTasks))
-	return &Executor{cfg: cfg, limiter: limiter, operations: map[string]*operation{}}
+	return &Executor{cfg: cfg, limiter: limiter, operations: map[string]*operation{}, tried: map[string]time.Time{}}
 }
 
 // Run carries out rows until ctx ends.
@@ -134,6 +137,7 @@
 		e.abandon()
 		if e.cfg.Leading() {
 			e.launchStops(ctx)
+			e.launchCheckpoints(ctx, time.Now())
 		}
 		wait(ctx, changed, checkEvery)
 	}
--- a/internal/executor/faults_test.go
+++ b/internal/executor/faults_test.go
@@ -202,13 +202,31 @@
 		c.view.setState(api.Out)
 		Eventually(a.job("j")).Should(inState(api.JobStateWaiting))
 		kept := a.job("j")()
-		Expect(kept.CheckpointObject).NotTo(BeEmpty())
+		Expect(kept.Checkpoints).To(HaveLen(2))
 		Expect(kept.ProgressMs).To(BeNumerically(">", 0))
 		Consistently(a.job("j"), 500*time.Millisecond).Should(inState(api.JobStateWaiting))
 		c.view.setState(api.In)
 		Eventually(a.job("j")).Should(SatisfyAll(inState(api.JobStateRunning), HaveField("ProgressMs", kept.ProgressMs)))
 	})
 
+	// Guards against a job of many hours that starts again from the beginning
+	// after it has lost a worker.
+	It("goes on from a periodic checkpoint when a worker loses its tasks", func() {
+		c := newCluster(3, "a")
+		c.checkpointEvery = 200 * time.Millisecond
+		a := c.start("a")
+		c.add("j", 2, func(j *api.Job) { j.Spec.Checkpoint = true })
+		Eventually(a.job("j")).Should(SatisfyAll(inState(api.JobStateRunning), HaveField("ProgressMs", BeNumerically(">", 0))))
+		lost := a.job("j")().Placement[0].Worker
+		c.workers.set(func() { clear(c.workers.tasks[lost]) })
+		Eventually(a.job("j")).Should(SatisfyAll(inState(api.JobStateRunning), HaveField("Attempt", 2)))
+		for _, t := range c.workers.all("j") {
+			if _, attempt, _, _ := jobs.ParseTaskID(t.TaskID); attempt == 2 {
+				Expect(t.ProgressMs).To(BeNumerically(">", 0))
+			}
+		}
+	})
+
 	// Guards against a part of a gang that is left over by a failed start.
 	It("stops the started members when one does not start, and tries elsewhere", func() {
 		c := newCluster(4, "a")
--- a/internal/executor/parts_test.go
+++ b/internal/executor/parts_test.go
@@ -38,15 +38,15 @@
 
 // Guards against a restart from checkpoints of which some members have none.
 var _ = DescribeTable("common checkpoint", func(reports map[int]api.TaskReport, want jobs.Checkpoint, newer bool) {
-	c := newCheckpoints(api.Job{ProgressMs: 5, CheckpointObject: "known", Placement: make([]api.TaskPlacement, 2)})
+	c := newCheckpoints(api.Job{ProgressMs: 5, Placement: make([]api.TaskPlacement, 2)})
 	c.take(reports)
 	Expect(c.common()).To(Equal(want))
 	Expect(c.newer()).To(Equal(newer))
 },
 	Entry("none", nil, jobs.Checkpoint{}, false),
 	Entry("one member only", map[int]api.TaskReport{0: {CheckpointObject: "a", ProgressMs: 9}}, jobs.Checkpoint{}, false),
-	Entry("least progress", map[int]api.TaskReport{0: {CheckpointObject: "a", ProgressMs: 9}, 1: {CheckpointObject: "b", ProgressMs: 8}}, jobs.Checkpoint{Object: "b", ProgressMs: 8}, true),
-	Entry("one member older", map[int]api.TaskReport{0: {CheckpointObject: "a", ProgressMs: 9}, 1: {CheckpointObject: "b", ProgressMs: 5}}, jobs.Checkpoint{Object: "b", ProgressMs: 5}, false),
+	Entry("least progress", map[int]api.TaskReport{0: {CheckpointObject: "a", ProgressMs: 9}, 1: {CheckpointObject: "b", ProgressMs: 8}}, jobs.Checkpoint{ProgressMs: 8, Tasks: []api.TaskCheckpoint{{Index: 0, Object: "a", ProgressMs: 9}, {Index: 1, Object: "b", ProgressMs: 8}}}, true),
+	Entry("one member older", map[int]api.TaskReport{0: {CheckpointObject: "a", ProgressMs: 9}, 1: {CheckpointObject: "b", ProgressMs: 5}}, jobs.Checkpoint{ProgressMs: 5, Tasks: []api.TaskCheckpoint{{Index: 0, Object: "a", ProgressMs: 9}, {Index: 1, Object: "b", ProgressMs: 5}}}, false),
 )
 
 // Guards against a start under a confirmation that is no longer valid.
--- a/internal/executor/rig_test.go
+++ b/internal/executor/rig_test.go
@@ -86,6 +86,8 @@
 	net     *simNet
 	vms     []api.VM
 	gone    atomic.Pointer[string] // VM that has left the list
+	// checkpointEvery is the interval of checkpoints of running jobs; 0 takes the default.
+	checkpointEvery time.Duration
 }
 
 func (c *cluster) List(context.Context) (api.VMList, error) {
@@ -132,7 +134,7 @@
 	ex = executor.New(executor.Config{
 		Zone: zone, Follower: d.follower, Applier: applier, Workers: d.workers, View: view, Network: d.net, Places: d.control,
 		Leading: d.control.Leading, TaskLease: taskLease, ZoneConfirmation: zoneConfirmation, MaxClockSkew: skew,
-		CheckpointWait: 300 * time.Millisecond, StartWait: startWait, StartsPerSecond: 1000,
+		CheckpointWait: 300 * time.Millisecond, CheckpointEvery: c.checkpointEvery, StartWait: startWait, StartsPerSecond: 1000,
 	})
 	keep := keeper.New(keeper.Config{
 		Zone: zone, Follower: d.follower, Network: d.net, Workers: platform.Workers(d.workers), Address: d.control.Address,
--- a/internal/executor/simworkers_test.go
+++ b/internal/executor/simworkers_test.go
@@ -98,7 +98,8 @@
 				return
 			}
 			t = &simTask{worker: address, job: task.JobID, runFor: s.runFor, started: time.Now()}
-			t.TaskReport = api.TaskReport{TaskID: task.TaskID, State: api.TaskStateHeld, Accelerators: task.Accelerators, LeaseExpiresMs: task.LeaseExpiresMs}
+			t.TaskReport = api.TaskReport{TaskID: task.TaskID, State: api.TaskStateHeld, Accelerators: task.Accelerators, LeaseExpiresMs: task.LeaseExpiresMs,
+				CheckpointObject: task.CheckpointObject, ProgressMs: task.ProgressMs}
 			tasks[task.TaskID] = t
 		}
 		t.starts++
--- a/internal/executor/start.go
+++ b/internal/executor/start.go
@@ -128,11 +128,17 @@
 	if accelerators == nil {
 		accelerators = []int{}
 	}
+	var from api.TaskCheckpoint
+	for _, c := range job.Checkpoints {
+		if c.Index == place.Index {
+			from = c
+		}
+	}
 	return api.StartTask{
 		TaskID: jobs.TaskID(job.ID, job.Attempt, place.Index), JobID: job.ID, Attempt: job.Attempt, Index: place.Index,
 		Resources: job.Spec.Resources, Accelerators: accelerators, Held: true,
 		StartBeforeMs: before.UnixMilli(), LeaseExpiresMs: expires.UnixMilli(),
-		CheckpointObject: job.CheckpointObject, ProgressMs: job.ProgressMs,
+		CheckpointObject: from.Object, ProgressMs: from.ProgressMs,
 		RunTimeS: job.Spec.RunTimeS, Parameters: job.Spec.Parameters,
 	}
 }
--- a/internal/executor/stop.go
+++ b/internal/executor/stop.go
@@ -1,7 +1,10 @@
 package executor
 
 import (
+	"cmp"
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -199,22 +202,19 @@
 
 // checkpoints collects the newest checkpoint of each member.
 type checkpoints struct {
-	known   jobs.Checkpoint // checkpoint that the row already has
-	members map[int]jobs.Checkpoint
+	known   int64 // progress that the row already keeps, in milliseconds
+	members map[int]api.TaskCheckpoint
 	want    int
 }
 
 func newCheckpoints(job api.Job) *checkpoints {
-	return &checkpoints{
-		known:   jobs.Checkpoint{Object: job.CheckpointObject, ProgressMs: job.ProgressMs},
-		members: map[int]jobs.Checkpoint{}, want: len(job.Placement),
-	}
+	return &checkpoints{known: job.ProgressMs, members: map[int]api.TaskCheckpoint{}, want: len(job.Placement)}
 }
 
 func (c *checkpoints) take(reports map[int]api.TaskReport) {
 	for index, r := range reports {
 		if r.CheckpointObject != "" && r.ProgressMs >= c.members[index].ProgressMs {
-			c.members[index] = jobs.Checkpoint{Object: r.CheckpointObject, ProgressMs: r.ProgressMs}
+			c.members[index] = api.TaskCheckpoint{Index: index, Object: r.CheckpointObject, ProgressMs: r.ProgressMs}
 		}
 	}
 }
@@ -222,24 +222,23 @@
 // newer tells whether every member has a checkpoint beyond the known one.
 func (c *checkpoints) newer() bool {
 	for _, m := range c.members {
-		if m.ProgressMs <= c.known.ProgressMs {
+		if m.ProgressMs <= c.known {
 			return false
 		}
 	}
 	return len(c.members) == c.want
 }
 
-// common returns the checkpoint from which the whole gang can go on: it exists
-// only when every member has one, and keeps the least progress of all.
+// common returns the checkpoints from which the whole gang can go on: they exist
+// only when every member has one. Each member goes on from its own.
 func (c *checkpoints) common() jobs.Checkpoint {
 	if len(c.members) < c.want || c.want == 0 {
 		return jobs.Checkpoint{}
 	}
-	lowest, out := -1, jobs.Checkpoint{}
-	for index, m := range c.members {
-		if lowest < 0 || m.ProgressMs < out.ProgressMs || m.ProgressMs == out.ProgressMs && index < lowest {
-			lowest, out = index, m
-		}
+	tasks := slices.SortedFunc(maps.Values(c.members), func(a, b api.TaskCheckpoint) int { return cmp.Compare(a.Index, b.Index) })
+	least := tasks[0].ProgressMs
+	for _, t := range tasks {
+		least = min(least, t.ProgressMs)
 	}
-	return out
+	return jobs.Checkpoint{Tasks: tasks, ProgressMs: least}
 }
--- a/internal/jobs/transitions.go
+++ b/internal/jobs/transitions.go
@@ -118,12 +118,29 @@
 	return out
 }
 
-// Checkpoint is the newest checkpoint of an attempt; an empty object means none.
+// Checkpoint is the newest checkpoint of an attempt.
 type Checkpoint struct {
-	Object     string
+	Tasks []api.TaskCheckpoint // one for each task, by index; empty for none
+	// ProgressMs is the work kept by the task that has kept least.
 	ProgressMs int64
 }
 
+// KeepCheckpoint records the newest checkpoint of a running job. It never goes
+// back to an older one.
+func KeepCheckpoint(job api.Job, c Checkpoint, now time.Time) (api.Job, error) {
+	if job.State != api.JobStateRunning {
+		return job, wrongState(job, "given a checkpoint")
+	}
+	return keep(job, c, now), nil
+}
+
+func keep(job api.Job, c Checkpoint, now time.Time) api.Job {
+	if len(c.Tasks) > 0 && c.ProgressMs >= job.ProgressMs {
+		job.Checkpoints, job.ProgressMs, job.CheckpointMs = c.Tasks, c.ProgressMs, now.UnixMilli()
+	}
+	return job
+}
+
 // EndStop ends a stop when no task of the attempt runs any more: the job is
 // cancelled, fails for good, or waits again.
 func EndStop(job api.Job, c Checkpoint, now time.Time) (api.Job, error) {
@@ -131,9 +148,7 @@
 		return job, wrongState(job, "ended")
 	}
 	job.Placement, job.Covered = nil, false
-	if c.Object != "" && c.ProgressMs >= job.ProgressMs {
-		job.CheckpointObject, job.ProgressMs = c.Object, c.ProgressMs
-	}
+	job = keep(job, c, now)
 	switch {
 	case job.CancelRequested:
 		job.State, job.EndedMs, job.Reason = api.JobStateCancelled, now.UnixMilli(), "cancelled on request"
--- a/internal/jobs/transitions_test.go
+++ b/internal/jobs/transitions_test.go
@@ -80,12 +80,19 @@
 
 // Guards against a restart from an older checkpoint than the one kept.
 var _ = It("never goes back to an older checkpoint", func() {
-	job := api.Job{State: api.JobStateStopping, CheckpointObject: "new", ProgressMs: 10}
-	ended, err := jobs.EndStop(job, jobs.Checkpoint{Object: "old", ProgressMs: 5}, now)
+	at := func(object string, ms int64) []api.TaskCheckpoint {
+		return []api.TaskCheckpoint{{Object: object, ProgressMs: ms}}
+	}
+	job := api.Job{State: api.JobStateStopping, Checkpoints: at("new", 10), ProgressMs: 10}
+	ended, err := jobs.EndStop(job, jobs.Checkpoint{Tasks: at("old", 5), ProgressMs: 5}, now)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(ended.Checkpoints).To(Equal(at("new", 10)))
+	ended, _ = jobs.EndStop(job, jobs.Checkpoint{Tasks: at("newer", 15), ProgressMs: 15}, now)
+	Expect(ended.Checkpoints).To(Equal(at("newer", 15)))
+	job.State = api.JobStateRunning
+	running, err := jobs.KeepCheckpoint(job, jobs.Checkpoint{Tasks: at("old", 5), ProgressMs: 5}, now)
 	Expect(err).NotTo(HaveOccurred())
-	Expect(ended.CheckpointObject).To(Equal("new"))
-	ended, _ = jobs.EndStop(job, jobs.Checkpoint{Object: "newer", ProgressMs: 15}, now)
-	Expect(ended.CheckpointObject).To(Equal("newer"))
+	Expect(running.Checkpoints).To(Equal(at("new", 10)))
 })
 
 // Guards against task identifiers that cannot be traced to their job.
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -54,6 +54,7 @@
 	"timing.zone_confirmation":   {100 * time.Millisecond, 2 * time.Second},
 	"timing.max_clock_skew":      {0, 10 * time.Second},
 	"timing.checkpoint_wait":     {0, 10 * time.Minute},
+	"timing.checkpoint_every":    {100 * time.Millisecond, 24 * time.Hour},
 	"timing.start_wait":          {100 * time.Millisecond, time.Minute},
 	"timing.graceful_stop":       {0, time.Hour},
 	"timing.late_answer_wait":    {0, time.Hour},
--- a/test/harness/settings.go
+++ b/test/harness/settings.go
@@ -64,6 +64,7 @@
 		ZoneConfirmation:  api.Duration(2 * time.Second),
 		MaxClockSkew:      api.Duration(500 * time.Millisecond),
 		CheckpointWait:    api.Duration(3 * time.Second),
+		CheckpointEvery:   api.Duration(10 * time.Minute),
 		StartWait:         api.Duration(3 * time.Second),
 		GracefulStop:      api.Duration(time.Minute),
 		LateAnswerWait:    api.Duration(time.Minute),
