Count early refusals by their reason instead of by wall time

Cause: 'refuses early under overload' failed in one of 4 runs with -race on a busy machine. Trials with four copies at once show why: 366 to 430 of 600 requests are refused on admission in each run, but 600 goroutines starting at once take up to 60 ms to start and 150 ms to be answered there, and the test counted refusals within 50 ms. Ruled out: a longer time, which a busier machine exceeds again; skipping it. Change: the test counts refusals made on admission, and wants more than 300 of 600 instead of more than 200. Before and after: one failure in 4 runs before; none in 9 runs after, three of them at the same time. Conclusion: the test guards admission itself and no longer the machine.

--- a/internal/router/faults_test.go
+++ b/internal/router/faults_test.go
@@ -229,21 +229,20 @@
 		for i := range 600 {
 			group.Go(func() {
 				defer GinkgoRecover()
-				started := time.Now()
 				reply := c.daemons[i%3].submit(fmt.Sprint(i), "load", false, 200*time.Millisecond)
 				switch reply.Result.Outcome {
 				case api.OutcomeRan:
 					ran.Add(1)
 				case api.OutcomeNotRun:
 					Expect(reply.RetryAfter).To(BeNumerically(">", 0))
-					if time.Since(started) < 50*time.Millisecond {
+					if reply.Result.Reason == "the deadline cannot be met" { // refused before it was queued
 						early.Add(1)
 					}
 				}
 			})
 		}
 		group.Wait()
-		Expect(early.Load()).To(BeNumerically(">", 200))
+		Expect(early.Load()).To(BeNumerically(">", 300))
 		Expect(ran.Load()).To(BeNumerically(">=", 96))
 		c.eachMinion(func(m *fakeMinion) { Expect(m.most).To(BeNumerically("<=", m.slots)) })
 	})
