Test hanging stores, cancelled forwards and traces

Cause: a table service that hangs, callers that go and spans across hops had no test. Ruled out: nothing. Change: specs for the three; a key refused while the store was down or hung must run when submitted again.

--- a/internal/router/cluster_test.go
+++ b/internal/router/cluster_test.go
@@ -11,6 +11,9 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+
 	"github.com/samphirepath/samphirepath/api"
 	"github.com/samphirepath/samphirepath/claim"
 	"github.com/samphirepath/samphirepath/internal/configuration"
@@ -35,6 +38,8 @@
 	zones   []api.Zone
 	slots   int
 	stop    context.CancelFunc
+	spans   *tracetest.SpanRecorder
+	tracers *trace.TracerProvider
 	group   sync.WaitGroup
 	// storeFault and callFault decide the fault of an operation; nil means none.
 	storeFault func(d *daemon) string
@@ -56,7 +61,8 @@
 // newCluster starts daemons named d0, d1 ... in the given zones and minions m0,
 // m1 ... in theirs.
 func newCluster(daemonZones, minionZones []string) *cluster {
-	c := &cluster{minions: map[string]*fakeMinion{}, rows: map[string]table.Row{}, slots: 8}
+	c := &cluster{minions: map[string]*fakeMinion{}, rows: map[string]table.Row{}, slots: 8, spans: tracetest.NewSpanRecorder()}
+	c.tracers = trace.NewTracerProvider(trace.WithSpanProcessor(c.spans))
 	for i, zone := range minionZones {
 		m := &fakeMinion{id: fmt.Sprint("m", i), slots: c.slots, runs: map[string]int{}}
 		c.minions[m.id] = m
@@ -72,9 +78,9 @@
 		claims := claim.New(claim.Config{Store: d, VM: d.vm, Incarnation: d.incarnation,
 			Backoff: retry.Backoff{Base: time.Millisecond, Max: 10 * time.Millisecond}})
 		d.router = router.New(router.Config{VMs: c, Minions: d, Network: d, View: c, Claims: claims,
-			Limits:   api.LimitSettings{MinionSlots: c.slots, MinionConnections: 64, MaxQueuedRequests: 1024, RetryBudgetPercent: 10},
-			Timing:   api.TimingSettings{VMListEvery: api.Duration(10 * time.Millisecond), LateAnswerWait: api.Duration(2 * time.Second)},
-			Ejection: 200 * time.Millisecond})
+			Limits: api.LimitSettings{MinionSlots: c.slots, MinionConnections: 64, MaxQueuedRequests: 1024, RetryBudgetPercent: 10},
+			Timing: api.TimingSettings{VMListEvery: api.Duration(10 * time.Millisecond), LateAnswerWait: api.Duration(2 * time.Second)},
+			Tracer: c.tracers.Tracer("test"), Ejection: 200 * time.Millisecond})
 		c.group.Go(func() { _ = d.router.Run(ctx) })
 	}
 	time.Sleep(60 * time.Millisecond) // one poll of the VM list and one tick
@@ -177,7 +183,15 @@
 }
 
 func (d *daemon) Handle(kind peers.Kind, handler peers.Handler) { d.handlers[kind] = handler }
-func (d *daemon) Notify(string, api.PeerEnvelope) bool          { return true }
+
+func (d *daemon) Notify(vm string, message api.PeerEnvelope) bool {
+	for _, to := range d.cluster.daemons {
+		if to.vm == vm {
+			to.handlers[peers.KindRequestCancel](context.Background(), d.Self(), copyEnvelope(&message))
+		}
+	}
+	return true
+}
 
 // Call encodes both messages, so that daemons share no memory.
 func (d *daemon) Call(ctx context.Context, vm string, message api.PeerEnvelope) (*api.PeerEnvelope, peers.CallStatus) {
@@ -247,14 +261,39 @@
 	return &out
 }
 
-// Get implements table.Store; a dead daemon reaches nothing.
-func (d *daemon) Get(_ context.Context, key string) (table.Row, bool, error) {
-	c := d.cluster
+// fault returns the fault of an operation of the table service; a dead daemon
+// reaches nothing, and an operation that hangs does so until its caller gives up.
+func (d *daemon) fault(ctx context.Context) string {
+	d.cluster.mu.Lock()
+	storeFault := d.cluster.storeFault
+	d.cluster.mu.Unlock()
+	switch {
+	case d.isDead():
+		return "unavailable"
+	case storeFault == nil:
+		return ""
+	}
+	fault := storeFault(d)
+	if fault == "hangs" {
+		<-ctx.Done()
+	}
+	return fault
+}
+
+func (c *cluster) setStoreFault(fault string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if d.isDead() || c.storeFault != nil && c.storeFault(d) == "unavailable" {
+	c.storeFault = func(*daemon) string { return fault }
+}
+
+// Get implements table.Store.
+func (d *daemon) Get(ctx context.Context, key string) (table.Row, bool, error) {
+	c := d.cluster
+	if fault := d.fault(ctx); fault == "unavailable" || fault == "hangs" {
 		return table.Row{}, false, errDown
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	row, ok := c.rows[key]
 	return row, ok, nil
 }
@@ -263,17 +302,17 @@
 	return table.Listing{}, errDown
 }
 
-func (d *daemon) Commit(_ context.Context, conditions []table.Condition, writes []table.Write) table.CommitResult {
+func (d *daemon) Commit(ctx context.Context, conditions []table.Condition, writes []table.Write) table.CommitResult {
 	c := d.cluster
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	fault := ""
-	if c.storeFault != nil {
-		fault = c.storeFault(d)
-	}
-	if d.isDead() || fault == "unavailable" {
+	fault := d.fault(ctx)
+	switch fault {
+	case "unavailable":
 		return table.CommitResult{Status: table.Unavailable, Err: errDown}
+	case "hangs":
+		return table.CommitResult{Status: table.Unknown, Err: errDown}
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	for _, k := range conditions {
 		if c.rows[k.Key].Version != k.Version {
 			return table.CommitResult{Status: table.Conflict, Conflicts: []string{k.Key}}
--- a/internal/router/faults_test.go
+++ b/internal/router/faults_test.go
@@ -76,7 +76,7 @@
 		c.callFault = func(*daemon, *daemon) string { return "call late" }
 		reply := c.daemons[0].submit("k", "body", true, wait)
 		Expect(reply.Result.Outcome).To(Equal(api.OutcomeRan), reply.Result.Reason)
-		c.storeFault = func(*daemon) string { return "unavailable" }
+		c.setStoreFault("unavailable")
 		reply = c.daemons[0].submit("k2", "body 2", true, wait)
 		Expect(reply.Result.Outcome).To(Equal(api.OutcomeUnknown), reply.Result.Reason)
 	})
@@ -109,12 +109,21 @@
 
 	// Guards against wrong outcomes when the table service fails.
 	DescribeTable("of the table service", func(fault string, nonIdempotent bool, outcome api.Outcome, runs int) {
-		c.storeFault = func(*daemon) string { return fault }
+		c.setStoreFault(fault)
 		reply := c.daemons[1].submit("k", "body", nonIdempotent, wait)
 		Expect(reply.Result.Outcome).To(Equal(outcome), reply.Result.Reason)
 		Expect(c.runs("body")).To(Equal(runs))
+		c.setStoreFault("")
+		if outcome == api.OutcomeNotRun { // a refused key can be submitted again
+			Eventually(func() api.Outcome {
+				return c.daemons[2].submit("k", "body", nonIdempotent, wait).Result.Outcome
+			}, 3*time.Second).Should(Equal(api.OutcomeRan))
+			Expect(c.runs("body")).To(Equal(1))
+		}
 	},
 		Entry("unreachable, claimed", "unavailable", true, api.OutcomeNotRun, 0),
+		Entry("hanging, claimed", "hangs", true, api.OutcomeNotRun, 0),
+		Entry("hanging, idempotent", "hangs", false, api.OutcomeRan, 1),
 		Entry("unreachable, idempotent", "unavailable", false, api.OutcomeRan, 1),
 		Entry("answers lost, claimed", "answer lost", true, api.OutcomeRan, 1),
 	)
@@ -146,6 +155,40 @@
 		Entry("all unreachable, claimed", "unreachable", 6, true, api.OutcomeNotRun, api.OutcomeNotRun, 0),
 	)
 
+	// Guards against work for callers that have gone.
+	It("drops a forwarded request that waits when its caller goes", func() {
+		c.eachMinion(func(m *fakeMinion) { m.service = 100 * time.Millisecond })
+		var group sync.WaitGroup
+		for i := range 48 {
+			group.Go(func() { c.daemons[1+i%2].submit(fmt.Sprint(i), "load", false, time.Second) })
+		}
+		time.Sleep(30 * time.Millisecond)
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+		defer cancel()
+		reply := c.daemons[0].router.Submit(ctx, router.Request{ID: "gone", Organisation: "o", Deadline: time.Now().Add(time.Second),
+			Submit: api.RequestSubmit{Entry: "service", Key: "gone", Body: []byte("gone")}})
+		Expect(reply.Result.Outcome).NotTo(Equal(api.OutcomeRan))
+		group.Wait()
+		Expect(c.runs("gone")).To(BeZero())
+	})
+
+	// Guards against traces that end at the first hop.
+	It("passes the trace on to peers and minions", func() {
+		ctx, root := c.tracers.Tracer("test").Start(context.Background(), "root")
+		reply := c.daemons[0].router.Submit(ctx, router.Request{ID: "r", Organisation: "o", Deadline: time.Now().Add(wait),
+			Submit: api.RequestSubmit{Entry: "service", Key: "k", Body: []byte("body")}})
+		Expect(reply.Result.Outcome).To(Equal(api.OutcomeRan))
+		names := map[string]bool{}
+		for _, span := range c.spans.Ended() {
+			if span.SpanContext().TraceID() == root.SpanContext().TraceID() {
+				names[span.Name()] = true
+			}
+		}
+		Expect(names).To(HaveKey("peer"))
+		Expect(names).To(HaveKey("forwarded request"))
+		Expect(names).To(HaveKey("minion"))
+	})
+
 	// Guards against answers that differ between daemons for one key.
 	It("gives the stored answer through another daemon and refuses another body", func() {
 		first := c.daemons[1].submit("k", "body", true, wait)
