Add a benchmark of the router

Cause: the own time of the router per request was not known. Ruled out: nothing. Change: BenchmarkSubmit with 50 minions that answer at once.

--- a/internal/router/measure_test.go
+++ b/internal/router/measure_test.go
@@ -207,3 +207,16 @@
 	g.Expect(delays.TotalCount()).To(BeNumerically(">", 0))
 	g.Expect(median).To(BeNumerically("<=", 100*time.Millisecond))
 }
+
+// BenchmarkSubmit measures the time that the router itself takes for a request.
+func BenchmarkSubmit(b *testing.B) {
+	zones := make([]string, 50)
+	c := newCluster([]string{""}, zones)
+	defer c.close()
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for i := 0; pb.Next(); i++ {
+			c.daemons[0].submit("k", "body", false, time.Second)
+		}
+	})
+}
