--- /dev/null
+++ b/internal/router/minion_test.go
@@ -0,0 +1,72 @@
+package router_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/samphirepath/samphirepath/internal/platform"
+)
+
+// fakeMinion runs requests on a limited number of slots.
+type fakeMinion struct {
+	mu      sync.Mutex
+	id      string
+	slots   int
+	busy    int
+	most    int
+	calls   int
+	service time.Duration
+	spread  bool   // draw service times from an exponential distribution
+	mode    string // "", "fails", "broken", "refuses", "unreachable"
+	runs    map[string]int
+}
+
+func (m *fakeMinion) run(ctx context.Context, request platform.MinionRequest) platform.MinionReply {
+	m.mu.Lock()
+	m.calls++
+	mode, service := m.mode, m.service
+	if m.spread {
+		service = time.Duration(float64(service) * rand.ExpFloat64())
+	}
+	if mode == "unreachable" || m.busy >= m.slots {
+		reply := platform.MinionReply{Status: platform.MinionNotRun, Err: errDown}
+		if mode != "unreachable" {
+			reply.Code = 503
+		}
+		m.mu.Unlock()
+		return reply
+	}
+	m.busy++
+	m.most = max(m.most, m.busy)
+	m.runs[string(request.Body)]++
+	m.mu.Unlock()
+	defer func() {
+		m.mu.Lock()
+		m.busy--
+		m.mu.Unlock()
+	}()
+	select {
+	case <-time.After(service):
+	case <-ctx.Done():
+		return platform.MinionReply{Status: platform.MinionUnknown, Err: ctx.Err()}
+	}
+	switch mode {
+	case "fails":
+		return platform.MinionReply{Status: platform.MinionFailed, Code: 503}
+	case "refuses":
+		return platform.MinionReply{Status: platform.MinionFailed, Code: 422, Body: []byte("no")}
+	case "broken":
+		return platform.MinionReply{Status: platform.MinionUnknown, Err: errDown}
+	}
+	return platform.MinionReply{Status: platform.MinionRan, Code: 200, Body: append([]byte("answer to "), request.Body...)}
+}
+
+func (c *cluster) eachMinion(change func(*fakeMinion)) {
+	for _, m := range c.minions {
+		m.mu.Lock()
+		change(m)
+		m.mu.Unlock()
+	}
+}
