--- a/guarantee/reserve.go
+++ b/guarantee/reserve.go
@@ -67,6 +67,7 @@
 	open       []int          // workers that may get reservations
 	rotation   map[string]int // offset in the order of preference of shapes
 	ignoreCost bool
+	free       []Room // scratch
 }
 
 // attempt is the state and outcome of one order of the shapes.
@@ -116,7 +117,7 @@
 	fleet := packing.NewFleet(racks, models)
 	r := &reserver{
 		workers: workers, guarantees: guarantees, covered: covered, index: index,
-		fleet: fleet, packer: packing.NewPacker(fleet), byOrg: make(map[string][]int), open: open, rotation: make(map[string]int),
+		fleet: fleet, packer: packing.NewPacker(fleet), byOrg: make(map[string][]int), open: open, free: make([]Room, len(workers)), rotation: make(map[string]int),
 	}
 	for i, g := range guarantees {
 		r.byOrg[g.Organisation] = append(r.byOrg[g.Organisation], i)
@@ -224,10 +225,8 @@
 	if a.areas[g].tasks > 0 && r.move(a, g) {
 		return
 	}
-	for n := rest - 1; n > 0; n-- {
-		if r.extend(a, g, n) {
-			return
-		}
+	if n := r.packer.Most(r.query(a, g, rest)); n > 0 {
+		r.extend(a, g, n)
 	}
 }
 
@@ -260,18 +259,7 @@
 // extend reserves n more tasks of a shape next to those that it has.
 func (r *reserver) extend(a *attempt, g, n int) bool {
 	shape := r.guarantees[g].Shape
-	var cost func(w, n int) int64
-	if !r.ignoreCost {
-		cost = func(w, n int) int64 { return r.cost(a, w, n, shape.Resources) }
-	}
-	places, ok := r.packer.Place(packing.Query{
-		Need: packing.Need{Tasks: n, Resources: shape.Resources, Adjacency: shape.Adjacency,
-			Model: shape.AcceleratorModel},
-		Rooms:      a.rooms,
-		Candidates: r.candidates(a.areas[g], shape.Adjacency),
-		Cost:       cost,
-		Pick:       r.pick,
-	})
+	places, ok := r.place(a, r.query(a, g, n))
 	if !ok {
 		return false
 	}
@@ -286,6 +274,34 @@
 	return true
 }
 
+// query asks for n more tasks of a shape next to those that it has.
+func (r *reserver) query(a *attempt, g, n int) packing.Query {
+	shape := r.guarantees[g].Shape
+	return packing.Query{
+		Need: packing.Need{Tasks: n, Resources: shape.Resources, Adjacency: shape.Adjacency,
+			Model: shape.AcceleratorModel},
+		Rooms: a.rooms, Candidates: r.candidates(a.areas[g], shape.Adjacency), Pick: r.pick,
+	}
+}
+
+// place finds the cheapest places; free ones cost nothing, so that they are
+// tried first without the effort to price the others.
+func (r *reserver) place(a *attempt, q packing.Query) ([]packing.Assignment, bool) {
+	if r.ignoreCost {
+		return r.packer.Place(q)
+	}
+	for _, w := range q.Candidates {
+		r.free[w] = a.rooms[w].Min(r.workers[w].Free)
+	}
+	free := q
+	free.Rooms = r.free
+	if places, ok := r.packer.Place(free); ok {
+		return places, true
+	}
+	q.Cost = func(w, n int) int64 { return r.cost(a, w, n, q.Need.Resources) }
+	return r.packer.Place(q)
+}
+
 // candidates are the workers that a shape may use, given where its pins lie.
 func (r *reserver) candidates(a area, adjacency api.Adjacency) []int {
 	if len(a.parts) == 0 || adjacency == api.AdjacencyZone {
--- a/internal/packing/place.go
+++ b/internal/packing/place.go
@@ -115,6 +115,29 @@
 	return p.assign(q, p.best, found)
 }
 
+// Fits tells whether the rooms hold the gang, without looking for the best places.
+func (p *Packer) Fits(q Query) bool { return p.Most(q) >= q.Need.Tasks }
+
+// Most returns how many tasks of the gang the rooms hold as close together as it
+// demands, at most all.
+func (p *Packer) Most(q Query) int {
+	n := p.scan(q)
+	switch q.Need.Adjacency {
+	case api.AdjacencyWorker:
+		n = largest(p.capacity)
+	case api.AdjacencyRack:
+		n = largest(p.rackSize)
+	}
+	return min(n, q.Need.Tasks)
+}
+
+func largest(counts []int) (n int) {
+	for _, c := range counts {
+		n = max(n, c)
+	}
+	return n
+}
+
 // scan computes how many tasks each candidate holds and what racks have free.
 func (p *Packer) scan(q Query) (total int) {
 	p.usable, p.capacity = p.usable[:0], p.capacity[:0]
