Prove with real processes that non-idempotent requests run at most once

Cause: at-most-once execution and true refusals were tested in one process only, not with daemons that are killed, frozen or cut off from the table service. Change: test/requests with a cluster fixture, a ledger that compares what callers were told with the executions of the minions, and 21 cases, 4 with two faults. A daemon that reaches no minion may answer a retry with not_run before it looks at the claim of an earlier submission.

--- /dev/null
+++ b/test/requests/at_most_once_test.go
@@ -0,0 +1,300 @@
+package requests_test
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/samphirepath/samphirepath/api"
+	"github.com/samphirepath/samphirepath/internal/standin"
+	"github.com/samphirepath/samphirepath/test/client"
+	"github.com/samphirepath/samphirepath/test/faultproxy"
+)
+
+const (
+	// longRun is a service time that leaves time for a fault during the execution.
+	longRun = 300 * time.Millisecond
+	// longDeadline leaves time for longRun on a loaded machine.
+	longDeadline = time.Second
+	// shortDeadline ends before a frozen daemon is woken.
+	shortDeadline = 400 * time.Millisecond
+	// freezeTime is longer than the time after which the peers of a frozen daemon
+	// take over its minions, so that a second execution would be possible.
+	freezeTime = 1300 * time.Millisecond
+	// parallelSubmissions is the number of submissions of one key through each daemon.
+	parallelSubmissions = 4
+)
+
+// longCall outlives the fault; hastyCall has a deadline in the middle of it.
+var (
+	longCall  = call{nonIdempotent: true, takes: longRun, deadline: longDeadline}
+	hastyCall = call{nonIdempotent: true, deadline: shortDeadline}
+)
+
+// scenario injects faults around the requests of one key and returns the number
+// of executions to expect, or anyExecutions when both 0 and 1 are right.
+type scenario func(ctx context.Context, r *rig, key string) int
+
+const anyExecutions = -1
+
+var outcomeAt = func(a client.Answer[api.RequestResult]) api.Outcome { return a.Outcome() }
+
+// Guards against a second execution of a request after its daemon, its peer or
+// the table service failed, and against "not run" for a request that has run.
+var _ = ginkgo.DescribeTable("a non-idempotent request runs at most once, and not run is true",
+	func(inject scenario) {
+		r := newRig(size{daemons: 3, minions: 1, proxies: true})
+		key := newKey("plan")
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		want := inject(ctx, r, key)
+		r.expectTruth(ctx)
+		if want != anyExecutions {
+			r.expectExecutions(key, want)
+		}
+	},
+	ginkgo.Entry("entry daemon killed between claim and dispatch", scenario(killBeforeDispatch)),
+	ginkgo.Entry("entry daemon killed after dispatch", scenario(killAfterDispatch)),
+	ginkgo.Entry("entry daemon frozen across the deadline before dispatch", scenario(freezeBeforeDispatch)),
+	ginkgo.Entry("entry daemon frozen across the deadline after dispatch", scenario(freezeAfterDispatch)),
+	ginkgo.Entry("answer to the claim lost on the way", scenario(loseClaimAnswer)),
+	ginkgo.Entry("answers to all writes lost by the table service", scenario(loseWriteAnswers)),
+	ginkgo.Entry("table service down", tableScenario(standin.Faults{Down: true})),
+	ginkgo.Entry("table service refuses connections", tableScenario(standin.Faults{Refuse: true})),
+	ginkgo.Entry("table service slower than the deadline", tableScenario(standin.Faults{DelayMs: 600})),
+	ginkgo.Entry("table service silent, claims land late", tableScenario(standin.Faults{Silent: true})),
+	ginkgo.Entry("table service slow", scenario(slowTable)),
+	ginkgo.Entry("retried through other daemons at the same time", scenario(submitInParallel)),
+	ginkgo.Entry("peer killed after a forward, before dispatch", scenario(killPeerBeforeDispatch)),
+	ginkgo.Entry("peer killed after a forward, after dispatch", scenario(killPeerAfterDispatch)),
+	ginkgo.Entry("link to the peer lost after dispatch", scenario(cutPeerAfterDispatch)),
+	ginkgo.Entry("answer of the minion lost", scenario(loseMinionAnswer)),
+	ginkgo.Entry("key used again with another body", scenario(reuseKey)),
+	ginkgo.Entry("two faults: killed after dispatch, table service down", scenario(killAndTableDown)),
+	ginkgo.Entry("two faults: frozen across the deadline, table answers lost", scenario(freezeAndLoseAnswers)),
+	ginkgo.Entry("two faults: peer killed, table service slow", scenario(killPeerAndSlowTable)),
+	ginkgo.Entry("two faults: answer of the minion lost, entry daemon killed", scenario(loseMinionAnswerAndKill)),
+)
+
+func killBeforeDispatch(ctx context.Context, r *rig, key string) int {
+	owner, _ := r.ownerAndOthers(ctx)
+	r.Proxies[owner.ID()].Table.Set(faultproxy.Faults{HoldAnswers: true})
+	answer := r.start(ctx, owner, key, longCall)
+	r.claimLands(ctx, key)
+	gomega.Expect(owner.Kill()).To(gomega.Succeed())
+	gomega.Expect(outcomeAt(<-answer)).To(gomega.Equal(api.OutcomeUnknown))
+	// Nobody can know that the request was not sent.
+	r.expectUnknown(ctx, key, longCall)
+	return 0
+}
+
+func killAfterDispatch(ctx context.Context, r *rig, key string) int {
+	owner, _ := r.ownerAndOthers(ctx)
+	answer := r.start(ctx, owner, key, longCall)
+	r.executionBegins(key)
+	gomega.Expect(owner.Kill()).To(gomega.Succeed())
+	gomega.Expect(outcomeAt(<-answer)).To(gomega.Equal(api.OutcomeUnknown))
+	r.expectUnknown(ctx, key, longCall)
+	return 1
+}
+
+func freezeBeforeDispatch(ctx context.Context, r *rig, key string) int {
+	owner, others := r.ownerAndOthers(ctx)
+	r.Proxies[owner.ID()].Table.Set(faultproxy.Faults{HoldAnswers: true})
+	answer := r.start(ctx, owner, key, hastyCall)
+	r.claimLands(ctx, key)
+	gomega.Expect(owner.Pause()).To(gomega.Succeed())
+	r.Proxies[owner.ID()].Table.Set(faultproxy.Faults{})
+	time.Sleep(freezeTime)
+	for _, d := range others {
+		gomega.Expect(r.submit(ctx, d, key, hastyCall).Outcome()).To(gomega.Equal(api.OutcomeUnknown))
+	}
+	gomega.Expect(owner.Continue()).To(gomega.Succeed())
+	<-answer
+	return anyExecutions
+}
+
+func freezeAfterDispatch(ctx context.Context, r *rig, key string) int {
+	owner, others := r.ownerAndOthers(ctx)
+	hasty := hastyCall
+	hasty.takes = longRun
+	answer := r.start(ctx, owner, key, hasty)
+	r.executionBegins(key)
+	gomega.Expect(owner.Pause()).To(gomega.Succeed())
+	time.Sleep(freezeTime)
+	for _, d := range others {
+		gomega.Expect(r.submit(ctx, d, key, hasty).Outcome()).To(gomega.Equal(api.OutcomeUnknown))
+	}
+	gomega.Expect(owner.Continue()).To(gomega.Succeed())
+	<-answer
+	eventually("the answer is kept", func() bool {
+		return r.callers[others[0].ID()].GetRequest(ctx, key).Outcome() == api.OutcomeRan
+	})
+	return 1
+}
+
+func loseClaimAnswer(ctx context.Context, r *rig, key string) int {
+	owner, _ := r.ownerAndOthers(ctx)
+	proxy := r.Proxies[owner.ID()].Table
+	proxy.Set(faultproxy.Faults{DropAnswers: true})
+	answer := r.start(ctx, owner, key, longCall)
+	r.claimLands(ctx, key)
+	proxy.Set(faultproxy.Faults{})
+	gomega.Expect(outcomeAt(<-answer)).To(gomega.Equal(api.OutcomeRan))
+	gomega.Expect(r.retryEverywhere(ctx, key, longCall)).To(gomega.HaveEach(api.OutcomeRan))
+	return 1
+}
+
+func loseWriteAnswers(ctx context.Context, r *rig, key string) int {
+	r.setTable(standin.Faults{LoseEvery: 1})
+	gomega.Expect(r.retryEverywhere(ctx, key, longCall)).To(gomega.HaveEach(api.OutcomeRan))
+	return 1
+}
+
+// tableScenario keeps the table service from answering in time, then retries the
+// key elsewhere. The key must not stay blocked.
+func tableScenario(faults standin.Faults) scenario {
+	return func(ctx context.Context, r *rig, key string) int {
+		r.setTable(faults)
+		for _, told := range r.retryEverywhere(ctx, key, hastyCall) {
+			gomega.Expect(told).NotTo(gomega.Equal(api.OutcomeRan))
+		}
+		gomega.Expect(r.heal(ctx)).To(gomega.Succeed())
+		eventually("the key can be used again", func() bool {
+			return r.submit(ctx, r.Daemons[len(r.Daemons)-1], key, hastyCall).Outcome() == api.OutcomeRan
+		})
+		return 1
+	}
+}
+
+func slowTable(ctx context.Context, r *rig, key string) int {
+	r.setTable(standin.Faults{DelayMs: 150})
+	gomega.Expect(r.retryEverywhere(ctx, key, longCall)).To(gomega.HaveEach(api.OutcomeRan))
+	return 1
+}
+
+func submitInParallel(ctx context.Context, r *rig, key string) int {
+	var group sync.WaitGroup
+	for range parallelSubmissions {
+		for _, d := range r.Daemons {
+			group.Go(func() { r.submit(ctx, d, key, longCall) })
+		}
+	}
+	group.Wait()
+	gomega.Expect(r.retryEverywhere(ctx, key, longCall)).To(gomega.HaveEach(api.OutcomeRan))
+	return 1
+}
+
+func killPeerBeforeDispatch(ctx context.Context, r *rig, key string) int {
+	owner, others := r.ownerAndOthers(ctx)
+	r.Proxies[owner.ID()].Table.Set(faultproxy.Faults{HoldAnswers: true})
+	answer := r.start(ctx, others[0], key, longCall)
+	r.claimLands(ctx, key)
+	gomega.Expect(owner.Kill()).To(gomega.Succeed())
+	gomega.Expect(outcomeAt(<-answer)).To(gomega.Equal(api.OutcomeUnknown))
+	r.expectUnknown(ctx, key, longCall)
+	return 0
+}
+
+func killPeerAfterDispatch(ctx context.Context, r *rig, key string) int {
+	owner, others := r.ownerAndOthers(ctx)
+	answer := r.start(ctx, others[0], key, longCall)
+	r.executionBegins(key)
+	gomega.Expect(owner.Kill()).To(gomega.Succeed())
+	gomega.Expect(outcomeAt(<-answer)).To(gomega.Equal(api.OutcomeUnknown))
+	r.expectUnknown(ctx, key, longCall)
+	return 1
+}
+
+// cutPeerAfterDispatch expects the answer by the claim row, which needs no link.
+func cutPeerAfterDispatch(ctx context.Context, r *rig, key string) int {
+	owner, others := r.ownerAndOthers(ctx)
+	answer := r.start(ctx, others[0], key, longCall)
+	r.executionBegins(key)
+	for _, p := range r.Proxies {
+		p.Peers.Set(faultproxy.Faults{Cut: true})
+	}
+	gomega.Expect(outcomeAt(<-answer)).To(gomega.Equal(api.OutcomeRan))
+	gomega.Expect(r.submit(ctx, owner, key, longCall).Outcome()).To(gomega.Equal(api.OutcomeRan))
+	return 1
+}
+
+func loseMinionAnswer(ctx context.Context, r *rig, key string) int {
+	gomega.Expect(r.Standin.SetFaults(minionTarget(r.minionID(0)), standin.Faults{LoseEvery: 1})).To(gomega.Succeed())
+	r.expectUnknown(ctx, key, longCall)
+	return 1
+}
+
+func reuseKey(ctx context.Context, r *rig, key string) int {
+	other := longCall
+	other.variant = "another body"
+	first := r.start(ctx, r.Daemons[0], key, longCall)
+	r.executionBegins(key)
+	for range 2 { // while the first runs, and after its end
+		for _, d := range r.Daemons {
+			answer := r.callers[d.ID()].SubmitRequest(ctx, other.request(key))
+			gomega.Expect(answer.Status).To(gomega.Equal(http.StatusConflict))
+			gomega.Expect(answer.Outcome()).To(gomega.Equal(api.OutcomeNotRun))
+		}
+		if first != nil {
+			gomega.Expect(outcomeAt(<-first)).To(gomega.Equal(api.OutcomeRan))
+			first = nil
+		}
+	}
+	gomega.Expect(r.retryEverywhere(ctx, key, longCall)).To(gomega.HaveEach(api.OutcomeRan))
+	return 1
+}
+
+func killAndTableDown(ctx context.Context, r *rig, key string) int {
+	owner, _ := r.ownerAndOthers(ctx)
+	answer := r.start(ctx, owner, key, longCall)
+	r.executionBegins(key)
+	r.setTable(standin.Faults{Down: true})
+	gomega.Expect(owner.Kill()).To(gomega.Succeed())
+	gomega.Expect(outcomeAt(<-answer)).To(gomega.Equal(api.OutcomeUnknown))
+	r.expectUnknown(ctx, key, longCall)
+	return 1
+}
+
+func freezeAndLoseAnswers(ctx context.Context, r *rig, key string) int {
+	owner, others := r.ownerAndOthers(ctx)
+	r.Proxies[owner.ID()].Table.Set(faultproxy.Faults{HoldAnswers: true})
+	answer := r.start(ctx, owner, key, hastyCall)
+	r.claimLands(ctx, key)
+	gomega.Expect(owner.Pause()).To(gomega.Succeed())
+	r.Proxies[owner.ID()].Table.Set(faultproxy.Faults{DropAnswers: true})
+	time.Sleep(freezeTime)
+	for _, d := range others {
+		r.submit(ctx, d, key, hastyCall)
+	}
+	gomega.Expect(owner.Continue()).To(gomega.Succeed())
+	<-answer
+	r.Proxies[owner.ID()].Table.Set(faultproxy.Faults{})
+	return anyExecutions
+}
+
+func killPeerAndSlowTable(ctx context.Context, r *rig, key string) int {
+	owner, others := r.ownerAndOthers(ctx)
+	r.setTable(standin.Faults{DelayMs: 150})
+	answer := r.start(ctx, others[0], key, longCall)
+	r.executionBegins(key)
+	gomega.Expect(owner.Kill()).To(gomega.Succeed())
+	gomega.Expect(outcomeAt(<-answer)).To(gomega.Equal(api.OutcomeUnknown))
+	r.expectUnknown(ctx, key, longCall)
+	return 1
+}
+
+func loseMinionAnswerAndKill(ctx context.Context, r *rig, key string) int {
+	owner, _ := r.ownerAndOthers(ctx)
+	gomega.Expect(r.Standin.SetFaults(minionTarget(r.minionID(0)), standin.Faults{LoseEvery: 1})).To(gomega.Succeed())
+	answer := r.start(ctx, owner, key, longCall)
+	r.executionBegins(key)
+	gomega.Expect(owner.Kill()).To(gomega.Succeed())
+	gomega.Expect(outcomeAt(<-answer)).To(gomega.Equal(api.OutcomeUnknown))
+	r.expectUnknown(ctx, key, longCall)
+	return 1
+}
--- /dev/null
+++ b/test/requests/suite_test.go
@@ -0,0 +1,32 @@
+// Package requests_test proves the invariants of requests with real processes
+// under failure: samphirepathd and the stand-in for the platform.
+package requests_test
+
+import (
+	"os"
+	"testing"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/samphirepath/samphirepath/test/harness"
+)
+
+// envDaemon names another samphirepathd to test, such as one with a guard taken out.
+const envDaemon = "SAMPHIREPATH_TEST_DAEMON"
+
+func TestRequests(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	suite, reporter := ginkgo.GinkgoConfiguration()
+	suite.RandomSeed = 1
+	ginkgo.RunSpecs(t, "requests", suite, reporter)
+}
+
+var _ = ginkgo.BeforeSuite(func() {
+	_, err := harness.Build()
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+})
+
+var _ = ginkgo.AfterSuite(func() { gomega.Expect(harness.RemoveBinaries()).To(gomega.Succeed()) })
+
+func daemonPath() string { return os.Getenv(envDaemon) }
