--- a/test/requests/at_most_once_test.go
+++ b/test/requests/at_most_once_test.go
@@ -43,11 +43,11 @@
 
 var outcomeAt = func(a client.Answer[api.RequestResult]) api.Outcome { return a.Outcome() }
 
-// Guards against a second execution of a request after its daemon, its peer or
-// the table service failed, and against "not run" for a request that has run.
-var _ = ginkgo.DescribeTable("a non-idempotent request runs at most once, and not run is true",
-	func(inject scenario) {
-		r := newRig(size{daemons: 3, minions: 1, proxies: true})
+var onceCases = newCases(size{daemons: 3, minions: 1, proxies: true})
+
+// once runs a scenario and compares the answers with the executions.
+func once(inject scenario) func(r *rig) {
+	return func(r *rig) {
 		key := newKey("plan")
 		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 		defer cancel()
@@ -56,28 +56,33 @@
 		if want != anyExecutions {
 			r.expectExecutions(key, want)
 		}
-	},
-	ginkgo.Entry("entry daemon killed between claim and dispatch", scenario(killBeforeDispatch)),
-	ginkgo.Entry("entry daemon killed after dispatch", scenario(killAfterDispatch)),
-	ginkgo.Entry("entry daemon frozen across the deadline before dispatch", scenario(freezeBeforeDispatch)),
-	ginkgo.Entry("entry daemon frozen across the deadline after dispatch", scenario(freezeAfterDispatch)),
-	ginkgo.Entry("answer to the claim lost on the way", scenario(loseClaimAnswer)),
-	ginkgo.Entry("answers to all writes lost by the table service", scenario(loseWriteAnswers)),
-	ginkgo.Entry("table service down", tableScenario(standin.Faults{Down: true})),
-	ginkgo.Entry("table service refuses connections", tableScenario(standin.Faults{Refuse: true})),
-	ginkgo.Entry("table service slower than the deadline", tableScenario(standin.Faults{DelayMs: 600})),
-	ginkgo.Entry("table service silent, claims land late", tableScenario(standin.Faults{Silent: true})),
-	ginkgo.Entry("table service slow", scenario(slowTable)),
-	ginkgo.Entry("retried through other daemons at the same time", scenario(submitInParallel)),
-	ginkgo.Entry("peer killed after a forward, before dispatch", scenario(killPeerBeforeDispatch)),
-	ginkgo.Entry("peer killed after a forward, after dispatch", scenario(killPeerAfterDispatch)),
-	ginkgo.Entry("link to the peer lost after dispatch", scenario(cutPeerAfterDispatch)),
-	ginkgo.Entry("answer of the minion lost", scenario(loseMinionAnswer)),
-	ginkgo.Entry("key used again with another body", scenario(reuseKey)),
-	ginkgo.Entry("two faults: killed after dispatch, table service down", scenario(killAndTableDown)),
-	ginkgo.Entry("two faults: frozen across the deadline, table answers lost", scenario(freezeAndLoseAnswers)),
-	ginkgo.Entry("two faults: peer killed, table service slow", scenario(killPeerAndSlowTable)),
-	ginkgo.Entry("two faults: answer of the minion lost, entry daemon killed", scenario(loseMinionAnswerAndKill)),
+	}
+}
+
+// Guards against a second execution of a request after its daemon, its peer or
+// the table service failed, and against "not run" for a request that has run.
+var _ = ginkgo.DescribeTable("a non-idempotent request runs at most once, and not run is true", onceCases.await,
+	onceCases.entry("entry daemon killed between claim and dispatch", once(killBeforeDispatch)),
+	onceCases.entry("entry daemon killed after dispatch", once(killAfterDispatch)),
+	onceCases.entry("entry daemon frozen across the deadline before dispatch", once(freezeBeforeDispatch)),
+	onceCases.entry("entry daemon frozen across the deadline after dispatch", once(freezeAfterDispatch)),
+	onceCases.entry("answer to the claim lost on the way", once(loseClaimAnswer)),
+	onceCases.entry("answers to all writes lost by the table service", once(loseWriteAnswers)),
+	onceCases.entry("table service down", once(tableScenario(standin.Faults{Down: true}))),
+	onceCases.entry("table service refuses connections", once(tableScenario(standin.Faults{Refuse: true}))),
+	onceCases.entry("table service slower than the deadline", once(tableScenario(standin.Faults{DelayMs: 600}))),
+	onceCases.entry("table service silent, claims land late", once(tableScenario(standin.Faults{Silent: true}))),
+	onceCases.entry("table service slow", once(slowTable)),
+	onceCases.entry("retried through other daemons at the same time", once(submitInParallel)),
+	onceCases.entry("peer killed after a forward, before dispatch", once(killPeerBeforeDispatch)),
+	onceCases.entry("peer killed after a forward, after dispatch", once(killPeerAfterDispatch)),
+	onceCases.entry("link to the peer lost after dispatch", once(cutPeerAfterDispatch)),
+	onceCases.entry("answer of the minion lost", once(loseMinionAnswer)),
+	onceCases.entry("key used again with another body", once(reuseKey)),
+	onceCases.entry("two faults: killed after dispatch, table service down", once(killAndTableDown)),
+	onceCases.entry("two faults: frozen across the deadline, table answers lost", once(freezeAndLoseAnswers)),
+	onceCases.entry("two faults: peer killed, table service slow", once(killPeerAndSlowTable)),
+	onceCases.entry("two faults: answer of the minion lost, entry daemon killed", once(loseMinionAnswerAndKill)),
 )
 
 func killBeforeDispatch(ctx context.Context, r *rig, key string) int {
@@ -85,8 +90,8 @@
 	r.Proxies[owner.ID()].Table.Set(faultproxy.Faults{HoldAnswers: true})
 	answer := r.start(ctx, owner, key, longCall)
 	r.claimLands(ctx, key)
-	gomega.Expect(owner.Kill()).To(gomega.Succeed())
-	gomega.Expect(outcomeAt(<-answer)).To(gomega.Equal(api.OutcomeUnknown))
+	r.Expect(owner.Kill()).To(gomega.Succeed())
+	r.Expect(outcomeAt(<-answer)).To(gomega.Equal(api.OutcomeUnknown))
 	// Nobody can know that the request was not sent.
 	r.expectUnknown(ctx, key, longCall)
 	return 0
@@ -96,8 +101,8 @@
 	owner, _ := r.ownerAndOthers(ctx)
 	answer := r.start(ctx, owner, key, longCall)
 	r.executionBegins(key)
-	gomega.Expect(owner.Kill()).To(gomega.Succeed())
-	gomega.Expect(outcomeAt(<-answer)).To(gomega.Equal(api.OutcomeUnknown))
+	r.Expect(owner.Kill()).To(gomega.Succeed())
+	r.Expect(outcomeAt(<-answer)).To(gomega.Equal(api.OutcomeUnknown))
 	r.expectUnknown(ctx, key, longCall)
 	return 1
 }
@@ -107,13 +112,13 @@
 	r.Proxies[owner.ID()].Table.Set(faultproxy.Faults{HoldAnswers: true})
 	answer := r.start(ctx, owner, key, hastyCall)
 	r.claimLands(ctx, key)
-	gomega.Expect(owner.Pause()).To(gomega.Succeed())
+	r.Expect(owner.Pause()).To(gomega.Succeed())
 	r.Proxies[owner.ID()].Table.Set(faultproxy.Faults{})
 	time.Sleep(freezeTime)
 	for _, d := range others {
-		gomega.Expect(r.submit(ctx, d, key, hastyCall).Outcome()).To(gomega.Equal(api.OutcomeUnknown))
+		r.Expect(r.submit(ctx, d, key, hastyCall).Outcome()).To(gomega.Equal(api.OutcomeUnknown))
 	}
-	gomega.Expect(owner.Continue()).To(gomega.Succeed())
+	r.Expect(owner.Continue()).To(gomega.Succeed())
 	<-answer
 	return anyExecutions
 }
@@ -124,14 +129,14 @@
 	hasty.takes = longRun
 	answer := r.start(ctx, owner, key, hasty)
 	r.executionBegins(key)
-	gomega.Expect(owner.Pause()).To(gomega.Succeed())
+	r.Expect(owner.Pause()).To(gomega.Succeed())
 	time.Sleep(freezeTime)
 	for _, d := range others {
-		gomega.Expect(r.submit(ctx, d, key, hasty).Outcome()).To(gomega.Equal(api.OutcomeUnknown))
+		r.Expect(r.submit(ctx, d, key, hasty).Outcome()).To(gomega.Equal(api.OutcomeUnknown))
 	}
-	gomega.Expect(owner.Continue()).To(gomega.Succeed())
+	r.Expect(owner.Continue()).To(gomega.Succeed())
 	<-answer
-	eventually("the answer is kept", func() bool {
+	r.eventually("the answer is kept", func() bool {
 		return r.callers[others[0].ID()].GetRequest(ctx, key).Outcome() == api.OutcomeRan
 	})
 	return 1
@@ -144,14 +149,14 @@
 	answer := r.start(ctx, owner, key, longCall)
 	r.claimLands(ctx, key)
 	proxy.Set(faultproxy.Faults{})
-	gomega.Expect(outcomeAt(<-answer)).To(gomega.Equal(api.OutcomeRan))
-	gomega.Expect(r.retryEverywhere(ctx, key, longCall)).To(gomega.HaveEach(api.OutcomeRan))
+	r.Expect(outcomeAt(<-answer)).To(gomega.Equal(api.OutcomeRan))
+	r.Expect(r.retryEverywhere(ctx, key, longCall)).To(gomega.HaveEach(api.OutcomeRan))
 	return 1
 }
 
 func loseWriteAnswers(ctx context.Context, r *rig, key string) int {
 	r.setTable(standin.Faults{LoseEvery: 1})
-	gomega.Expect(r.retryEverywhere(ctx, key, longCall)).To(gomega.HaveEach(api.OutcomeRan))
+	r.Expect(r.retryEverywhere(ctx, key, longCall)).To(gomega.HaveEach(api.OutcomeRan))
 	return 1
 }
 
@@ -161,10 +166,10 @@
 	return func(ctx context.Context, r *rig, key string) int {
 		r.setTable(faults)
 		for _, told := range r.retryEverywhere(ctx, key, hastyCall) {
-			gomega.Expect(told).NotTo(gomega.Equal(api.OutcomeRan))
+			r.Expect(told).NotTo(gomega.Equal(api.OutcomeRan))
 		}
-		gomega.Expect(r.heal(ctx)).To(gomega.Succeed())
-		eventually("the key can be used again", func() bool {
+		r.Expect(r.heal(ctx)).To(gomega.Succeed())
+		r.eventually("the key can be used again", func() bool {
 			return r.submit(ctx, r.Daemons[len(r.Daemons)-1], key, hastyCall).Outcome() == api.OutcomeRan
 		})
 		return 1
@@ -173,7 +178,7 @@
 
 func slowTable(ctx context.Context, r *rig, key string) int {
 	r.setTable(standin.Faults{DelayMs: 150})
-	gomega.Expect(r.retryEverywhere(ctx, key, longCall)).To(gomega.HaveEach(api.OutcomeRan))
+	r.Expect(r.retryEverywhere(ctx, key, longCall)).To(gomega.HaveEach(api.OutcomeRan))
 	return 1
 }
 
@@ -185,7 +190,7 @@
 		}
 	}
 	group.Wait()
-	gomega.Expect(r.retryEverywhere(ctx, key, longCall)).To(gomega.HaveEach(api.OutcomeRan))
+	r.Expect(r.retryEverywhere(ctx, key, longCall)).To(gomega.HaveEach(api.OutcomeRan))
 	return 1
 }
 
@@ -194,8 +199,8 @@
 	r.Proxies[owner.ID()].Table.Set(faultproxy.Faults{HoldAnswers: true})
 	answer := r.start(ctx, others[0], key, longCall)
 	r.claimLands(ctx, key)
-	gomega.Expect(owner.Kill()).To(gomega.Succeed())
-	gomega.Expect(outcomeAt(<-answer)).To(gomega.Equal(api.OutcomeUnknown))
+	r.Expect(owner.Kill()).To(gomega.Succeed())
+	r.Expect(outcomeAt(<-answer)).To(gomega.Equal(api.OutcomeUnknown))
 	r.expectUnknown(ctx, key, longCall)
 	return 0
 }
@@ -204,8 +209,8 @@
 	owner, others := r.ownerAndOthers(ctx)
 	answer := r.start(ctx, others[0], key, longCall)
 	r.executionBegins(key)
-	gomega.Expect(owner.Kill()).To(gomega.Succeed())
-	gomega.Expect(outcomeAt(<-answer)).To(gomega.Equal(api.OutcomeUnknown))
+	r.Expect(owner.Kill()).To(gomega.Succeed())
+	r.Expect(outcomeAt(<-answer)).To(gomega.Equal(api.OutcomeUnknown))
 	r.expectUnknown(ctx, key, longCall)
 	return 1
 }
@@ -218,13 +223,13 @@
 	for _, p := range r.Proxies {
 		p.Peers.Set(faultproxy.Faults{Cut: true})
 	}
-	gomega.Expect(outcomeAt(<-answer)).To(gomega.Equal(api.OutcomeRan))
-	gomega.Expect(r.submit(ctx, owner, key, longCall).Outcome()).To(gomega.Equal(api.OutcomeRan))
+	r.Expect(outcomeAt(<-answer)).To(gomega.Equal(api.OutcomeRan))
+	r.Expect(r.submit(ctx, owner, key, longCall).Outcome()).To(gomega.Equal(api.OutcomeRan))
 	return 1
 }
 
 func loseMinionAnswer(ctx context.Context, r *rig, key string) int {
-	gomega.Expect(r.Standin.SetFaults(minionTarget(r.minionID(0)), standin.Faults{LoseEvery: 1})).To(gomega.Succeed())
+	r.Expect(r.Standin.SetFaults(minionTarget(r.minionID(0)), standin.Faults{LoseEvery: 1})).To(gomega.Succeed())
 	r.expectUnknown(ctx, key, longCall)
 	return 1
 }
@@ -237,15 +242,15 @@
 	for range 2 { // while the first runs, and after its end
 		for _, d := range r.Daemons {
 			answer := r.callers[d.ID()].SubmitRequest(ctx, other.request(key))
-			gomega.Expect(answer.Status).To(gomega.Equal(http.StatusConflict))
-			gomega.Expect(answer.Outcome()).To(gomega.Equal(api.OutcomeNotRun))
+			r.Expect(answer.Status).To(gomega.Equal(http.StatusConflict))
+			r.Expect(answer.Outcome()).To(gomega.Equal(api.OutcomeNotRun))
 		}
 		if first != nil {
-			gomega.Expect(outcomeAt(<-first)).To(gomega.Equal(api.OutcomeRan))
+			r.Expect(outcomeAt(<-first)).To(gomega.Equal(api.OutcomeRan))
 			first = nil
 		}
 	}
-	gomega.Expect(r.retryEverywhere(ctx, key, longCall)).To(gomega.HaveEach(api.OutcomeRan))
+	r.Expect(r.retryEverywhere(ctx, key, longCall)).To(gomega.HaveEach(api.OutcomeRan))
 	return 1
 }
 
@@ -254,8 +259,8 @@
 	answer := r.start(ctx, owner, key, longCall)
 	r.executionBegins(key)
 	r.setTable(standin.Faults{Down: true})
-	gomega.Expect(owner.Kill()).To(gomega.Succeed())
-	gomega.Expect(outcomeAt(<-answer)).To(gomega.Equal(api.OutcomeUnknown))
+	r.Expect(owner.Kill()).To(gomega.Succeed())
+	r.Expect(outcomeAt(<-answer)).To(gomega.Equal(api.OutcomeUnknown))
 	r.expectUnknown(ctx, key, longCall)
 	return 1
 }
@@ -265,13 +270,13 @@
 	r.Proxies[owner.ID()].Table.Set(faultproxy.Faults{HoldAnswers: true})
 	answer := r.start(ctx, owner, key, hastyCall)
 	r.claimLands(ctx, key)
-	gomega.Expect(owner.Pause()).To(gomega.Succeed())
+	r.Expect(owner.Pause()).To(gomega.Succeed())
 	r.Proxies[owner.ID()].Table.Set(faultproxy.Faults{DropAnswers: true})
 	time.Sleep(freezeTime)
 	for _, d := range others {
 		r.submit(ctx, d, key, hastyCall)
 	}
-	gomega.Expect(owner.Continue()).To(gomega.Succeed())
+	r.Expect(owner.Continue()).To(gomega.Succeed())
 	<-answer
 	r.Proxies[owner.ID()].Table.Set(faultproxy.Faults{})
 	return anyExecutions
@@ -282,19 +287,19 @@
 	r.setTable(standin.Faults{DelayMs: 150})
 	answer := r.start(ctx, others[0], key, longCall)
 	r.executionBegins(key)
-	gomega.Expect(owner.Kill()).To(gomega.Succeed())
-	gomega.Expect(outcomeAt(<-answer)).To(gomega.Equal(api.OutcomeUnknown))
+	r.Expect(owner.Kill()).To(gomega.Succeed())
+	r.Expect(outcomeAt(<-answer)).To(gomega.Equal(api.OutcomeUnknown))
 	r.expectUnknown(ctx, key, longCall)
 	return 1
 }
 
 func loseMinionAnswerAndKill(ctx context.Context, r *rig, key string) int {
 	owner, _ := r.ownerAndOthers(ctx)
-	gomega.Expect(r.Standin.SetFaults(minionTarget(r.minionID(0)), standin.Faults{LoseEvery: 1})).To(gomega.Succeed())
+	r.Expect(r.Standin.SetFaults(minionTarget(r.minionID(0)), standin.Faults{LoseEvery: 1})).To(gomega.Succeed())
 	answer := r.start(ctx, owner, key, longCall)
 	r.executionBegins(key)
-	gomega.Expect(owner.Kill()).To(gomega.Succeed())
-	gomega.Expect(outcomeAt(<-answer)).To(gomega.Equal(api.OutcomeUnknown))
+	r.Expect(owner.Kill()).To(gomega.Succeed())
+	r.Expect(outcomeAt(<-answer)).To(gomega.Equal(api.OutcomeUnknown))
 	r.expectUnknown(ctx, key, longCall)
 	return 1
 }
--- a/test/requests/faults_test.go
+++ b/test/requests/faults_test.go
@@ -26,15 +26,15 @@
 func minionTarget(id string) string { return "minions/" + id }
 
 // eventually polls until the condition holds.
-func eventually(what string, holds func() bool) {
+func (r *rig) eventually(what string, holds func() bool) {
 	ginkgo.GinkgoHelper()
-	gomega.Eventually(holds, stepWait, pollEvery).Should(gomega.BeTrue(), what)
+	r.Eventually(holds, stepWait, pollEvery).Should(gomega.BeTrue(), what)
 }
 
 // claimLands waits until the table service holds the claim of a key, read past all proxies.
 func (r *rig) claimLands(ctx context.Context, key string) {
 	ginkgo.GinkgoHelper()
-	eventually("the claim lands", func() bool {
+	r.eventually("the claim lands", func() bool {
 		_, exists, err := r.table.Get(ctx, claim.RowKey(organisation, key))
 		return err == nil && exists
 	})
@@ -43,7 +43,7 @@
 // executionBegins waits until a minion runs the request of a key.
 func (r *rig) executionBegins(key string) {
 	ginkgo.GinkgoHelper()
-	eventually("the execution begins", func() bool {
+	r.eventually("the execution begins", func() bool {
 		counters, err := r.Standin.Minions()
 		for _, m := range counters {
 			if m.ByKey[key] > 0 {
@@ -58,7 +58,7 @@
 func (r *rig) ownerAndOthers(ctx context.Context) (*harness.Daemon, []*harness.Daemon) {
 	ginkgo.GinkgoHelper()
 	owner := r.owner(ctx, zone+"-minion-1")
-	gomega.Expect(owner).NotTo(gomega.BeNil(), "no owner of the minion")
+	r.Expect(owner).NotTo(gomega.BeNil(), "no owner of the minion")
 	var others []*harness.Daemon
 	for _, d := range r.Daemons {
 		if d != owner {
@@ -70,7 +70,7 @@
 
 func (r *rig) setTable(faults standin.Faults) {
 	ginkgo.GinkgoHelper()
-	gomega.Expect(r.Standin.SetFaults(standin.TargetTable, faults)).To(gomega.Succeed())
+	r.Expect(r.Standin.SetFaults(standin.TargetTable, faults)).To(gomega.Succeed())
 }
 
 // heal ends all faults and starts killed daemons again. It returns once all
@@ -113,18 +113,18 @@
 // expectTruth ends the faults, expects the service to recover and every answer to be true.
 func (r *rig) expectTruth(ctx context.Context) {
 	ginkgo.GinkgoHelper()
-	gomega.Expect(r.heal(ctx)).To(gomega.Succeed())
+	r.Expect(r.heal(ctx)).To(gomega.Succeed())
 	violations, err := r.violations()
-	gomega.Expect(err).NotTo(gomega.HaveOccurred())
-	gomega.Expect(violations).To(gomega.BeEmpty())
+	r.Expect(err).NotTo(gomega.HaveOccurred())
+	r.Expect(violations).To(gomega.BeEmpty())
 }
 
 // expectExecutions expects the number of executions of a key.
 func (r *rig) expectExecutions(key string, want int) {
 	ginkgo.GinkgoHelper()
 	counts, err := r.executions()
-	gomega.Expect(err).NotTo(gomega.HaveOccurred())
-	gomega.Expect(counts[key]).To(gomega.Equal(want), "executions of "+key)
+	r.Expect(err).NotTo(gomega.HaveOccurred())
+	r.Expect(counts[key]).To(gomega.Equal(want), "executions of "+key)
 }
 
 // expectUnknown expects that no retry is told that the request ran, and that all
@@ -132,9 +132,9 @@
 // minion may refuse a retry before it looks at the claim.
 func (r *rig) expectUnknown(ctx context.Context, key string, c call) {
 	ginkgo.GinkgoHelper()
-	gomega.Expect(r.retryEverywhere(ctx, key, c)).To(gomega.HaveEach(gomega.BeElementOf(api.OutcomeUnknown, api.OutcomeNotRun)))
-	gomega.Expect(r.heal(ctx)).To(gomega.Succeed())
-	gomega.Expect(r.retryEverywhere(ctx, key, c)).To(gomega.HaveEach(api.OutcomeUnknown))
+	r.Expect(r.retryEverywhere(ctx, key, c)).To(gomega.HaveEach(gomega.BeElementOf(api.OutcomeUnknown, api.OutcomeNotRun)))
+	r.Expect(r.heal(ctx)).To(gomega.Succeed())
+	r.Expect(r.retryEverywhere(ctx, key, c)).To(gomega.HaveEach(api.OutcomeUnknown))
 }
 
 // retryEverywhere submits a key through each daemon in turn.
--- a/test/requests/rig_test.go
+++ b/test/requests/rig_test.go
@@ -55,10 +55,11 @@
 // rig is a cluster with clients for its daemons and a ledger of their answers.
 type rig struct {
 	*harness.Cluster
-	callers   map[string]*client.Client
-	operators map[string]*client.Client
-	minions   map[string]*faultproxy.Proxy
-	ledger    *ledger
+	gomega.Gomega // reports the failures of this cluster's spec or case
+	callers       map[string]*client.Client
+	operators     map[string]*client.Client
+	minions       map[string]*faultproxy.Proxy
+	ledger        *ledger
 	// minionCount is the number of minions.
 	minionCount int
 	table       *platform.TableClient
@@ -96,7 +97,7 @@
 		return nil, err
 	}
 	r := &rig{
-		Cluster: cluster, callers: map[string]*client.Client{}, operators: map[string]*client.Client{},
+		Cluster: cluster, Gomega: gomega.NewGomega(ginkgo.Fail), callers: map[string]*client.Client{}, operators: map[string]*client.Client{},
 		minions: map[string]*faultproxy.Proxy{}, ledger: newLedger(), minionCount: s.minions,
 	}
 	if r.table, err = platform.NewTable(platform.Config{URL: "http://" + cluster.Standin.Addresses.Table}); err != nil {
--- a/test/requests/suite_test.go
+++ b/test/requests/suite_test.go
@@ -3,6 +3,7 @@
 package requests_test
 
 import (
+	"fmt"
 	"os"
 	"testing"
 
@@ -30,3 +31,8 @@
 var _ = ginkgo.AfterSuite(func() { gomega.Expect(harness.RemoveBinaries()).To(gomega.Succeed()) })
 
 func daemonPath() string { return os.Getenv(envDaemon) }
+
+// report prints measured figures, also of a spec that passes.
+func report(name, format string, values ...any) {
+	fmt.Printf("figures: %s: %s\n", name, fmt.Sprintf(format, values...))
+}
