Place at most one commit group of jobs in a round

Cause: a plan with more than 64 placements, as when a zone returns, was committed in two groups in parallel. Ruled out: a new order in the executor by time of submission; the older jobs were not placed yet when the younger ones were started. Change: a round places at most one group; the next round, 200 ms later, places the rest. Conclusion: waiting work restarts in order of age.

--- a/internal/jobs/applier.go
+++ b/internal/jobs/applier.go
@@ -71,7 +71,7 @@
 	a.settle(ctx)
 	changes := a.preemptions(plan, &out)
 	changes = append(changes, a.refusals(plan, &out)...)
-	changes = append(changes, a.placements(plan, workers, &out)...)
+	changes = append(changes, a.placements(plan, workers, maxGroup-len(changes), &out)...)
 	changes = append(changes, a.reasons(plan, zones, changes)...)
 	results := a.commit(ctx, changes, &out)
 	for i, r := range results {
@@ -98,7 +98,10 @@
 	}
 }
 
-func (a *Applier) placements(plan planner.Plan, workers []planner.Worker, out *Applied) []Change {
+// placements returns at most limit placements, at least one, in the order of the
+// plan; the next round makes the rest. Groups are committed in parallel, so that
+// with a second group younger jobs could be placed and started before older ones.
+func (a *Applier) placements(plan planner.Plan, workers []planner.Worker, limit int, out *Applied) []Change {
 	if len(plan.Placements) == 0 {
 		return nil
 	}
@@ -113,6 +116,9 @@
 	}
 	var changes []Change
 	for _, p := range plan.Placements {
+		if len(changes) >= max(limit, 1) {
+			break
+		}
 		row := a.cfg.Follower.Get(p.JobID)
 		if _, open := a.unsettled[p.JobID]; row == nil || open {
 			out.Dropped++
