Test starts in a zone that was taken out, with real processes

Cause: no test drove daemons, proxies and workers together through a zone that leaves and returns under faults.

--- /dev/null
+++ b/test/jobs/rig_test.go
@@ -0,0 +1,175 @@
+package jobs
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/samphirepath/samphirepath/api"
+	"github.com/samphirepath/samphirepath/internal/standin"
+	"github.com/samphirepath/samphirepath/test/harness"
+)
+
+const (
+	// pollEvery is the interval of polls for a state.
+	pollEvery = 50 * time.Millisecond
+	// callWait bounds one call to a daemon, which may be frozen.
+	callWait = 3 * time.Second
+)
+
+// Names in the catalogue of the tests.
+const (
+	callerToken  = "jobs-token"
+	organisation = "crew"
+	batchEntry   = "survey"
+	urgentEntry  = "rescue"
+)
+
+// rig drives one cluster.
+type rig struct{ *harness.Cluster }
+
+func (r *rig) applyCatalogue(ctx context.Context) error {
+	catalogue := api.Catalogue{
+		Organisations: []api.Organisation{{Name: organisation, TokenSha256: harness.TokenHash(callerToken)}},
+		Teams:         []api.Team{},
+		Classes: []api.Class{
+			{Name: "batch", Urgency: api.Batch, Adjacency: api.AdjacencyZone},
+			{Name: "urgent", Urgency: api.Urgent, Adjacency: api.AdjacencyZone},
+		},
+		Entries: []api.Entry{
+			{Name: batchEntry, Kind: api.EntryKindJob, Owner: organisation, Class: "batch"},
+			{Name: urgentEntry, Kind: api.EntryKindJob, Owner: organisation, Class: "urgent"},
+		},
+	}
+	head, err := call[api.ConfigurationHead](r.Daemons[0].OperatorsURL(), harness.OperatorToken, func(c *api.Client) (*http.Response, error) {
+		return c.ApplyCatalogue(ctx, api.CatalogueApply{Catalogue: catalogue, ChangedBy: "test"})
+	})
+	if err != nil {
+		return eris.Wrap(err, "apply catalogue")
+	}
+	return until(ctx, 10*time.Second, "the catalogue is in force everywhere", func() (bool, error) {
+		for _, d := range r.Daemons {
+			status, err := r.status(ctx, d)
+			if err != nil || status.Revision < head.Revision {
+				return false, err
+			}
+		}
+		return true, nil
+	})
+}
+
+func (r *rig) status(ctx context.Context, d *harness.Daemon) (api.Status, error) {
+	return call[api.Status](d.OperatorsURL(), harness.OperatorToken, func(c *api.Client) (*http.Response, error) {
+		return c.GetStatus(ctx)
+	})
+}
+
+// planner waits until the daemon says that another daemon than the given one
+// plans for its zone.
+func (r *rig) planner(ctx context.Context, asked *harness.Daemon, not string) (*harness.Daemon, error) {
+	var name string
+	err := until(ctx, 20*time.Second, "a daemon plans", func() (bool, error) {
+		status, err := r.status(ctx, asked)
+		name = status.Planner
+		return err == nil && name != "" && name != not, err
+	})
+	if err != nil {
+		return nil, err
+	}
+	return r.Daemon(name), nil
+}
+
+func (r *rig) submit(ctx context.Context, d *harness.Daemon, spec api.JobSpec) (api.Job, error) {
+	return call[api.Job](d.CallersURL(), callerToken, func(c *api.Client) (*http.Response, error) {
+		return c.SubmitJob(ctx, spec)
+	})
+}
+
+func (r *rig) job(ctx context.Context, d *harness.Daemon, id string) (api.Job, error) {
+	return call[api.Job](d.CallersURL(), callerToken, func(c *api.Client) (*http.Response, error) {
+		return c.GetJob(ctx, id)
+	})
+}
+
+// changeNorth commits the state of the zone north through a daemon. It returns the time at which
+// the answer arrived, which is not before the commit.
+func (r *rig) changeNorth(ctx context.Context, d *harness.Daemon, state api.ZoneState) (time.Time, error) {
+	_, err := call[api.ConfigurationHead](d.OperatorsURL(), harness.OperatorToken, func(c *api.Client) (*http.Response, error) {
+		return c.ChangeZone(ctx, north, api.ZoneChange{State: state, ChangedBy: "test", Reason: "test"})
+	})
+	return time.Now(), eris.Wrapf(err, "set zone %s %s", north, state)
+}
+
+// history returns the attempts by job.
+func (r *rig) history() (map[string][]standin.TaskHistory, error) {
+	tasks, err := r.Standin.Tasks()
+	byJob := map[string][]standin.TaskHistory{}
+	for _, t := range tasks {
+		byJob[t.JobID] = append(byJob[t.JobID], t)
+	}
+	return byJob, err
+}
+
+// gangSpec is a job of equal tasks that run for a time, in one zone.
+func gangSpec(key string, tasks int, run time.Duration, zones ...string) api.JobSpec {
+	return api.JobSpec{
+		Key: key, Name: key, Entry: batchEntry, Tasks: tasks, Zones: zones,
+		Resources:  api.Resources{Cores: 1, MemoryMb: 64},
+		Parameters: map[string]string{standin.ParamRunMs: fmt.Sprint(run.Milliseconds())},
+	}
+}
+
+// until repeats a check until it holds. The error of the last check is reported
+// when it does not hold in time.
+func until(ctx context.Context, wait time.Duration, what string, check func() (bool, error)) error {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for {
+		ok, err := check()
+		if ok {
+			return nil
+		}
+		if !sleep(ctx, pollEvery) {
+			return eris.Errorf("not in %s: %s (%v)", wait, what, err)
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+func call[T any](server, token string, do func(*api.Client) (*http.Response, error)) (T, error) {
+	var out T
+	client, err := api.NewClient(server, api.WithHTTPClient(&http.Client{Timeout: callWait}),
+		api.WithRequestEditorFn(func(_ context.Context, request *http.Request) error {
+			request.Header.Set("Authorization", "Bearer "+token)
+			return nil
+		}))
+	if err != nil {
+		return out, eris.Wrap(err, "make client")
+	}
+	response, err := do(client)
+	if err != nil {
+		return out, eris.Wrap(err, "call daemon")
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return out, eris.Wrap(err, "read answer")
+	}
+	if response.StatusCode >= http.StatusMultipleChoices {
+		return out, eris.Errorf("status %d: %s", response.StatusCode, body)
+	}
+	return out, eris.Wrap(json.Unmarshal(body, &out), "decode answer")
+}
--- /dev/null
+++ b/test/jobs/suite_test.go
@@ -0,0 +1,111 @@
+// Package jobs holds integration tests of jobs: real daemons and the stand-in of
+// the platform run under injected faults, and the task history of the workers
+// decides whether the invariants hold.
+package jobs
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/samphirepath/samphirepath/test/harness"
+)
+
+const (
+	// caseTimeout bounds one fault case.
+	caseTimeout = 100 * time.Second
+	// parallelCases bounds the clusters that run at the same time; each has four
+	// to six processes.
+	parallelCases = 8
+)
+
+// envDaemon names another samphirepathd, such as one without the guard that a
+// spec is to prove.
+const envDaemon = "SAMPHIREPATH_JOBS_DAEMON"
+
+func TestJobs(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "jobs")
+}
+
+var _ = ginkgo.BeforeSuite(func() {
+	_, err := harness.Build()
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+})
+
+var _ = ginkgo.AfterSuite(func() { gomega.Expect(harness.RemoveBinaries()).To(gomega.Succeed()) })
+
+// faultCase is one row of a table of faults. It runs on a cluster of its own.
+type faultCase struct {
+	name    string
+	options harness.Options
+	// run injects the fault and checks the invariant. It returns a line of figures.
+	run func(context.Context, *rig) (string, error)
+}
+
+// outcome is what became of a case.
+type outcome struct {
+	figures string
+	err     error
+	logs    string
+}
+
+// describeCases makes a spec of each case. The cases run at the same time,
+// because most of their time is spent waiting for leases and timeouts.
+func describeCases(title string, cases []faultCase) bool {
+	return ginkgo.Describe(title, ginkgo.Ordered, ginkgo.ContinueOnFailure, func() {
+		outcomes := make([]chan outcome, len(cases))
+		for i := range outcomes {
+			outcomes[i] = make(chan outcome, 1)
+		}
+		ginkgo.BeforeAll(func() { go runCases(cases, outcomes) })
+		for i, c := range cases {
+			ginkgo.It(c.name, func() {
+				o := <-outcomes[i]
+				fmt.Fprintf(ginkgo.GinkgoWriter, "%s\n", o.logs)
+				gomega.Expect(o.err).NotTo(gomega.HaveOccurred())
+				fmt.Printf("\n%s: %s: %s\n", title, c.name, o.figures)
+			})
+		}
+	})
+}
+
+func runCases(cases []faultCase, outcomes []chan outcome) {
+	var group errgroup.Group
+	group.SetLimit(parallelCases)
+	for i, c := range cases {
+		group.Go(func() error {
+			outcomes[i] <- runCase(c)
+			return nil
+		})
+	}
+	_ = group.Wait() // the functions return no error
+}
+
+func runCase(c faultCase) (o outcome) {
+	ctx, cancel := context.WithTimeout(context.Background(), caseTimeout)
+	defer cancel()
+	c.options.DaemonPath = os.Getenv(envDaemon)
+	cluster, err := harness.StartCluster(ctx, c.options)
+	if err != nil {
+		return outcome{err: eris.Wrap(err, "start cluster")}
+	}
+	r := &rig{Cluster: cluster}
+	if o.err = r.applyCatalogue(ctx); o.err == nil {
+		o.figures, o.err = c.run(ctx, r)
+	}
+	if o.err != nil {
+		o.logs = cluster.Logs()
+	}
+	if err := cluster.Stop(); o.err == nil {
+		o.err = err
+	}
+	return o
+}
--- /dev/null
+++ b/test/jobs/truth_test.go
@@ -0,0 +1,91 @@
+package jobs
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/samphirepath/samphirepath/api"
+	"github.com/samphirepath/samphirepath/internal/standin"
+)
+
+// attempts groups the tasks of one job by attempt, oldest first.
+func attempts(tasks []standin.TaskHistory) [][]standin.TaskHistory {
+	byNumber := map[int][]standin.TaskHistory{}
+	var numbers []int
+	for _, t := range tasks {
+		if byNumber[t.Attempt] == nil {
+			numbers = append(numbers, t.Attempt)
+		}
+		byNumber[t.Attempt] = append(byNumber[t.Attempt], t)
+	}
+	slices.Sort(numbers)
+	var out [][]standin.TaskHistory
+	for _, n := range numbers {
+		out = append(out, byNumber[n])
+	}
+	return out
+}
+
+// checkExactlyOnce checks that all tasks of exactly one attempt of the job
+// succeeded and none of another.
+func checkExactlyOnce(job api.Job, tasks []standin.TaskHistory) error {
+	whole := 0
+	for _, members := range attempts(tasks) {
+		succeeded := 0
+		for _, t := range members {
+			if t.Exit == api.TaskExitSucceeded {
+				succeeded++
+			}
+		}
+		switch succeeded {
+		case 0:
+		case job.Spec.Tasks:
+			whole++
+		default:
+			return eris.Errorf("job %s: %d of %d tasks of attempt %d succeeded", job.ID, succeeded, job.Spec.Tasks, members[0].Attempt)
+		}
+	}
+	if whole != 1 {
+		return eris.Errorf("job %s succeeded %d times in %d attempts", job.ID, whole, len(attempts(tasks)))
+	}
+	return nil
+}
+
+// checkWholeGangs checks that no member was released before all members of its
+// attempt had been started, and that no two attempts of a job ran at once.
+func checkWholeGangs(job api.Job, tasks []standin.TaskHistory) error {
+	var endOfEarlier int64
+	for _, members := range attempts(tasks) {
+		var lastStart, firstRelease, lastEnd int64
+		for _, t := range members {
+			if t.StartedMs < endOfEarlier {
+				return eris.Errorf("job %s: attempt %d started at %d, attempt before it ended at %d", job.ID, t.Attempt, t.StartedMs, endOfEarlier)
+			}
+			lastStart, lastEnd = max(lastStart, t.StartedMs), max(lastEnd, endOf(t))
+			if t.ReleasedMs > 0 && (firstRelease == 0 || t.ReleasedMs < firstRelease) {
+				firstRelease = t.ReleasedMs
+			}
+		}
+		if firstRelease > 0 && (len(members) < job.Spec.Tasks || firstRelease < lastStart) {
+			return eris.Errorf("job %s: a member of attempt %d was released at %d with %d of %d members, the last started at %d",
+				job.ID, members[0].Attempt, firstRelease, len(members), job.Spec.Tasks, lastStart)
+		}
+		endOfEarlier = max(endOfEarlier, lastEnd)
+	}
+	return nil
+}
+
+// endOf is the end of a task; one that has not ended ends in the far future.
+func endOf(t standin.TaskHistory) int64 {
+	if t.EndedMs == 0 {
+		return 1 << 60
+	}
+	return t.EndedMs
+}
+
+// describeTask is for the report of a violation.
+func describeTask(t standin.TaskHistory) string {
+	return fmt.Sprintf("%s on %s started %d released %d ended %d (%s %s)", t.TaskID, t.Worker, t.StartedMs, t.ReleasedMs, t.EndedMs, t.Exit, t.Reason)
+}
