Read back a configuration change whose answer is lost

Cause: after an unknown commit the writer only repeated the commit and settled on a conflict. When the answer to every commit is lost, conflicts included, a change that had taken effect was answered 504 unknown after 10 s. Ruled out: reads failing; the head was readable all the time. Change: an unknown commit is followed by a read of the history row of the revision; without that row nothing is settled and the commit is repeated. Conclusion: unknown is answered only when reads do not pass either.

--- a/revision/writer.go
+++ b/revision/writer.go
@@ -144,6 +144,10 @@
 			}
 		case table.Unknown:
 			sent = true
+			// Reads can still pass while the answers to commits are lost.
+			if result, settled := w.settle(ctx, own); settled {
+				return result
+			}
 		}
 		// Repeating the commit is safe: the conditions on the head let at most
 		// one of the attempts take effect.
@@ -173,11 +177,12 @@
 	return conditions, writes
 }
 
-// settle finds out whose write took the revision. It is called after a
-// conflict, so the history row of the revision exists.
+// settle finds out whose write took the revision. It settles nothing as long as
+// the revision has no history row: a commit whose answer was lost may still
+// take effect.
 func (w *Writer) settle(ctx context.Context, own Head) (Result, bool) {
 	taken, err := w.History(ctx, own.Revision)
-	if err != nil {
+	if err != nil || taken.Version == 0 {
 		return Result{}, false
 	}
 	if taken.Write == own.Write {
--- a/revision/writer_test.go
+++ b/revision/writer_test.go
@@ -112,6 +112,14 @@
 	}
 }
 
+// silentCommits loses the answer to every commit, conflicts included.
+type silentCommits struct{ *fakeStore }
+
+func (s silentCommits) Commit(ctx context.Context, conditions []table.Condition, writes []table.Write) table.CommitResult {
+	s.fakeStore.Commit(ctx, conditions, writes)
+	return table.CommitResult{Status: table.Unknown, Err: errors.New("answer lost")}
+}
+
 func headOnly(r revision.Record) (revision.Rows, error) {
 	head, err := json.Marshal(r)
 	return revision.Rows{Head: head}, err
@@ -184,6 +192,19 @@
 		Expect(lost.Current.Revision).To(Equal(int64(1)))
 	})
 
+	// Repeated commits alone never settle a write when each of their answers is lost.
+	It("reads back a write when the answer to every commit is lost", func() {
+		store := silentCommits{newFakeStore()}
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		result := revision.NewWriter(store, "c/").Write(ctx, revision.Head{}, headOnly)
+		Expect(result.Status).To(Equal(revision.Accepted))
+		Expect(result.Current.Version).To(Equal(int64(1)))
+		lost := revision.NewWriter(store, "c/").Write(ctx, revision.Head{}, headOnly)
+		Expect(lost.Status).To(Equal(revision.Conflict))
+		Expect(lost.Current.Revision).To(Equal(int64(1)))
+	})
+
 	It("says unknown when the answer stays lost", func() {
 		store := newFakeStore()
 		store.faults = func() fault { return lostBefore }
