Renew the leases of known tasks as a set

Lease renewals were most of the control traffic of a daemon: each call repeated the list of tasks and each answer the state of every task.

A keeper now names the tasks of a worker by its VM and a hash of their identifiers with one common expiry. The list goes along only when the set has changed or the worker does not know it; tasks with another expiry, such as those of a gang with an unacknowledged member, are listed apart. The answer lists tasks that do not run or have changed since the answer that the holder has seen, and names the tasks that the worker does not hold. Ended and held tasks are repeated in each answer, and what the keeper knows of a worker changes only with an answer, so a lost answer loses nothing. A worker that does not confirm the set gets the full form.

A content hash was preferred to a number: a restarted daemon, a late message and two keepers with one name cannot renew the wrong tasks. All calls of a round count the start of the round as their send time, which is earlier than the real one, so that the gangs of a round share one expiry. Gangs that share a worker with a due gang and would be due within half an interval are renewed along with it; else their different expiries would have to be listed each time.

The client interface of workers is unchanged; the set form is the additional interface SetRenewer.

--- a/api/api.gen.go
+++ b/api/api.gen.go
@@ -831,9 +831,28 @@
 	Type         string `json:"type"`
 }
 
-// RenewTasks Renews the leases of tasks on one worker.
+// RenewSet Names tasks by a set that the worker has learned from the same holder.
+type RenewSet struct {
+	// ExpiresMs Unix time in milliseconds, the new expiry of the tasks that are not in leases.
+	ExpiresMs int64 `json:"expires_ms"`
+
+	// Hash xxHash64 of the sorted task identifiers, each followed by a zero byte, in 16 hexadecimal digits.
+	Hash string `json:"hash"`
+
+	// Holder Daemon that renews; a worker keeps one set for each holder and may forget it.
+	Holder string `json:"holder"`
+
+	// Seen The change number of the newest answer that the holder has received for this set.
+	Seen int64 `json:"seen,omitempty"`
+
+	// TaskIds Defines the set and replaces the earlier one of the holder; the answer lists all tasks.
+	TaskIds []string `json:"task_ids,omitempty"`
+}
+
+// RenewTasks Renews the leases of tasks on one worker. A task in leases gets the expiry given there, any other task of the set the expiry of the set. With a set, leases names only tasks of the set. No lease is shortened.
 type RenewTasks struct {
 	Leases []TaskLease `json:"leases"`
+	Set    *RenewSet   `json:"set,omitempty"`
 }
 
 // RequestResult Answer to a request.
@@ -1067,9 +1086,20 @@
 	TaskID string    `json:"task_id"`
 }
 
-// TaskReports States of tasks; a task that the worker does not know is left out.
+// TaskReports States of tasks. A task of leases that the worker does not know is left out. A task of a known set that is in neither tasks nor missing runs and has not changed since the answer that the holder has seen.
 type TaskReports struct {
+	// Change Change number of this answer, to be repeated in seen.
+	Change int64 `json:"change,omitempty"`
+
+	// Missing Tasks of the set that the worker does not know.
+	Missing []string `json:"missing,omitempty"`
+
+	// Set Hash of the set that the renewal was applied to; absent from a worker that does not know sets.
+	Set   string       `json:"set,omitempty"`
 	Tasks []TaskReport `json:"tasks"`
+
+	// UnknownSet The worker does not know the set and has renewed nothing.
+	UnknownSet bool `json:"unknown_set,omitempty"`
 }
 
 // TaskState State of a task on a worker.
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -61,6 +61,9 @@
 type Keeper struct {
 	cfg   Config
 	gangs map[string]*kept // by job; owned by the goroutine of Run
+	// sets are the sets that workers know from this keeper; owned like gangs, and
+	// during a round by the call to the worker.
+	sets map[string]*workerSet
 }
 
 // New returns a keeper with defaults filled in.
@@ -83,7 +86,7 @@
 	if cfg.Planning == nil {
 		cfg.Planning = func() bool { return false }
 	}
-	return &Keeper{cfg: cfg, gangs: map[string]*kept{}}
+	return &Keeper{cfg: cfg, gangs: map[string]*kept{}, sets: map[string]*workerSet{}}
 }
 
 // Run keeps leases until ctx ends.
@@ -107,7 +110,7 @@
 	now := time.Now()
 	k.adopt(now)
 	calls := k.due(now)
-	for _, answer := range k.call(ctx, calls) {
+	for _, answer := range k.call(ctx, now, calls) {
 		k.take(answer)
 	}
 	k.detectLost(time.Now())
--- a/internal/keeper/renew.go
+++ b/internal/keeper/renew.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -9,6 +10,7 @@
 	"github.com/samphirepath/samphirepath/api"
 	"github.com/samphirepath/samphirepath/gang"
 	"github.com/samphirepath/samphirepath/internal/jobs"
+	"github.com/samphirepath/samphirepath/internal/platform"
 )
 
 // endOfTime is later than any send time.
@@ -65,6 +67,7 @@
 	contact bool
 	leases  []api.TaskLease
 	tasks   map[string]taskRef
+	set     *workerSet
 }
 
 // answer is what became of a call.
@@ -83,13 +86,9 @@
 		if now.Before(g.nextRenew) {
 			continue
 		}
-		g.nextRenew = now.Add(k.cfg.RenewEvery)
-		for i, place := range g.job.Placement {
-			if _, over := g.ended[i]; !over && calls[place.Worker] == nil {
-				calls[place.Worker] = &call{worker: place.Worker, tasks: map[string]taskRef{}}
-			}
-		}
+		k.contactMembers(calls, g, now)
 	}
+	k.joinSoonDue(calls, now)
 	for _, g := range k.gangs {
 		for i, place := range g.job.Placement {
 			if c := calls[place.Worker]; c != nil {
@@ -98,12 +97,42 @@
 		}
 	}
 	out := make([]*call, 0, len(calls))
-	for _, c := range calls {
+	for worker, c := range calls {
+		c.set = k.setOf(worker, now)
 		out = append(out, c)
 	}
+	k.forgetSets(now)
 	return out
 }
 
+// contactMembers adds calls for the members of a gang that have not ended.
+func (k *Keeper) contactMembers(calls map[string]*call, g *kept, now time.Time) {
+	g.nextRenew = now.Add(k.cfg.RenewEvery)
+	for i, place := range g.job.Placement {
+		if _, over := g.ended[i]; !over && calls[place.Worker] == nil {
+			calls[place.Worker] = &call{worker: place.Worker, tasks: map[string]taskRef{}}
+		}
+	}
+}
+
+// joinSoonDue renews gangs early that share a worker with a due one and would be
+// due within half an interval. Gangs on the same workers so come to be renewed
+// together, with one expiry and in one call.
+func (k *Keeper) joinSoonDue(calls map[string]*call, now time.Time) {
+	called := make(map[string]bool, len(calls))
+	for worker := range calls {
+		called[worker] = true
+	}
+	for _, g := range k.gangs {
+		if g.nextRenew.Sub(now) > k.cfg.RenewEvery/2 {
+			continue
+		}
+		if slices.ContainsFunc(g.job.Placement, func(p api.TaskPlacement) bool { return called[p.Worker] }) {
+			k.contactMembers(calls, g, now)
+		}
+	}
+}
+
 func (k *Keeper) addTask(c *call, g *kept, member int) {
 	if _, over := g.ended[member]; over {
 		return
@@ -117,14 +146,16 @@
 	c.contact = true
 }
 
-// call sends the calls in parallel and returns the answers that arrived.
-func (k *Keeper) call(ctx context.Context, calls []*call) []answer {
+// call sends the calls in parallel and returns the answers that arrived. The time
+// of the round counts as send time of all calls: it is earlier than the real one,
+// and members renewed in one round get the same expiry.
+func (k *Keeper) call(ctx context.Context, now time.Time, calls []*call) []answer {
 	answers := make([]answer, len(calls))
 	var group errgroup.Group
 	group.SetLimit(parallelCalls)
 	for i, c := range calls {
 		group.Go(func() error {
-			answers[i] = k.callWorker(ctx, c)
+			answers[i] = k.callWorker(ctx, now, c)
 			return nil
 		})
 	}
@@ -132,8 +163,8 @@
 	return answers
 }
 
-func (k *Keeper) callWorker(ctx context.Context, c *call) answer {
-	a := answer{call: c, sent: time.Now(), tasks: map[string]api.TaskReport{}}
+func (k *Keeper) callWorker(ctx context.Context, now time.Time, c *call) answer {
+	a := answer{call: c, sent: now, tasks: map[string]api.TaskReport{}}
 	address, known := k.cfg.Address(c.worker)
 	if !known {
 		return a
@@ -153,7 +184,7 @@
 	if len(leases) == 0 {
 		return a
 	}
-	reports, err := k.renew(ctx, address, leases)
+	reports, err := k.renewAny(ctx, c, address, leases)
 	if err != nil {
 		a.reported = false
 		return a
@@ -190,6 +221,18 @@
 	return k.cfg.Workers.Report(ctx, address)
 }
 
+// renewAny takes the set form unless the worker has just been asked for a report:
+// the tasks of a gang without a common expiry must not be extended by a set.
+func (k *Keeper) renewAny(ctx context.Context, c *call, address string, leases []api.TaskLease) ([]api.TaskReport, error) {
+	if renewer, ok := k.cfg.Workers.(platform.SetRenewer); ok && !c.contact && !c.set.fullForm() {
+		reports, err := k.renewSet(ctx, renewer, c.set, address, leases)
+		if err != nil || !c.set.fullForm() {
+			return reports, err
+		}
+	}
+	return k.renew(ctx, address, leases)
+}
+
 func (k *Keeper) renew(ctx context.Context, address string, leases []api.TaskLease) ([]api.TaskReport, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/internal/platform/decode.go
+++ b/internal/platform/decode.go
@@ -130,17 +130,38 @@
 
 // decodeTasks checks the answer to a renewal or an action.
 func decodeTasks(body []byte) ([]api.TaskReport, error) {
+	reports, err := decodeReports(body)
+	return reports.Tasks, err
+}
+
+func decodeReports(body []byte) (api.TaskReports, error) {
 	var reports api.TaskReports
 	if err := json.Unmarshal(body, &reports); err != nil {
-		return nil, eris.Wrap(err, "decode task reports")
+		return api.TaskReports{}, eris.Wrap(err, "decode task reports")
 	}
 	if reports.Tasks == nil {
-		return nil, eris.New("answer has no task reports")
+		return api.TaskReports{}, eris.New("answer has no task reports")
 	}
 	if err := checkTasks(reports.Tasks); err != nil {
-		return nil, err
+		return api.TaskReports{}, err
+	}
+	return reports, nil
+}
+
+// decodeSetAnswer checks that an answer about a set is about the one that was
+// renewed: tasks that it leaves out count as running.
+func decodeSetAnswer(body []byte, set *api.RenewSet) (api.TaskReports, error) {
+	reports, err := decodeReports(body)
+	if err != nil || set == nil {
+		return reports, err
+	}
+	if reports.Set != "" && reports.Set != set.Hash {
+		return api.TaskReports{}, eris.Errorf("answer is about set %q instead of %q", reports.Set, set.Hash)
+	}
+	if reports.Set != "" && reports.UnknownSet {
+		return api.TaskReports{}, eris.Errorf("answer renews set %q and does not know it", reports.Set)
 	}
-	return reports.Tasks, nil
+	return reports, nil
 }
 
 func checkTasks(tasks []api.TaskReport) error {
--- a/internal/platform/workers.go
+++ b/internal/platform/workers.go
@@ -10,7 +10,10 @@
 // WorkersClient calls workers.
 type WorkersClient struct{ *caller }
 
-var _ Workers = (*WorkersClient)(nil)
+var (
+	_ Workers    = (*WorkersClient)(nil)
+	_ SetRenewer = (*WorkersClient)(nil)
+)
 
 // NewWorkers returns a client of workers.
 func NewWorkers(c Config) *WorkersClient {
@@ -60,6 +63,22 @@
 	return w.tasks(ctx, "worker renew", address, PathRenew, api.RenewTasks{Leases: leases})
 }
 
+// RenewSet renews a set of tasks that the worker knows by its hash.
+func (w *WorkersClient) RenewSet(ctx context.Context, address string, message api.RenewTasks) (api.TaskReports, error) {
+	if message.Leases == nil {
+		message.Leases = []api.TaskLease{}
+	}
+	body, err := w.post(ctx, "worker renew", address, PathRenew, message)
+	if err != nil {
+		return api.TaskReports{}, err
+	}
+	answer, err := decodeSetAnswer(body, message.Set)
+	if err != nil {
+		return api.TaskReports{}, lost(err)
+	}
+	return answer, nil
+}
+
 // Act releases, checkpoints, throttles or stops several tasks and returns their states.
 func (w *WorkersClient) Act(ctx context.Context, address string, action api.TaskAction) ([]api.TaskReport, error) {
 	return w.tasks(ctx, "worker "+string(action.Action), address, PathActions, action)
--- a/internal/platform/workers_test.go
+++ b/internal/platform/workers_test.go
@@ -304,6 +304,8 @@
 			gomega.Expect(err).To(beMaybeSent())
 			_, err = client.Renew(ctx, address, nil)
 			gomega.Expect(err).To(beMaybeSent())
+			_, err = client.RenewSet(ctx, address, api.RenewTasks{Set: &api.RenewSet{Hash: "a"}})
+			gomega.Expect(err).To(beMaybeSent())
 			_, err = client.Report(ctx, address)
 			gomega.Expect(err).To(gomega.HaveOccurred())
 		},
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -29,6 +29,9 @@
 
 	// FailStarts makes a worker fail every task that it starts.
 	FailStarts bool `json:"fail_starts,omitempty"`
+	// IgnoreSets makes a worker renew only the listed leases, as one that does not
+	// know the set form of renewals.
+	IgnoreSets bool `json:"ignore_sets,omitempty"`
 
 	// SlowMs makes each request on a minion take longer while it holds its slot.
 	SlowMs int64 `json:"slow_ms,omitempty"`
--- a/internal/standin/task.go
+++ b/internal/standin/task.go
@@ -48,6 +48,9 @@
 	checkpointed int64  // progress that the last checkpoint holds
 
 	started, released, ended int64
+
+	change int64          // number of the last change, 0 before the first renewal of a set
+	noted  api.TaskReport // report at that change, without the lease
 }
 
 // newTask accepts a start. progress is the progress from a checkpoint.
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -41,6 +41,8 @@
 	past         []TaskHistory    // attempts of earlier instances
 	usage        usage
 	objectNo     int
+	sets         map[string]taskSet // by holder
+	changes      int64              // number of the newest change of a task seen by a renewal of a set
 }
 
 // usage is what tasks used at a time.
@@ -61,6 +63,7 @@
 	w.instance = uuid.NewString()
 	w.live, w.ended, w.order = map[string]*task{}, map[string]*task{}, nil
 	w.resumed, w.stoppedEarly = map[string]int64{}, map[string]bool{}
+	w.sets = map[string]taskSet{}
 }
 
 // advance ends what is due and returns the time. It needs the lock.
@@ -218,6 +221,11 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance()
+	return w.reports(w.extend(leases))
+}
+
+// extend needs the lock. It returns the identifiers of the tasks.
+func (w *worker) extend(leases []api.TaskLease) []string {
 	ids := make([]string, 0, len(leases))
 	for _, lease := range leases {
 		ids = append(ids, lease.TaskID)
@@ -225,7 +233,7 @@
 			t.lease = max(t.lease, lease.LeaseExpiresMs)
 		}
 	}
-	return w.reports(ids)
+	return ids
 }
 
 // act carries out an action on several tasks.
--- a/internal/standin/worker_http.go
+++ b/internal/standin/worker_http.go
@@ -41,7 +41,14 @@
 	if err := json.Unmarshal(body, &message); err != nil {
 		return errorReply(http.StatusBadRequest, err)
 	}
-	return jsonReply(http.StatusOK, api.TaskReports{Tasks: w.renew(message.Leases)})
+	if message.Set == nil || w.faults.get().IgnoreSets {
+		return jsonReply(http.StatusOK, api.TaskReports{Tasks: w.renew(message.Leases)})
+	}
+	answer, err := w.renewSet(message)
+	if err != nil {
+		return errorReply(http.StatusBadRequest, err)
+	}
+	return jsonReply(http.StatusOK, answer)
 }
 
 func (w *worker) serveAction(_ *http.Request, body []byte) reply {
