Show both forms of renewals and the cost of a change in the capacity run

The budget of 23 KB/s counts sent and received together, but the tables had only a row for each. A run could not show what the set form of renewals saves, nor how often a daemon gets the body of a catalogue.

The target size is now measured a second time in the same cluster, with workers that do not know the set form (stand-in fault ignore_sets), so that both forms stand side by side. Samples are taken 0.7 s after the last change: values of daemons are up to 0.5 s old, and the last change of a window used to be left out.

--- a/test/capacity/main.go
+++ b/test/capacity/main.go
@@ -21,7 +21,9 @@
 	Window time.Duration `help:"Time over which each size is measured." default:"15s"`
 	Settle time.Duration `help:"Time between the last start and the measurement." default:"6s"`
 	Only   string        `help:"Measure only the series with this name and write no page."`
-	Commit string        `help:"Commit that the page names." default:"unknown"`
+	// Changes is 30 times the real rate by default, so that a short window holds some.
+	Changes float64 `help:"Changes of configuration a minute at the target size; the real rate is 0.4." default:"12"`
+	Commit  string  `help:"Commit that the page names." default:"unknown"`
 }
 
 func main() {
@@ -53,14 +55,16 @@
 		return nil
 	}
 	fmt.Println("target size")
-	target, err := m.measure(ctx, targetSize())
+	size := targetSize()
+	size.ChangesPerMin = args.Changes
+	target, err := m.measure(ctx, size)
 	if err != nil {
 		return eris.Wrap(err, "measure the target size")
 	}
 	tables := tables{
-		Header: fmt.Sprintf("Measured on %s at commit %s, %s per point; the whole run took %s.",
-			began.UTC().Format("2006-01-02 15:04 MST"), args.Commit, args.Window, time.Since(began).Round(time.Second)),
-		Slopes: slopeTable(results), Target: targetTable(target), Channels: channelTable(target), Events: eventTable(target),
+		Header: fmt.Sprintf("Measured on %s at commit %s, %s per point, %g changes a minute at the target size; the whole run took %s.",
+			began.UTC().Format("2006-01-02 15:04 MST"), args.Commit, args.Window, args.Changes, time.Since(began).Round(time.Second)),
+		Slopes: slopeTable(results), Target: targetTable(target) + "\n" + fullFormTable(target) + "\n" + changeTable(target), Channels: channelTable(target), Events: eventTable(target),
 	}
 	fmt.Print(tables.text())
 	if args.Only != "" {
--- a/test/capacity/measure.go
+++ b/test/capacity/measure.go
@@ -22,6 +22,11 @@
 	pollEvery = 20 * time.Millisecond
 	// urgentSamples is the number of urgent jobs started one after the other.
 	urgentSamples = 10
+	// metricsLag is a little more than the age that values of daemons may have; without
+	// it the last change of a window would not be counted.
+	metricsLag = 700 * time.Millisecond
+	// maxFullFormWindow bounds the window with the full form of renewals.
+	maxFullFormWindow = 20 * time.Second
 )
 
 // usage is what one daemon spent per second during the window.
@@ -44,6 +49,8 @@
 	urgent  []time.Duration // time from submission to the start of an urgent gang
 	// takeover is the same time for a job submitted right after its planner was killed.
 	takeover time.Duration
+	// fullForm is the same load with workers that do not know the set form of renewals.
+	fullForm *point
 }
 
 type measurer struct {
@@ -80,10 +87,32 @@
 	if err := r.window(ctx, &p, m.window); err != nil {
 		return point{}, err
 	}
-	if s.MeasureFailover {
-		err = r.events(ctx, &p)
+	if !s.MeasureFailover {
+		return p, nil
 	}
-	return p, err
+	if err := r.ignoreSets(); err != nil {
+		return point{}, err
+	}
+	time.Sleep(m.settle)
+	p.fullForm = &point{size: s}
+	if err := r.window(ctx, p.fullForm, m.fullFormWindow()); err != nil {
+		return point{}, err
+	}
+	return p, r.events(ctx, &p)
+}
+
+// fullFormWindow is long enough for some renewals of each worker.
+func (m *measurer) fullFormWindow() time.Duration { return min(m.window, maxFullFormWindow) }
+
+// ignoreSets makes all workers renew only listed leases, so that keepers take the
+// full form.
+func (r *runner) ignoreSets() error {
+	for id := range r.cluster.Standin.Addresses.Workers {
+		if err := r.cluster.Standin.SetFaults("workers/"+id, standin.Faults{IgnoreSets: true}); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // runner drives one cluster.
@@ -191,6 +220,7 @@
 	if p.spread, err = r.changeFor(ctx, length); err != nil {
 		return err
 	}
+	time.Sleep(metricsLag)
 	after, err := r.samples()
 	if err != nil {
 		return err
--- a/test/capacity/report.go
+++ b/test/capacity/report.go
@@ -19,7 +19,7 @@
 const (
 	cpuBudget  = 0.036   // share of a core
 	rssBudget  = 256e6   // bytes
-	sentBudget = 23_000  // bytes per second
+	sentBudget = 23_000  // bytes per second, sent and received together
 	kilobyte   = 1_000.0 // bytes
 	megabyte   = 1e6     // bytes
 )
@@ -29,6 +29,7 @@
 	receivedMetric = "samphirepath_control_received_bytes"
 	callsMetric    = "samphirepath_calls"
 	peerMessages   = "samphirepath_peers_sent_messages"
+	peerReceived   = "samphirepath_peers_received_bytes"
 	// minionChannel carries requests and is no control traffic.
 	minionChannel = "minions"
 )
@@ -48,11 +49,13 @@
 		{"memory, MB", rssBudget, func(u usage) float64 { return u.rss }, "%.1f", megabyte},
 		{"sent, KB/s", sentBudget, usage.sent, "%.2f", kilobyte},
 		{"received, KB/s", sentBudget, usage.received, "%.2f", kilobyte},
+		{"sent and received, KB/s", sentBudget, usage.traffic, "%.2f", kilobyte},
 	}
 }
 
 func (u usage) sent() float64     { return u.sum(sentMetric) }
 func (u usage) received() float64 { return u.sum(receivedMetric) }
+func (u usage) traffic() float64  { return u.sent() + u.received() }
 
 // sum adds the rates of all control channels.
 func (u usage) sum(metric string) float64 {
@@ -168,7 +171,7 @@
 }
 
 func reported(name string) bool {
-	for _, prefix := range []string{sentMetric, receivedMetric, callsMetric, peerMessages} {
+	for _, prefix := range []string{sentMetric, receivedMetric, callsMetric, peerMessages, peerReceived} {
 		if strings.HasPrefix(name, prefix+" ") {
 			return true
 		}
