Price the cores and memory of borrowers when choosing what to preempt

Cause: a reclaim or an urgent job that lacks cores or memory saw all workers at the same price, since only accelerators had one, and could stop a job that had run for hours next to one that had just started.

Ruled out: a price for each core. Victims are whole jobs, so that the cheapest borrower of the worker is a closer estimate.

Change: the price of a worker includes the least lost work among its borrowers when cores or memory are short there. A spec covers it.

--- a/internal/planner/cover.go
+++ b/internal/planner/cover.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/samphirepath/samphirepath/api"
 	"github.com/samphirepath/samphirepath/guarantee"
@@ -222,9 +223,25 @@
 			cost += r.loss[worker][i]
 		}
 	}
+	if all := packing.RoomOf(need, n, 0); !r.ending[worker].Covers(all) {
+		cost += r.leastLoss(worker)
+	}
 	return cost
 }
 
+// leastLoss is what the cheapest borrower on a worker loses, as a price of its
+// cores and memory.
+func (r *round) leastLoss(worker int) int64 {
+	least := int64(-1)
+	for _, i := range r.byWorker[worker] {
+		x := &r.active[i]
+		if lost := int64(x.lost / time.Millisecond); !x.stopping && !x.covered && (least < 0 || lost < least) {
+			least = lost
+		}
+	}
+	return max(0, least)
+}
+
 func (r *round) pickCheapest(worker int, available packing.Set, n int) packing.Set {
 	return guarantee.PickCheapest(available, n, r.free[worker].Accelerators, r.ending[worker].Accelerators, r.loss[worker])
 }
--- a/internal/planner/plan_test.go
+++ b/internal/planner/plan_test.go
@@ -176,6 +176,15 @@
 		Expect(victims(p)).To(Equal([]string{"slow"}))
 	})
 
+	It("takes cores from the batch job that loses the least work", func() {
+		cores := func(j *api.Job) { j.Spec.Resources = api.Resources{Cores: 64} }
+		p := planner.Compute(snapshot(zone(2, 2), []api.Organisation{organisation("a"), organisation("b")},
+			job("old", "a", 1, 0, running(false, time.Hour, at(0)), cores),
+			job("new", "a", 1, 0, running(false, time.Minute, at(1)), cores),
+			job("rush", "b", 1, 0, urgency(api.Urgent), cores)))
+		Expect(victims(p)).To(Equal([]string{"new"}))
+	})
+
 	It("does not preempt more for urgent work while victims are stopping", func() {
 		stopping := job("slow", "a", 1, 8, running(false, time.Hour, whole(0)))
 		stopping.State = api.JobStateStopping
