--- /dev/null
+++ b/test/requests/recovery_test.go
@@ -0,0 +1,138 @@
+package requests_test
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/samphirepath/samphirepath/api"
+	"github.com/samphirepath/samphirepath/test/faultproxy"
+	"github.com/samphirepath/samphirepath/test/harness"
+)
+
+const (
+	daemonKills = 9
+	minionKills = 9
+	// inFlight is the number of requests in flight at each kill.
+	inFlight = 16
+	// recoveryTake keeps the requests in flight when the kill comes.
+	recoveryTake = 20 * time.Millisecond
+	// recoveryGoal is the bound on the median time from the kill to the answer.
+	recoveryGoal     = 100 * time.Millisecond
+	recoveryDeadline = 5 * time.Second
+	longestRecorded  = 60_000_000 // microseconds
+)
+
+func newTimes() *hdrhistogram.Histogram { return hdrhistogram.New(1, longestRecorded, 3) }
+
+func quantile(h *hdrhistogram.Histogram, q float64) time.Duration {
+	return time.Duration(h.ValueAtQuantile(q)) * time.Microsecond
+}
+
+// recoveryTimes keeps requests in flight, kills, and records for each request
+// that the kill cut off the time from the kill to its whole answer. A request
+// whose daemon is lost is retried at another one.
+type recoveryTimes struct {
+	rig   *rig
+	times *hdrhistogram.Histogram
+}
+
+func (t *recoveryTimes) kill(first func(i int) *harness.Daemon, others []*harness.Daemon, kill func()) (failed int) {
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	var killed time.Time
+	retried := func(key string, i int) {
+		for try := 0; try < inFlight; try++ {
+			c := call{takes: recoveryTake, deadline: recoveryDeadline}
+			if t.rig.submit(context.Background(), others[(i+try)%len(others)], key, c).Outcome() == api.OutcomeRan {
+				mu.Lock()
+				defer mu.Unlock()
+				_ = t.times.RecordValue(time.Since(killed).Microseconds())
+				return
+			}
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		failed++
+	}
+	for i := range inFlight {
+		group.Go(func() {
+			key := newKey("recovery")
+			answer := t.rig.submit(context.Background(), first(i), key, call{takes: recoveryTake, deadline: recoveryDeadline})
+			mu.Lock()
+			hit := !killed.IsZero()
+			mu.Unlock()
+			switch {
+			case answer.Outcome() != api.OutcomeRan:
+				retried(key, i)
+			case hit && answer.Value.Attempts > 1:
+				mu.Lock()
+				defer mu.Unlock()
+				_ = t.times.RecordValue(time.Since(killed).Microseconds())
+			}
+		})
+	}
+	time.Sleep(recoveryTake / 2)
+	mu.Lock()
+	killed = time.Now()
+	mu.Unlock()
+	kill()
+	group.Wait()
+	return failed
+}
+
+// Guards against callers that wait long for an answer after the loss of a daemon.
+var _ = ginkgo.It("a request is retried elsewhere within 100 ms of the kill of its daemon", func() {
+	r := newRig(size{daemons: 4, minions: 6})
+	t := &recoveryTimes{rig: r, times: newTimes()}
+	failed := 0
+	for i := range daemonKills {
+		victim := r.Daemons[i%len(r.Daemons)]
+		var others []*harness.Daemon
+		for _, d := range r.Daemons {
+			if d != victim {
+				others = append(others, d)
+			}
+		}
+		failed += t.kill(func(int) *harness.Daemon { return victim }, others, func() {
+			gomega.Expect(victim.Kill()).To(gomega.Succeed())
+		})
+		gomega.Expect(r.heal(context.Background())).To(gomega.Succeed())
+	}
+	report("recovery from the kill of a daemon", "median %s, p99 %s, %d requests retried, %d failed",
+		quantile(t.times, 50), quantile(t.times, 99), t.times.TotalCount(), failed)
+	gomega.Expect(failed).To(gomega.BeZero())
+	gomega.Expect(t.times.TotalCount()).To(gomega.BeNumerically(">=", daemonKills*inFlight/2), "requests hit by the kills")
+	gomega.Expect(quantile(t.times, 50)).To(gomega.BeNumerically("<=", recoveryGoal))
+	r.expectTruth(context.Background())
+})
+
+// Guards against callers that wait long for an answer after the loss of a minion.
+var _ = ginkgo.It("a request is retried elsewhere within 100 ms of the kill of its minion", func() {
+	r := newRig(size{daemons: 3, minions: 6, minionProxies: true})
+	t := &recoveryTimes{rig: r, times: newTimes()}
+	// The budget of retries grows with the requests.
+	for range budgetRequests {
+		for _, d := range r.Daemons {
+			r.submit(context.Background(), d, newKey("before"), call{})
+		}
+	}
+	failed := 0
+	for i := range minionKills {
+		proxy := r.minions[r.minionID(i%r.minionCount)]
+		failed += t.kill(func(i int) *harness.Daemon { return r.Daemons[i%len(r.Daemons)] }, r.Daemons, func() {
+			proxy.Set(faultproxy.Faults{Cut: true})
+		})
+		gomega.Expect(r.heal(context.Background())).To(gomega.Succeed())
+	}
+	report("recovery from the kill of a minion", "median %s, p99 %s, %d requests retried, %d failed",
+		quantile(t.times, 50), quantile(t.times, 99), t.times.TotalCount(), failed)
+	gomega.Expect(failed).To(gomega.BeZero())
+	gomega.Expect(t.times.TotalCount()).To(gomega.BeNumerically(">=", minionKills), "requests hit by the kills")
+	gomega.Expect(quantile(t.times, 50)).To(gomega.BeNumerically("<=", recoveryGoal))
+	r.expectTruth(context.Background())
+})
