--- a/test/jobs/rig_test.go
+++ b/test/jobs/rig_test.go
@@ -173,3 +173,14 @@
 	}
 	return out, eris.Wrap(json.Unmarshal(body, &out), "decode answer")
 }
+
+// waitState waits until the job is in the state.
+func (r *rig) waitState(ctx context.Context, d *harness.Daemon, id string, state api.JobState, wait time.Duration) error {
+	return until(ctx, wait, fmt.Sprintf("job %s is %s", id, state), func() (bool, error) {
+		job, err := r.job(ctx, d, id)
+		if err == nil && job.State != state {
+			err = eris.Errorf("it is %s: %s", job.State, job.Reason)
+		}
+		return err == nil, err
+	})
+}
--- a/test/jobs/suite_test.go
+++ b/test/jobs/suite_test.go
@@ -57,10 +57,11 @@
 	logs    string
 }
 
-// describeCases makes a spec of each case. The cases run at the same time,
-// because most of their time is spent waiting for leases and timeouts.
-func describeCases(title string, cases []faultCase) bool {
-	return ginkgo.Describe(title, ginkgo.Ordered, ginkgo.ContinueOnFailure, func() {
+// inParallel makes a spec of each case, for an ordered container. The cases run
+// at the same time, because most of their time is spent waiting for leases and
+// timeouts.
+func inParallel(cases ...faultCase) func() {
+	return func() {
 		outcomes := make([]chan outcome, len(cases))
 		for i := range outcomes {
 			outcomes[i] = make(chan outcome, 1)
@@ -71,10 +72,10 @@
 				o := <-outcomes[i]
 				fmt.Fprintf(ginkgo.GinkgoWriter, "%s\n", o.logs)
 				gomega.Expect(o.err).NotTo(gomega.HaveOccurred())
-				fmt.Printf("\n%s: %s: %s\n", title, c.name, o.figures)
+				fmt.Printf("\n%s: %s\n", ginkgo.CurrentSpecReport().FullText(), o.figures)
 			})
 		}
-	})
+	}
 }
 
 func runCases(cases []faultCase, outcomes []chan outcome) {
--- a/test/jobs/zones_test.go
+++ b/test/jobs/zones_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/onsi/ginkgo/v2"
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
@@ -62,7 +63,7 @@
 	heal   func(context.Context, *rig) error
 }
 
-var _ = describeCases("starts in a zone that was taken out", []faultCase{
+var _ = ginkgo.Describe("starts in a zone that was taken out", ginkgo.Ordered, ginkgo.ContinueOnFailure, inParallel(
 	zoneCase("no fault", zoneFault{}),
 	zoneCase("zone cut off from the store", zoneFault{
 		inject: func(_ context.Context, r *rig) error { r.cutNorth(true, false); return nil },
@@ -81,8 +82,8 @@
 		},
 		heal: func(_ context.Context, r *rig) error { return r.Standin.ClearFaults("workers/" + north + "-worker-1") },
 	}),
-	{name: "two operators race out and in", options: zoneOptions(), run: raceOperators},
-})
+	faultCase{name: "two operators race out and in", options: zoneOptions(), run: raceOperators},
+))
 
 func zoneCase(name string, f zoneFault) faultCase {
 	return faultCase{name: name, options: zoneOptions(), run: func(ctx context.Context, r *rig) (string, error) {
