Carry pending reclaims, demotions and stop reasons from plan to rows

Cause: the planner reports places that are being reclaimed, jobs that have lost their cover, and the kind of a stop, but control and the applier dropped them: a reclaim could choose other victims in each round, a job outside the moved reservation stayed protected, and the reason of a stop was the kind, not the sentence. Ruled out: keeping this state in the planner, which is a pure function.

--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -89,7 +89,20 @@
 		workers = append(workers, c.view(w, now))
 	}
 	sort.Slice(workers, func(i, j int) bool { return workers[i].ID < workers[j].ID })
-	return NewSnapshot(now, c.cfg.Zone, configured, workers, c.cfg.Follower.Rows())
+	s := NewSnapshot(now, c.cfg.Zone, configured, workers, c.cfg.Follower.Rows())
+	s.Pending, s.Incomplete = c.plan.Pending, incomplete(workers)
+	return s
+}
+
+// incomplete tells whether workers may be missing or not read, so that no job is
+// refused for lack of a capacity that exists.
+func incomplete(workers []planner.Worker) bool {
+	for _, w := range workers {
+		if w.State == planner.WorkerSilent {
+			return true
+		}
+	}
+	return len(workers) == 0
 }
 
 // publish makes the control state visible to other goroutines.
--- a/internal/jobs/applier.go
+++ b/internal/jobs/applier.go
@@ -71,6 +71,7 @@
 	a.settle(ctx)
 	changes := a.preemptions(plan, &out)
 	changes = append(changes, a.refusals(plan, &out)...)
+	changes = append(changes, a.demotions(plan, changes, &out)...)
 	changes = append(changes, a.placements(plan, workers, maxGroup-len(changes), &out)...)
 	changes = append(changes, a.reasons(plan, zones, changes)...)
 	results := a.commit(ctx, changes, &out)
@@ -143,12 +144,28 @@
 	var changes []Change
 	for _, p := range plan.Preemptions {
 		changes = a.change(changes, p.JobID, out, func(j api.Job) (api.Job, error) {
-			return BeginStop(j, StopPreempted, p.Reason, nil)
+			return BeginStop(j, p.Reason, p.Detail, nil)
 		})
 	}
 	return changes
 }
 
+// demotions clear the mark of covered jobs that lie outside the reservations
+// since workers or guarantees have changed.
+func (a *Applier) demotions(plan planner.Plan, planned []Change, out *Applied) []Change {
+	stopped := map[string]bool{}
+	for _, c := range planned {
+		stopped[c.Job.ID] = true
+	}
+	var changes []Change
+	for _, id := range plan.Demoted {
+		if !stopped[id] {
+			changes = a.change(changes, id, out, Demote)
+		}
+	}
+	return changes
+}
+
 func (a *Applier) refusals(plan planner.Plan, out *Applied) []Change {
 	var changes []Change
 	for _, r := range plan.Refusals {
--- a/internal/jobs/transitions.go
+++ b/internal/jobs/transitions.go
@@ -110,6 +110,15 @@
 	return job, nil
 }
 
+// Demote makes a covered job a borrower.
+func Demote(job api.Job) (api.Job, error) {
+	if !Holds(job.State) || !job.Covered {
+		return job, wrongState(job, "demoted")
+	}
+	job.Covered = false
+	return job, nil
+}
+
 func appendFailure(failures []api.JobFailure, f api.JobFailure) []api.JobFailure {
 	out := append(append([]api.JobFailure(nil), failures...), f)
 	if len(out) > keptFailures {
--- a/internal/jobs/transitions_test.go
+++ b/internal/jobs/transitions_test.go
@@ -145,3 +145,14 @@
 	Entry("team quota", func(s *api.JobSpec) { s.Team = "crew"; s.Tasks = 3; s.Resources.Accelerators = 4 }, "org", "quota of 8"),
 	Entry("unknown zone", func(s *api.JobSpec) { s.Zones = []string{"x"} }, "org", "does not exist"),
 )
+
+// Guards against a job that keeps a guarantee's places after the reservation has moved.
+var _ = It("demotes only a covered job that holds places", func() {
+	job, err := jobs.Demote(api.Job{State: api.JobStateRunning, Covered: true})
+	Expect(err).NotTo(HaveOccurred())
+	Expect(job.Covered).To(BeFalse())
+	_, err = jobs.Demote(api.Job{State: api.JobStateRunning})
+	Expect(err).To(HaveOccurred())
+	_, err = jobs.Demote(api.Job{State: api.JobStateWaiting, Covered: true})
+	Expect(err).To(HaveOccurred())
+})
