Wait for one owner of the minion in the trace test

Cause: in one run no request was forwarded: the spec ran right after the start, when each daemon still owned the minion because it had not met its peer. Ruled out: a lost span; both daemons had dispatched the request themselves. Change: the spec waits until both daemons name the same owner. Conclusion: the expectation on the hops is unchanged.

--- a/test/product/person_test.go
+++ b/test/product/person_test.go
@@ -84,6 +84,21 @@
 
 	// Without the trace identifier on every hop, a slow request cannot be followed.
 	It("shows each hop of a forwarded request under one trace identifier", func(ctx SpecContext) {
+		// Right after the start each daemon owns the minion, until it has met its peer.
+		owners := func() map[string]bool {
+			owners := map[string]bool{}
+			for _, d := range cluster.Daemons {
+				status, body := call(ctx, http.MethodGet, d.OperatorsURL()+"/v1/minions", harness.OperatorToken, nil)
+				Expect(status).To(Equal(http.StatusOK))
+				var list api.MinionList
+				Expect(json.Unmarshal(body, &list)).To(Succeed())
+				for _, m := range list.Minions {
+					owners[m.Owner] = true
+				}
+			}
+			return owners
+		}
+		Eventually(owners, "5s", "20ms").Should(HaveLen(1))
 		for _, d := range cluster.Daemons { // one of the two forwards to the owner of the minion
 			status, body := call(ctx, http.MethodPost, d.CallersURL()+"/v1/requests", northToken,
 				encode(api.RequestSubmit{Entry: "plans", Key: "trace-" + d.ID(), Body: []byte(`{}`)}),
