Ask for a report of a worker that does not answer a stop

Cause: the planner learns that a worker is silent from failed reports, which are due every 30 s (report_every). A reclaim whose borrower was on a silent worker waited for that worker, although other borrowers could be stopped. Ruled out: the choice of victims; with the worker seen as silent the planner places the guarantee elsewhere at the next plan. Change: a checkpoint, stop, release or report call without an answer makes the control ask that worker for a report, as a failed start already did.

--- a/internal/executor/stop.go
+++ b/internal/executor/stop.go
@@ -177,10 +177,15 @@
 			continue
 		}
 		group.Go(func() {
-			ctx, cancel := context.WithTimeout(ctx, callTimeout)
+			limited, cancel := context.WithTimeout(ctx, callTimeout)
 			defer cancel()
-			got, err := call(ctx, address, ids)
+			got, err := call(limited, address, ids)
 			if err != nil {
+				// A reclaim that waits for a lost worker goes on elsewhere once the
+				// planner knows; full reports are too rare for that.
+				if ctx.Err() == nil {
+					e.cfg.Places.Suspect(worker)
+				}
 				return
 			}
 			mu.Lock()
