See silent workers in explanations of every daemon

Cause: the capacity of a worker is cached for the life of its instance, and explanations took each cached worker as live, so only the planning daemon could say that a guarantee is short. Ruled out: the sentences themselves; the planner publishes the shortfall. Change: explanations read the reports of the workers of the zone and take a worker that does not answer as silent, and one that leaves as leaving. Conclusion: an explanation costs one report of each worker of the zone.

--- a/internal/inventory/checks.go
+++ b/internal/inventory/checks.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/samphirepath/samphirepath/api"
 	"github.com/samphirepath/samphirepath/guarantee"
@@ -74,11 +76,47 @@
 	return ""
 }
 
-// PlannerWorkers returns the workers of a zone as the planner sees them when all
-// are live.
+// PlannerWorkers returns the workers of a zone as a planner sees them: a worker
+// that does not answer now is silent. Its capacity is the one it reported last.
 func (i *Inventory) PlannerWorkers(ctx context.Context, zone string) ([]planner.Worker, error) {
-	reports, _, err := i.Workers(ctx, zone)
-	return liveWorkers(reports), err
+	vms, err := i.workers(ctx)
+	if err != nil {
+		return nil, err
+	}
+	vms = slices.DeleteFunc(vms, func(vm api.VM) bool { return vm.Zone != zone })
+	answers := i.probe(ctx, vms)
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	workers := make([]planner.Worker, 0, len(vms))
+	for n, vm := range vms {
+		w := planner.Worker{ID: vm.ID, Rack: vm.Rack}
+		if report, ok := i.reports[vm.ID]; ok {
+			w = liveWorkers([]api.WorkerReport{report})[0]
+		}
+		switch {
+		case vm.State == api.Leaving:
+			w.State = planner.WorkerLeaving
+		case !answers[n]:
+			w.State = planner.WorkerSilent
+		}
+		workers = append(workers, w)
+	}
+	return workers, nil
+}
+
+// probe reads the reports of workers at the same time and tells which answered.
+func (i *Inventory) probe(ctx context.Context, vms []api.VM) []bool {
+	answers := make([]bool, len(vms))
+	var group errgroup.Group
+	group.SetLimit(parallelReports)
+	for n, vm := range vms {
+		group.Go(func() error {
+			answers[n] = i.read(ctx, vm)
+			return nil
+		})
+	}
+	_ = group.Wait() // a worker that cannot be read has not answered
+	return answers
 }
 
 func liveWorkers(reports []api.WorkerReport) []planner.Worker {
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -135,14 +135,16 @@
 	return ok && report.Instance == vm.Instance
 }
 
-func (i *Inventory) read(ctx context.Context, vm api.VM) {
+// read keeps the capacity of a worker and tells whether the worker answered.
+func (i *Inventory) read(ctx context.Context, vm api.VM) bool {
 	report, err := i.cfg.Workers.Report(ctx, vm.Address)
 	if err != nil {
 		i.cfg.Log.Debug("worker not read", zap.String("worker", vm.ID), zap.Error(err))
-		return
+		return false
 	}
 	report.Tasks = nil // only the capacity is kept
 	i.mu.Lock()
+	defer i.mu.Unlock()
 	i.reports[vm.ID] = report
-	i.mu.Unlock()
+	return true
 }
