Check that all gangs still run after a window of the capacity run

The run measured traffic without looking whether leases were kept: gangs that had lapsed would have made the set form look cheap. It now fails when fewer gangs run after a window than were started. The fuzz test of worker answers covers answers to renewals of sets.

--- a/internal/platform/fuzz_test.go
+++ b/internal/platform/fuzz_test.go
@@ -120,6 +120,8 @@
 	f.Add([]byte(`{"worker_id":"w","instance":"i","tasks":[{"task_id":"t","state":"ended","exit":"failed"}]}`))
 	f.Add([]byte(`{"accepted":true,"task":{"task_id":"t","state":"running"}}`))
 	f.Add([]byte(`{"tasks":[{"task_id":"t","state":"held"}]}`))
+	f.Add([]byte(`{"tasks":[],"set":"0123456789abcdef","change":7,"missing":["t"]}`))
+	f.Add([]byte(`{"tasks":[],"unknown_set":true}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		if report, err := decodeReport(data); err == nil {
 			validTasks(t, report.Tasks)
@@ -128,6 +130,13 @@
 		if tasks, err := decodeTasks(data); err == nil {
 			validTasks(t, tasks)
 		}
+		set := &api.RenewSet{Hash: "0123456789abcdef"}
+		if answer, err := decodeSetAnswer(data, set); err == nil {
+			validTasks(t, answer.Tasks)
+			if answer.Set != "" && (answer.Set != set.Hash || answer.UnknownSet) {
+				t.Fatalf("accepted the answer %+v", answer)
+			}
+		}
 		decode := func(data []byte) (api.StartReply, error) { return decodeStart(data, "t") }
 		if reply, err := decode(data); err == nil {
 			if reply.Task != nil && reply.Task.TaskID != "t" {
--- a/test/capacity/measure.go
+++ b/test/capacity/measure.go
@@ -87,6 +87,9 @@
 	if err := r.window(ctx, &p, m.window); err != nil {
 		return point{}, err
 	}
+	if err := r.checkRunning(ctx); err != nil {
+		return point{}, err
+	}
 	if !s.MeasureFailover {
 		return p, nil
 	}
@@ -98,9 +101,22 @@
 	if err := r.window(ctx, p.fullForm, m.fullFormWindow()); err != nil {
 		return point{}, err
 	}
+	if err := r.checkRunning(ctx); err != nil {
+		return point{}, err
+	}
 	return p, r.events(ctx, &p)
 }
 
+// checkRunning fails when a gang has ended: its figures would not be those of the
+// size, and its lease was not renewed.
+func (r *runner) checkRunning(ctx context.Context) error {
+	running, err := r.running(ctx)
+	if err == nil && running != r.loaded {
+		err = eris.Errorf("%d of %d gangs still run after a window", running, r.loaded)
+	}
+	return err
+}
+
 // fullFormWindow is long enough for some renewals of each worker.
 func (m *measurer) fullFormWindow() time.Duration { return min(m.window, maxFullFormWindow) }
 
@@ -120,6 +136,7 @@
 	cluster *harness.Cluster
 	size    size
 	changes int
+	loaded  int // gangs that were submitted
 }
 
 // load applies the catalogue, submits all gangs and waits until they run.
@@ -139,7 +156,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
-	return r.waitRunning(ctx, len(ids))
+	r.loaded = len(ids)
+	return r.waitRunning(ctx, r.loaded)
 }
 
 func (r *runner) waitRunning(ctx context.Context, want int) error {
