Give each round of the keeper's set tests a millisecond of its own

Expiries have a resolution of 1 ms and a round of the test takes less, so two rounds could have the same expiry where the test asks for a later one. Relaxing the comparison was ruled out: it would let a set that is never extended pass.

--- a/internal/keeper/sets_test.go
+++ b/internal/keeper/sets_test.go
@@ -132,9 +132,11 @@
 	return reports[0].LeaseExpiresMs
 }
 
-// rounds makes all gangs due and runs rounds.
+// rounds makes all gangs due and runs rounds, each in a millisecond of its own:
+// expiries have that resolution.
 func rounds(k *Keeper, n int) {
 	for range n {
+		time.Sleep(2 * time.Millisecond)
 		for _, g := range k.gangs {
 			g.nextRenew, g.nextUpdate = time.Time{}, time.Time{}
 		}
