--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -250,11 +250,11 @@
 	}
 	if epoch > 0 {
 		c.cfg.Follower.Poke()
-		c.cfg.Log.Info("planning begins", zap.String("zone", c.cfg.Zone), zap.Int64("epoch", epoch))
+		c.cfg.Log.Info("Planning begins.", zap.String("zone", c.cfg.Zone), zap.Int64("epoch", epoch))
 		c.cfg.Scope.Counter("takeovers").Inc(1)
 		return
 	}
-	c.cfg.Log.Info("planning ends", zap.String("zone", c.cfg.Zone))
+	c.cfg.Log.Info("Planning ends.", zap.String("zone", c.cfg.Zone))
 }
 
 // Leading tells whether this daemon plans for the zone and has followed the job
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -77,7 +77,7 @@
 	for _, r := range results {
 		c.dirty = c.dirty || r.Done+r.Dropped+r.Failed > 0
 		if r.Fenced {
-			c.cfg.Log.Warn("a commit failed on the fence: another daemon plans", zap.String("zone", c.cfg.Zone))
+			c.cfg.Log.Warn("A commit failed on the fence: another daemon plans.", zap.String("zone", c.cfg.Zone))
 		}
 	}
 }
--- a/internal/control/workers.go
+++ b/internal/control/workers.go
@@ -141,7 +141,7 @@
 	w.due = time.Now().Add(min(retryReport<<min(w.failures-1, 8), c.cfg.ReportEvery))
 	if w.failures == silentAfter {
 		c.dirty = true
-		c.cfg.Log.Warn("worker is silent", zap.String("worker", w.vm.ID))
+		c.cfg.Log.Warn("Worker is silent.", zap.String("worker", w.vm.ID))
 	}
 }
 
@@ -178,7 +178,7 @@
 		w.due = time.Now().Add(foreignReport)
 	}
 	if len(stop) > 0 && c.cfg.StopForeign != nil {
-		c.cfg.Log.Info("worker runs tasks without a job row", zap.String("worker", w.vm.ID), zap.Strings("tasks", stop))
+		c.cfg.Log.Info("Worker runs tasks without a job row.", zap.String("worker", w.vm.ID), zap.Strings("tasks", stop))
 		address := w.vm.Address
 		c.group.Go(func() { c.cfg.StopForeign(ctx, address, stop) })
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -192,7 +192,7 @@
 		<-ctx.Done()
 		return s.shutdown(context.WithoutCancel(ctx))
 	})
-	s.log.Info("serving", zap.String("callers", s.CallersAddress()), zap.String("operators", s.OperatorsAddress()))
+	s.log.Info("Serving.", zap.String("callers", s.CallersAddress()), zap.String("operators", s.OperatorsAddress()))
 	return eris.Wrap(group.Wait(), "entry")
 }
 
@@ -211,7 +211,7 @@
 	defer cancel()
 	err := s.callers.server.Shutdown(ctx)
 	if err != nil {
-		s.log.Warn("stopping with HTTP requests in flight", zap.Error(err))
+		s.log.Warn("Stopping with HTTP requests in flight.", zap.Error(err))
 		_ = s.callers.server.Close()
 	}
 	if closeErr := s.operators.server.Shutdown(ctx); closeErr != nil {
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -285,7 +285,7 @@
 	defer cancel()
 	e.cfg.Scope.Counter("foreign_stops").Inc(int64(len(tasks)))
 	if _, err := e.cfg.Workers.Act(ctx, address, api.TaskAction{Action: api.Stop, TaskIds: tasks}); err != nil {
-		e.cfg.Log.Warn("stop of tasks without a job row failed", zap.String("worker", address), zap.Error(err))
+		e.cfg.Log.Warn("Stop of tasks without a job row failed.", zap.String("worker", address), zap.Error(err))
 	}
 }
 
--- a/internal/executor/periodic.go
+++ b/internal/executor/periodic.go
@@ -47,7 +47,7 @@
 	e.checkpoint(ctx, job, kept)
 	e.noteTry(job.ID)
 	if !kept.newer() {
-		e.cfg.Log.Warn("no checkpoint of the whole gang", zap.String("job", job.ID))
+		e.cfg.Log.Warn("No checkpoint of the whole gang.", zap.String("job", job.ID))
 		return
 	}
 	if e.transition(ctx, job, func(j api.Job) (api.Job, error) {
--- a/internal/executor/start.go
+++ b/internal/executor/start.go
@@ -85,7 +85,7 @@
 	}
 	if e.transition(ctx, job, func(j api.Job) (api.Job, error) { return jobs.Run(j, time.Now()) }) {
 		e.cfg.Scope.Counter("started").Inc(1)
-		e.cfg.Log.Info("job started", zap.String("job", job.ID), zap.Int("attempt", job.Attempt))
+		e.cfg.Log.Info("Job started.", zap.String("job", job.ID), zap.Int("attempt", job.Attempt))
 	}
 }
 
@@ -203,7 +203,7 @@
 		e.cfg.Places.Suspect(worker)
 	}
 	e.cfg.Scope.Counter("start_failures").Inc(1)
-	e.cfg.Log.Warn("job did not start", zap.String("job", job.ID), zap.String("worker", worker), zap.String("reason", m.reason))
+	e.cfg.Log.Warn("Job did not start.", zap.String("job", job.ID), zap.String("worker", worker), zap.String("reason", m.reason))
 	stopReason, failure := jobs.StopStartFailed, jobs.NotStarted(job, worker, m.reason, time.Now())
 	if m.status == memberFailed {
 		stopReason, failure = jobs.StopTaskFailed, jobs.TaskFailed(job, worker, m.reason, time.Now())
--- a/internal/executor/stop.go
+++ b/internal/executor/stop.go
@@ -38,7 +38,7 @@
 		return jobs.EndStop(j, checkpoint, time.Now())
 	}) {
 		e.cfg.Scope.Counter("stopped").Inc(1)
-		e.cfg.Log.Info("job stopped", zap.String("job", job.ID), zap.String("reason", job.StopReason), zap.Int64("progress_ms", checkpoint.ProgressMs))
+		e.cfg.Log.Info("Job stopped.", zap.String("job", job.ID), zap.String("reason", job.StopReason), zap.Int64("progress_ms", checkpoint.ProgressMs))
 	}
 }
 
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -139,7 +139,7 @@
 func (i *Inventory) read(ctx context.Context, vm api.VM) bool {
 	report, err := i.cfg.Workers.Report(ctx, vm.Address)
 	if err != nil {
-		i.cfg.Log.Debug("worker not read", zap.String("worker", vm.ID), zap.Error(err))
+		i.cfg.Log.Debug("Worker not read.", zap.String("worker", vm.ID), zap.Error(err))
 		return false
 	}
 	report.Tasks = nil // only the capacity is kept
--- a/internal/jobs/applier.go
+++ b/internal/jobs/applier.go
@@ -128,7 +128,7 @@
 		job, err := Place(row.Job, a.cfg.Zone, p, a.cfg.Now())
 		if err == nil {
 			if reason := places.reserve(row.Job, p.Tasks); reason != "" {
-				a.cfg.Log.Info("placement dropped", zap.String("job", p.JobID), zap.String("reason", reason))
+				a.cfg.Log.Info("Placement dropped.", zap.String("job", p.JobID), zap.String("reason", reason))
 				out.Dropped++
 				continue
 			}
--- a/internal/jobs/commit.go
+++ b/internal/jobs/commit.go
@@ -124,7 +124,7 @@
 		case <-time.After(settlePause):
 		}
 	}
-	w.cfg.Log.Warn("outcome of a commit could not be settled", zap.Int("changes", len(group)))
+	w.cfg.Log.Warn("Outcome of a commit could not be settled.", zap.Int("changes", len(group)))
 	w.finish(group, ChangeResult{Status: Unsettled})
 	return nil
 }
--- a/internal/jobs/follower.go
+++ b/internal/jobs/follower.go
@@ -89,7 +89,7 @@
 	for {
 		err := f.Refresh(ctx)
 		if err != nil && !failing && ctx.Err() == nil {
-			f.cfg.Log.Warn("job rows cannot be read", zap.Error(err))
+			f.cfg.Log.Warn("Job rows cannot be read.", zap.Error(err))
 		}
 		failing = err != nil
 		select {
@@ -148,7 +148,7 @@
 	}
 	job, err := decode(stored.Value)
 	if err != nil {
-		f.cfg.Log.Error("job row cannot be decoded", zap.String("job", id), zap.Error(err))
+		f.cfg.Log.Error("Job row cannot be decoded.", zap.String("job", id), zap.Error(err))
 		return false
 	}
 	f.rows[id] = &Row{Job: job, Version: stored.Version}
--- a/internal/jobs/submit.go
+++ b/internal/jobs/submit.go
@@ -132,7 +132,7 @@
 			break
 		}
 	}
-	s.cfg.Log.Warn("submission not confirmed", zap.String("job", job.ID), zap.Bool("open", maybe), zap.Error(cause))
+	s.cfg.Log.Warn("Submission not confirmed.", zap.String("job", job.ID), zap.Bool("open", maybe), zap.Error(cause))
 	if maybe {
 		return SubmitResult{Status: Unknown, Reason: "the table service did not confirm the submission in time; repeat it with the same key"}
 	}
--- a/internal/router/claimed.go
+++ b/internal/router/claimed.go
@@ -114,7 +114,7 @@
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	if err := r.config.Claims.Complete(ctx, c.held, r.finish(&c.job, s.reply).Result); err != nil {
-		r.log.Warn("result is not stored yet", zap.String("request", c.job.ID), zap.Error(err))
+		r.log.Warn("Result is not stored yet.", zap.String("request", c.job.ID), zap.Error(err))
 	}
 }
 
@@ -134,7 +134,7 @@
 		j.held = &out.Held
 		return step{}, true
 	case claim.NotAcquired:
-		r.log.Warn("claim not made", zap.String("request", j.ID), zap.Error(out.Err))
+		r.log.Warn("Claim not made.", zap.String("request", j.ID), zap.Error(out.Err))
 		if out.Occupied {
 			return step{reply: unknown(j, "the key has been claimed before and the table service cannot be read")}, false
 		}
@@ -206,6 +206,6 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), min(wait, releaseWait))
 	defer cancel()
 	if err := r.config.Claims.Release(ctx, held); err != nil {
-		r.log.Warn("claim is not released yet", zap.Error(err))
+		r.log.Warn("Claim is not released yet.", zap.Error(err))
 	}
 }
--- a/internal/router/flights.go
+++ b/internal/router/flights.go
@@ -65,7 +65,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			r.log.Warn("stopping with requests in flight", zap.Int("requests", left), zap.Int("unsettled_claims", unsettled))
+			r.log.Warn("Stopping with requests in flight.", zap.Int("requests", left), zap.Int("unsettled_claims", unsettled))
 			return eris.Wrapf(ctx.Err(), "%d requests in flight, %d claims not stored", left, unsettled)
 		case <-ticker.C:
 		}
--- a/internal/router/forward.go
+++ b/internal/router/forward.go
@@ -63,7 +63,7 @@
 		}
 	}
 	r.scope.Counter("broken_answers").Inc(1)
-	r.log.Warn("a peer answered with a truncated or crossed result", zap.String("peer", vm), zap.String("request", j.ID))
+	r.log.Warn("A peer answered with a truncated or crossed result.", zap.String("peer", vm), zap.String("request", j.ID))
 	return false
 }
 
@@ -141,7 +141,7 @@
 		Deadline: time.Now().Add(time.Duration(forward.RemainingMs) * time.Millisecond),
 	}}
 	if !whole(forward.Request.Body, forward.BodyLength, forward.BodyChecksum) {
-		r.log.Warn("a peer forwarded a truncated or crossed request", zap.String("peer", from.VM), zap.String("request", j.ID))
+		r.log.Warn("A peer forwarded a truncated or crossed request.", zap.String("peer", from.VM), zap.String("request", j.ID))
 		return resultEnvelope(refuse(j, Unavailable, "the forwarded body is not whole", leastRetryAfter))
 	}
 	if !r.flights.enter() {
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -234,7 +234,7 @@
 	before := m.status()
 	m.observe(o, reason, time.Now(), p.fewServe(), p.pauses)
 	if after := m.status(); after != before {
-		p.log.Info("minion changed state", zap.String("minion", m.vm.ID), zap.String("from", before),
+		p.log.Info("Minion changed state.", zap.String("minion", m.vm.ID), zap.String("from", before),
 			zap.String("to", after), zap.String("reason", reason))
 	}
 	p.pump(time.Now())
--- a/internal/router/registry.go
+++ b/internal/router/registry.go
@@ -39,7 +39,7 @@
 	if !known || m.vm.Instance != vm.Instance {
 		m = &minion{vm: vm}
 		p.minions[vm.ID] = m
-		p.log.Info("minion listed", zap.String("minion", vm.ID), zap.String("zone", vm.Zone))
+		p.log.Info("Minion listed.", zap.String("minion", vm.ID), zap.String("zone", vm.Zone))
 	}
 	m.listed = true
 	m.leaving = m.leaving || vm.State == api.Leaving
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -162,7 +162,7 @@
 		if err == nil {
 			r.pool.setVMs(list.Vms)
 		} else if reachable && ctx.Err() == nil {
-			r.log.Warn("cannot read the VM list, keeping the last one", zap.Error(err))
+			r.log.Warn("Cannot read the VM list, keeping the last one.", zap.Error(err))
 		}
 		reachable = err == nil
 		select {
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -73,7 +73,7 @@
 	server := s.http
 	s.serving.Go(func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			s.logger.Error("listener failed", zap.String("service", s.name), zap.Error(err))
+			s.logger.Error("Listener failed.", zap.String("service", s.name), zap.Error(err))
 		}
 	})
 }
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -199,7 +199,7 @@
 	if result.Status != table.Committed {
 		return eris.Errorf("lease: release of epoch %d was not confirmed, status %d: %v", row.Epoch, result.Status, result.Err)
 	}
-	l.cfg.Log.Info("lease released", zap.Int64("epoch", row.Epoch))
+	l.cfg.Log.Info("Lease released.", zap.Int64("epoch", row.Epoch))
 	return nil
 }
 
--- a/lease/round.go
+++ b/lease/round.go
@@ -27,7 +27,7 @@
 	case table.Conflict, table.Unknown:
 		l.readBack(ctx)
 	case table.Unavailable:
-		l.cfg.Log.Warn("lease renewal failed", zap.Int64("epoch", row.Epoch), zap.Error(result.Err))
+		l.cfg.Log.Warn("Lease renewal failed.", zap.Int64("epoch", row.Epoch), zap.Error(result.Err))
 	}
 }
 
@@ -132,7 +132,7 @@
 	l.signalLocked()
 	l.mu.Unlock()
 	l.believe(row)
-	l.cfg.Log.Info("lease taken", zap.Int64("epoch", row.Epoch))
+	l.cfg.Log.Info("Lease taken.", zap.Int64("epoch", row.Epoch))
 }
 
 // believe extends the belief from the send time of the renewal seen in the row.
@@ -157,7 +157,7 @@
 	defer l.mu.Unlock()
 	if l.mine {
 		l.mine, l.until = false, time.Time{}
-		l.cfg.Log.Warn("lease lost", zap.Int64("epoch", l.row.Epoch), zap.String("holder", row.Holder))
+		l.cfg.Log.Warn("Lease lost.", zap.Int64("epoch", l.row.Epoch), zap.String("holder", row.Holder))
 		l.signalLocked()
 	}
 	l.row = row
@@ -181,7 +181,7 @@
 	}
 	var row api.PlannerLease
 	if err := json.Unmarshal(stored.Value, &row); err != nil {
-		l.cfg.Log.Error("lease row cannot be decoded", zap.Error(err))
+		l.cfg.Log.Error("Lease row cannot be decoded.", zap.Error(err))
 		return api.PlannerLease{}, 0, false
 	}
 	return row, stored.Version, true
