Confirm the zone before a release, and let the worker refuse a late one

Cause: a release makes a held task run, but it was sent without asking for the state of the zone again and carried no deadline. A daemon frozen between start and release could let tasks run long after the zone had been taken out. Ruled out: shorter waits between start and release, which bound nothing for a frozen daemon. Change: a release is sent only under a usable confirmation and carries before_ms; the worker leaves it out after that. Without a confirmation the held gang waits.

--- a/api/api.gen.go
+++ b/api/api.gen.go
@@ -1049,8 +1049,11 @@
 // TaskAction Operation on several tasks of one worker.
 type TaskAction struct {
 	// Action Operation on tasks of a worker.
-	Action  TaskActionKind `json:"action"`
-	TaskIds []string       `json:"task_ids"`
+	Action TaskActionKind `json:"action"`
+
+	// BeforeMs Unix time in milliseconds after which the worker leaves out the operation; 0 sets none. A release carries it, because a held task starts to run with it.
+	BeforeMs int64    `json:"before_ms,omitempty"`
+	TaskIds  []string `json:"task_ids"`
 }
 
 // TaskActionKind Operation on tasks of a worker.
--- a/internal/executor/faults_test.go
+++ b/internal/executor/faults_test.go
@@ -131,6 +131,36 @@
 		Eventually(a.job("j")).Should(inState(api.JobStateRunning))
 	})
 
+	// Guards against held tasks that begin to run in a zone that was taken out a
+	// few seconds ago.
+	It("runs nothing when the zone goes out while the release is on its way", func() {
+		c := newCluster(3, "a")
+		a := c.start("a")
+		var sent sync.WaitGroup
+		sent.Add(2)
+		var out atomic.Bool
+		c.workers.set(func() {
+			c.workers.beforeRelease = func(string) {
+				if out.Load() {
+					return
+				}
+				sent.Done()
+				sent.Wait()
+				out.Store(true)
+				c.view.setState(api.Out)
+				time.Sleep(zoneConfirmation + 50*time.Millisecond)
+			}
+		})
+		c.add("j", 2)
+		Eventually(out.Load).Should(BeTrue())
+		Eventually(a.job("j")).Should(SatisfyAll(inState(api.JobStateWaiting), HaveField("Attempt", 1)))
+		for _, t := range c.workers.all("j") {
+			Expect(t.released).To(BeFalse(), "task %s was released", t.TaskID)
+		}
+		c.view.setState(api.In)
+		Eventually(a.job("j")).Should(inState(api.JobStateRunning))
+	})
+
 	// Guards against a gang of which a part goes on alone.
 	It("ends all members within one lease time when one cannot be renewed", func() {
 		c := newCluster(6, "a", "b")
--- a/internal/executor/simworkers_test.go
+++ b/internal/executor/simworkers_test.go
@@ -12,12 +12,13 @@
 // simTask is a task on a simulated worker.
 type simTask struct {
 	api.TaskReport
-	worker  string
-	job     string
-	starts  int
-	started time.Time // release
-	ended   time.Time
-	runFor  time.Duration
+	worker   string
+	job      string
+	starts   int
+	started  time.Time // release
+	released bool
+	ended    time.Time
+	runFor   time.Duration
 }
 
 // simWorkers simulates all workers of a zone. Addresses equal identifiers.
@@ -28,7 +29,9 @@
 	failing     map[string]bool // tasks end in failure after their release
 	runFor      time.Duration   // 0 runs for ever
 	beforeStart func(worker string)
-	refused     int // starts refused for their deadline
+	// beforeRelease delays a release on its way to the worker.
+	beforeRelease func(worker string)
+	refused       int // starts refused for their deadline
 }
 
 func newWorkers() *simWorkers {
@@ -125,6 +128,13 @@
 }
 
 func (s *simWorkers) Act(_ context.Context, address string, action api.TaskAction) ([]api.TaskReport, error) {
+	s.mu.Lock()
+	before := s.beforeRelease
+	s.mu.Unlock()
+	if before != nil && action.Action == api.Release {
+		before(address)
+	}
+	late := action.BeforeMs > 0 && time.Now().After(time.UnixMilli(action.BeforeMs))
 	var out []api.TaskReport
 	err := s.with(address, func(tasks map[string]*simTask) {
 		for _, id := range action.TaskIds {
@@ -132,7 +142,7 @@
 			if t == nil {
 				continue
 			}
-			if t.State != api.TaskStateEnded {
+			if t.State != api.TaskStateEnded && !late {
 				s.act(t, action.Action)
 			}
 			out = append(out, t.TaskReport)
@@ -145,7 +155,7 @@
 	switch action {
 	case api.Release:
 		if t.State == api.TaskStateHeld {
-			t.State, t.started = api.TaskStateRunning, time.Now()
+			t.State, t.started, t.released = api.TaskStateRunning, time.Now(), true
 		}
 		if s.failing[t.worker] {
 			t.end(api.TaskExitFailed, time.Now())
--- a/internal/executor/start.go
+++ b/internal/executor/start.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -77,8 +78,9 @@
 		e.startFailed(ctx, job, job.Placement[i], members[i])
 		return
 	}
-	if i, ok := e.release(ctx, job); !ok {
-		if ctx.Err() == nil {
+	if i, status := e.release(ctx, job); status != releaseDone {
+		// Held members wait for the next try; nothing of the gang runs.
+		if status == releaseOpen && ctx.Err() == nil {
 			e.startFailed(ctx, job, job.Placement[i], member{memberOpen, "did not acknowledge the release"})
 		}
 		return
@@ -220,29 +222,39 @@
 	return "worker " + worker + ": " + reason
 }
 
+// releaseStatus tells what became of the release of a gang.
+type releaseStatus int
+
+const (
+	releaseUnsent releaseStatus = iota // no release was sent for lack of a confirmation
+	releaseOpen                        // a member did not acknowledge in time
+	releaseDone                        // all members run or have ended
+)
+
 // release lets all members run. It returns the placement index of a member that
-// did not acknowledge within the wait for a start.
-func (e *Executor) release(ctx context.Context, job api.Job) (int, bool) {
+// did not acknowledge within the wait for a start. Members of which a part has
+// been released and the rest cannot be are left to the stop of the gang.
+func (e *Executor) release(ctx context.Context, job api.Job) (int, releaseStatus) {
 	ctx, cancel := context.WithTimeout(ctx, e.cfg.StartWait)
 	defer cancel()
-	released := make([]bool, len(job.Placement))
+	released, status := make([]bool, len(job.Placement)), releaseUnsent
 	for {
-		reports := e.actAll(ctx, job, api.Release)
-		for i, place := range job.Placement {
-			r, ok := reports[place.Index]
-			released[i] = released[i] || ok && (r.State == api.TaskStateRunning || r.State == api.TaskStateEnded)
-		}
-		missing := -1
-		for i, ok := range released {
-			if !ok {
-				missing = i
+		if confirmation, err := e.confirm(ctx); err == nil {
+			reports, sent := e.releaseAll(ctx, job, confirmation)
+			if sent {
+				status = releaseOpen
+			}
+			for i, place := range job.Placement {
+				r, ok := reports[place.Index]
+				released[i] = released[i] || ok && (r.State == api.TaskStateRunning || r.State == api.TaskStateEnded)
 			}
 		}
+		missing := slices.Index(released, false)
 		if missing < 0 {
-			return 0, true
+			return 0, releaseDone
 		}
 		if ctx.Err() != nil || !e.still(job) {
-			return missing, false
+			return missing, status
 		}
 		wait(ctx, nil, retryPause)
 	}
--- a/internal/executor/stop.go
+++ b/internal/executor/stop.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -13,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/samphirepath/samphirepath/api"
+	"github.com/samphirepath/samphirepath/internal/configuration"
 	"github.com/samphirepath/samphirepath/internal/jobs"
 )
 
@@ -156,6 +158,22 @@
 	})
 }
 
+// releaseAll releases the members if the confirmation may be used when each call
+// is sent. The workers leave out a release that arrives after the confirmation
+// has become too old: a held task begins to run with it, as with a start.
+func (e *Executor) releaseAll(ctx context.Context, job api.Job, c configuration.Confirmation) (reports map[int]api.TaskReport, sent bool) {
+	var calls atomic.Int64
+	before := c.Requested.Add(e.cfg.ZoneConfirmation).UnixMilli()
+	reports, _ = e.eachWorker(ctx, job, func(ctx context.Context, address string, ids []string) ([]api.TaskReport, error) {
+		if err := e.usable(c); err != nil {
+			return nil, err
+		}
+		calls.Add(1)
+		return e.cfg.Workers.Act(ctx, address, api.TaskAction{Action: api.Release, TaskIds: ids, BeforeMs: before})
+	})
+	return reports, calls.Load() > 0
+}
+
 func (e *Executor) reportAll(ctx context.Context, job api.Job) map[int]api.TaskReport {
 	reports, _ := e.eachWorker(ctx, job, func(ctx context.Context, address string, _ []string) ([]api.TaskReport, error) {
 		report, err := e.cfg.Workers.Report(ctx, address)
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -244,6 +244,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := w.advance()
+	if action.BeforeMs > 0 && now > action.BeforeMs {
+		return w.reports(action.TaskIds)
+	}
 	for _, id := range action.TaskIds {
 		w.actOn(action.Action, id, now)
 	}
