Announce leaving minions to the other daemons of the zone

Cause: a minion says by a header that it is leaving, but only to the daemon that sends it requests. Ruled out: asking every minion on a takeover, which costs a call and is lost when the minion is slow. Change: heartbeats name the minions that are leaving by their own word while the VM list still says live; peers take it over and announce it on. Conclusion: leaving is known to the whole zone within a heartbeat.

--- a/api/api.gen.go
+++ b/api/api.gen.go
@@ -594,6 +594,12 @@
 	Level string `json:"level" toml:"level"`
 }
 
+// MinionInstance One instance of a minion.
+type MinionInstance struct {
+	ID       string `cbor:"1,keyasint" json:"id"`
+	Instance string `cbor:"2,keyasint" json:"instance"`
+}
+
 // MinionList Minions.
 type MinionList struct {
 	Minions []MinionStatus `json:"minions"`
@@ -679,6 +685,9 @@
 	// FreeSlots Free slots of the minions that the sender owns.
 	FreeSlots int `cbor:"2,keyasint,omitempty" json:"free_slots"`
 
+	// LeavingMinions Minions that are leaving by their own word while the VM list still names them as live.
+	LeavingMinions []MinionInstance `cbor:"6,keyasint,omitempty" json:"leaving_minions,omitempty"`
+
 	// PlannerEpoch Epoch when the sender plans for its zone, else 0.
 	PlannerEpoch int64 `cbor:"3,keyasint,omitempty" json:"planner_epoch,omitempty"`
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -241,6 +241,7 @@
 	return api.PeerHeartbeat{
 		Draining: d.stopping.Load(), FreeSlots: d.router.FreeSlots(), PlannerEpoch: d.control.Current().Epoch,
 		StoreAgeMs: d.configuration.StoreAge().Milliseconds(), TableVersion: d.follower.Version(),
+		LeavingMinions: d.router.LeavingMinions(),
 	}
 }
 
--- a/internal/peers/membership.go
+++ b/internal/peers/membership.go
@@ -175,6 +175,7 @@
 	}
 	r.FreeSlots, r.PlannerEpoch = h.FreeSlots, h.PlannerEpoch
 	r.TableVersion = max(r.TableVersion, h.TableVersion)
+	r.LeavingMinions = h.LeavingMinions
 	r.StoreAge = time.Duration(h.StoreAgeMs) * time.Millisecond
 	if h.Draining {
 		s.drained[r.Incarnation] = true
--- a/internal/peers/network.go
+++ b/internal/peers/network.go
@@ -33,6 +33,8 @@
 	TableVersion int64
 	StoreAge     time.Duration
 	LastSeen     time.Time
+	// LeavingMinions are the minions that told the member that they are leaving.
+	LeavingMinions []api.MinionInstance
 }
 
 // Kind names a message of a PeerEnvelope, for the registration of handlers.
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -57,6 +57,8 @@
 	// free is kept outside the mutex: the network asks for it while it sends
 	// heartbeats, and the pool asks the network for members under the mutex.
 	free atomic.Int64
+	// leaving is what heartbeats announce; it is kept outside the mutex as well.
+	leaving atomic.Pointer[[]api.MinionInstance]
 
 	mu       sync.Mutex
 	minions  map[string]*minion
@@ -318,6 +320,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
+	p.learnLeaving()
 	p.own()
 	p.reserve.decay()
 	p.pump(now)
--- a/internal/router/registry.go
+++ b/internal/router/registry.go
@@ -45,6 +45,26 @@
 	m.leaving = m.leaving || vm.State == api.Leaving
 }
 
+// learnLeaving takes over from the peers which minions are leaving by their own
+// word, and notes what this daemon announces. A minion says it only to the daemon
+// that sends it requests; without this, the next owner would send it work.
+func (p *pool) learnLeaving() {
+	for _, member := range p.network.Members() {
+		for _, told := range member.LeavingMinions {
+			if m := p.minions[told.ID]; m != nil && m.vm.Instance == told.Instance {
+				m.leaving = true
+			}
+		}
+	}
+	var announced []api.MinionInstance
+	for _, m := range p.minions {
+		if m.leaving && m.listed && m.vm.State != api.Leaving {
+			announced = append(announced, api.MinionInstance{ID: m.vm.ID, Instance: m.vm.Instance})
+		}
+	}
+	p.leaving.Store(&announced)
+}
+
 // own computes which minions this daemon may use. A daemon without live daemons
 // in its zone, itself drained, serves its waiting requests on all minions of the
 // zone, because nobody else does.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -177,6 +177,15 @@
 // the requests that wait for them.
 func (r *Router) FreeSlots() int { return int(r.pool.free.Load()) }
 
+// LeavingMinions returns the minions that are leaving by their own word while
+// the VM list still names them as live.
+func (r *Router) LeavingMinions() []api.MinionInstance {
+	if leaving := r.pool.leaving.Load(); leaving != nil {
+		return *leaving
+	}
+	return nil
+}
+
 // Minions returns the known minions, ordered by identifier.
 func (r *Router) Minions() []api.MinionStatus { return r.pool.statuses() }
 
