--- a/internal/jobs/applier.go
+++ b/internal/jobs/applier.go
@@ -282,6 +282,9 @@
 		return ChangeResult{Status: Stale, Err: err}, false
 	}
 	result := a.cfg.Writer.Apply(ctx, Change{Job: job, Version: row.Version, Fenced: true})[0]
+	if result.Status == Done {
+		a.logEnd(job)
+	}
 	return result, result.Status == Done
 }
 
@@ -301,10 +304,11 @@
 		return nil
 	}
 	results := a.cfg.Writer.Apply(ctx, changes...)
-	for _, r := range results {
+	for i, r := range results {
 		switch r.Status {
 		case Done:
 			out.Done++
+			a.logEnd(changes[i].Job)
 		case Stale:
 			out.Dropped++
 		case Fenced:
@@ -318,3 +322,16 @@
 	a.cfg.Scope.Counter("dropped").Inc(int64(out.Dropped))
 	return results
 }
+
+// logEnd reports jobs that ended without success. Nobody watches overnight, so
+// they must stand out in the log in the morning.
+func (a *Applier) logEnd(job api.Job) {
+	switch job.State {
+	case api.JobStateFailed:
+		a.cfg.Log.Error("Job failed.", zap.String("job", job.ID), zap.String("name", job.Spec.Name),
+			zap.String("organisation", job.Organisation), zap.String("reason", job.Reason))
+	case api.JobStateRefused:
+		a.cfg.Log.Error("Job refused after it was accepted.", zap.String("job", job.ID), zap.String("name", job.Spec.Name),
+			zap.String("organisation", job.Organisation), zap.String("reason", job.Reason))
+	}
+}
--- a/internal/router/submit.go
+++ b/internal/router/submit.go
@@ -6,6 +6,7 @@
 
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
+	"go.uber.org/zap"
 
 	"github.com/samphirepath/samphirepath/api"
 	"github.com/samphirepath/samphirepath/claim"
@@ -56,9 +57,27 @@
 		attribute.String("entry", request.Submit.Entry), attribute.String("urgency", string(request.Urgency)),
 		attribute.String("outcome", string(reply.Result.Outcome)), attribute.Int("attempts", reply.Result.Attempts))
 	r.scope.Tagged(map[string]string{"outcome": string(reply.Result.Outcome)}).Counter("requests").Inc(1)
+	r.logOutcome(request, reply.Result)
 	return reply
 }
 
+// logOutcome makes requests without success stand out for those who read the log
+// later. A refusal is no error: the caller knows that nothing has run.
+func (r *Router) logOutcome(request Request, result api.RequestResult) {
+	if result.Outcome == api.OutcomeRan || result.InProgress {
+		return
+	}
+	fields := []zap.Field{
+		zap.String("request", request.ID), zap.String("key", request.Submit.Key), zap.String("organisation", request.Organisation),
+		zap.String("entry", request.Submit.Entry), zap.String("outcome", string(result.Outcome)), zap.String("reason", result.Reason),
+	}
+	if result.Outcome == api.OutcomeNotRun {
+		r.log.Info("Request refused.", fields...)
+		return
+	}
+	r.log.Error("Request without a good answer.", fields...)
+}
+
 // run makes attempts until one is final.
 func (r *Router) run(ctx context.Context, j *job) Reply {
 	j.started = time.Now()
