Place a gang anew at once when a worker falls silent before the release

Cause: an attempt whose worker fell silent during the start waited for the task lease (20 s), because the held task might still run. Ruled out: a shorter lease, which costs renewals; counting every unanswered start as ended, which is wrong once a release may have been sent. Change: placements note the planner's epoch; an attempt that this daemon placed in its present term and never released cannot run, so its stop does not wait for members on silent workers. Conclusion: only a fault between the first and the last release waits for the lease.

--- a/api/api.gen.go
+++ b/api/api.gen.go
@@ -445,8 +445,11 @@
 	PlacedMs     int64  `json:"placed_ms,omitempty"`
 
 	// Placement Reserved places of the current attempt; empty when no place is held.
-	Placement   []TaskPlacement `json:"placement,omitempty"`
-	Preemptions int             `json:"preemptions,omitempty"`
+	Placement []TaskPlacement `json:"placement,omitempty"`
+
+	// PlannerEpoch Epoch of the planner lease under which the current or last placement was made.
+	PlannerEpoch int64 `json:"planner_epoch,omitempty"`
+	Preemptions  int   `json:"preemptions,omitempty"`
 
 	// ProgressMs Work kept by the newest checkpoint of the task that has kept least, in milliseconds.
 	ProgressMs int64 `json:"progress_ms,omitempty"`
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -160,8 +160,9 @@
 		Limiter: rate.NewLimiter(rate.Limit(s.Limits.StoreWritesPerSecond), s.Limits.StoreWritesPerSecond),
 		Log:     telemetry.Part(d.log, "jobs"), Scope: d.metrics.Scope.SubScope("jobs"),
 	})
+	epoch := func() int64 { return leader.Status().Epoch }
 	applier := jobs.NewApplier(jobs.ApplierConfig{
-		Zone: zone, Writer: d.writer, Follower: d.follower,
+		Zone: zone, Writer: d.writer, Follower: d.follower, Epoch: epoch,
 		Log: telemetry.Part(d.log, "applier"), Scope: d.metrics.Scope.SubScope("applier"),
 	})
 	d.service = jobs.NewService(jobs.ServiceConfig{
@@ -180,7 +181,7 @@
 	})
 	d.executor = executor.New(executor.Config{
 		Zone: zone, Follower: d.follower, Applier: applier, Workers: d.clients.workers, View: d.configuration,
-		Network: d.mesh, Places: d.control, Leading: d.control.Leading,
+		Network: d.mesh, Places: d.control, Leading: d.control.Leading, Epoch: epoch,
 		TaskLease: t.TaskLease.Std(), ZoneConfirmation: t.ZoneConfirmation.Std(), MaxClockSkew: t.MaxClockSkew.Std(),
 		CheckpointWait: t.CheckpointWait.Std(), CheckpointEvery: t.CheckpointEvery.Std(), StartWait: t.StartWait.Std(), StartsPerSecond: s.Limits.StartsPerSecond,
 		Log: telemetry.Part(d.log, "executor"), Scope: d.metrics.Scope.SubScope("executor"), Tracer: d.traces.Tracer("executor"),
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -59,6 +59,9 @@
 	// Leading tells whether this daemon plans for the zone and knows all rows that
 	// earlier planners committed.
 	Leading func() bool
+	// Epoch gives the epoch of the planner lease. It may be nil; then attempts that
+	// were never released are not told apart.
+	Epoch func() int64
 
 	TaskLease        time.Duration
 	ZoneConfirmation time.Duration
@@ -82,6 +85,7 @@
 	mu         sync.Mutex
 	operations map[string]*operation // by job
 	tried      map[string]time.Time  // last periodic checkpoint tried, by job
+	released   map[string]int        // last attempt of which a release may have been sent, by job
 	running    sync.WaitGroup
 }
 
@@ -122,7 +126,7 @@
 	// A larger burst would let the zone start more than the limit in the first
 	// second after its return.
 	limiter := rate.NewLimiter(rate.Limit(cfg.StartsPerSecond), 1)
-	return &Executor{cfg: cfg, limiter: limiter, operations: map[string]*operation{}, tried: map[string]time.Time{}}
+	return &Executor{cfg: cfg, limiter: limiter, operations: map[string]*operation{}, tried: map[string]time.Time{}, released: map[string]int{}}
 }
 
 // Run carries out rows until ctx ends.
--- a/internal/executor/faults_test.go
+++ b/internal/executor/faults_test.go
@@ -161,6 +161,28 @@
 		Eventually(a.job("j")).Should(inState(api.JobStateRunning))
 	})
 
+	// Guards against an urgent job that waits for a whole task lease because a
+	// worker falls silent while the gang starts.
+	It("places a gang anew at once when a worker falls silent before the release", func() {
+		c := newCluster(4, "a")
+		a := c.start("a")
+		var silent atomic.Pointer[string]
+		c.workers.set(func() {
+			c.workers.beforeStart = func(worker string) {
+				if silent.CompareAndSwap(nil, &worker) {
+					c.workers.set(func() { c.workers.unreachable[worker] = true })
+				}
+			}
+		})
+		began := time.Now()
+		c.add("j", 2)
+		Eventually(a.job("j")).Should(SatisfyAll(inState(api.JobStateRunning), HaveField("Attempt", BeNumerically(">", 1))))
+		Expect(time.Since(began)).To(BeNumerically("<", startWait+taskLease), "the start waited for the lease")
+		for _, place := range a.job("j")().Placement {
+			Expect(place.Worker).NotTo(Equal(*silent.Load()))
+		}
+	})
+
 	// Guards against a gang of which a part goes on alone.
 	It("ends all members within one lease time when one cannot be renewed", func() {
 		c := newCluster(6, "a", "b")
--- a/internal/executor/rig_test.go
+++ b/internal/executor/rig_test.go
@@ -123,7 +123,8 @@
 	Expect(err).NotTo(HaveOccurred())
 	d.follower = jobs.NewFollower(jobs.FollowerConfig{Store: d.store, Network: d.net, PollEvery: 50 * time.Millisecond})
 	writer := jobs.NewWriter(jobs.WriterConfig{Store: d.store, Follower: d.follower, Limiter: rate.NewLimiter(100, 1), Fence: d.lease.FenceCondition})
-	applier := jobs.NewApplier(jobs.ApplierConfig{Zone: zone, Writer: writer, Follower: d.follower})
+	epoch := func() int64 { return d.lease.Status().Epoch }
+	applier := jobs.NewApplier(jobs.ApplierConfig{Zone: zone, Writer: writer, Follower: d.follower, Epoch: epoch})
 	d.service = jobs.NewService(jobs.ServiceConfig{Writer: writer, Follower: d.follower, View: view})
 	var ex *executor.Executor
 	d.control = control.New(control.Config{
@@ -133,7 +134,7 @@
 	})
 	ex = executor.New(executor.Config{
 		Zone: zone, Follower: d.follower, Applier: applier, Workers: d.workers, View: view, Network: d.net, Places: d.control,
-		Leading: d.control.Leading, TaskLease: taskLease, ZoneConfirmation: zoneConfirmation, MaxClockSkew: skew,
+		Leading: d.control.Leading, Epoch: epoch, TaskLease: taskLease, ZoneConfirmation: zoneConfirmation, MaxClockSkew: skew,
 		CheckpointWait: 300 * time.Millisecond, CheckpointEvery: c.checkpointEvery, StartWait: startWait, StartsPerSecond: 1000,
 	})
 	keep := keeper.New(keeper.Config{
--- a/internal/executor/stop.go
+++ b/internal/executor/stop.go
@@ -69,6 +69,7 @@
 	job := row.Job
 	began := time.Now()
 	lapse := lapse{version: row.Version, wait: e.cfg.TaskLease + e.cfg.MaxClockSkew}
+	heldOnly := e.neverReleased(job)
 	ended, success := map[int]bool{}, map[int]bool{}
 	for pauseFor := retryPause; ctx.Err() == nil; pauseFor = min(2*pauseFor, maxStopPause) {
 		reports, answered := e.actWorkers(ctx, job, api.Stop)
@@ -87,7 +88,7 @@
 			case answered[place.Worker]:
 				ended[place.Index] = ended[place.Index] || unknownEnded
 			default:
-				ended[place.Index] = ended[place.Index] || lapsed
+				ended[place.Index] = ended[place.Index] || lapsed || heldOnly
 			}
 		}
 		if allTrue(ended) {
@@ -98,6 +99,32 @@
 	return false, false
 }
 
+// noteRelease notes that a release of the attempt may have been sent.
+func (e *Executor) noteRelease(job api.Job) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.released[job.ID] = job.Attempt
+	for id := range e.released {
+		if row := e.cfg.Follower.Get(id); row == nil || jobs.Terminal(row.Job.State) {
+			delete(e.released, id)
+		}
+	}
+}
+
+// neverReleased tells whether no member of the attempt can have run: this daemon
+// placed it in its present term as planner, and has sent no release. Such an
+// attempt need not wait for the lease of a member on a silent worker, which holds
+// at most a task that will never run. Without this, an urgent job whose worker
+// falls silent during the start waits for a whole task lease.
+func (e *Executor) neverReleased(job api.Job) bool {
+	if e.cfg.Epoch == nil || job.PlannerEpoch == 0 || job.PlannerEpoch != e.cfg.Epoch() {
+		return false
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.released[job.ID] != job.Attempt
+}
+
 func allTrue(values map[int]bool) bool {
 	for _, v := range values {
 		if !v {
@@ -168,6 +195,7 @@
 		if err := e.usable(c); err != nil {
 			return nil, err
 		}
+		e.noteRelease(job)
 		calls.Add(1)
 		return e.cfg.Workers.Act(ctx, address, api.TaskAction{Action: api.Release, TaskIds: ids, BeforeMs: before})
 	})
--- a/internal/jobs/applier.go
+++ b/internal/jobs/applier.go
@@ -27,9 +27,11 @@
 	Zone     string
 	Writer   *Writer
 	Follower *Follower
-	Now      func() time.Time
-	Log      *zap.Logger
-	Scope    tally.Scope
+	// Epoch gives the epoch of the planner lease; it is noted in placements. It may be nil.
+	Epoch func() int64
+	Now   func() time.Time
+	Log   *zap.Logger
+	Scope tally.Scope
 }
 
 // Applier checks plans against the current rows and commits them. Apply is
@@ -47,6 +49,9 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
+	if cfg.Epoch == nil {
+		cfg.Epoch = func() int64 { return 0 }
+	}
 	if cfg.Log == nil {
 		cfg.Log = zap.NewNop()
 	}
@@ -132,6 +137,7 @@
 				out.Dropped++
 				continue
 			}
+			job.PlannerEpoch = a.cfg.Epoch()
 			changes = append(changes, Change{Job: job, Version: row.Version, Fenced: true})
 			continue
 		}
