--- a/bench/capacity/measure.go
+++ b/bench/capacity/measure.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
@@ -12,6 +10,7 @@
 
 	"github.com/samphirepath/samphirepath/api"
 	"github.com/samphirepath/samphirepath/internal/standin"
+	"github.com/samphirepath/samphirepath/test/client"
 	"github.com/samphirepath/samphirepath/test/harness"
 )
 
@@ -188,14 +187,14 @@
 }
 
 func (r *runner) running(ctx context.Context) (int, error) {
-	list, err := call[api.JobList](r.cluster.Daemons[0].CallersURL(), callerToken, func(c *api.Client) (*http.Response, error) {
+	list, err := client.Call[api.JobList](r.cluster.Daemons[0].CallersURL(), callerToken, func(c *api.Client) (*http.Response, error) {
 		return c.ListJobs(ctx, &api.ListJobsParams{State: string(api.JobStateRunning)})
 	})
 	return len(list.Jobs), err
 }
 
 func (r *runner) jobs(ctx context.Context) ([]api.Job, error) {
-	list, err := call[api.JobList](r.cluster.Daemons[0].CallersURL(), callerToken, func(c *api.Client) (*http.Response, error) {
+	list, err := client.Call[api.JobList](r.cluster.Daemons[0].CallersURL(), callerToken, func(c *api.Client) (*http.Response, error) {
 		return c.ListJobs(ctx, &api.ListJobsParams{})
 	})
 	return list.Jobs, err
@@ -217,14 +216,14 @@
 }
 
 func (r *runner) changeZone(ctx context.Context, state api.ZoneState) error {
-	_, err := call[api.ConfigurationHead](r.cluster.Daemons[0].OperatorsURL(), harness.OperatorToken, func(c *api.Client) (*http.Response, error) {
+	_, err := client.Call[api.ConfigurationHead](r.cluster.Daemons[0].OperatorsURL(), harness.OperatorToken, func(c *api.Client) (*http.Response, error) {
 		return c.ChangeZone(ctx, zoneName(0), api.ZoneChange{State: state, ChangedBy: "capacity", Reason: "measurement"})
 	})
 	return err
 }
 
 func (r *runner) submit(ctx context.Context, spec api.JobSpec) (string, error) {
-	job, err := call[api.Job](r.cluster.Daemons[0].CallersURL(), callerToken, func(c *api.Client) (*http.Response, error) {
+	job, err := client.Call[api.Job](r.cluster.Daemons[0].CallersURL(), callerToken, func(c *api.Client) (*http.Response, error) {
 		return c.SubmitJob(ctx, spec)
 	})
 	return job.ID, err
@@ -236,7 +235,7 @@
 	d := r.cluster.Daemons[r.changes%len(r.cluster.Daemons)]
 	r.changes++
 	began := time.Now()
-	head, err := call[api.ConfigurationHead](d.OperatorsURL(), harness.OperatorToken, func(c *api.Client) (*http.Response, error) {
+	head, err := client.Call[api.ConfigurationHead](d.OperatorsURL(), harness.OperatorToken, func(c *api.Client) (*http.Response, error) {
 		return c.ApplyCatalogue(ctx, api.CatalogueApply{
 			ExpectedRevision: int64(r.changes - 1), Catalogue: r.size.catalogue(100 + r.changes), ChangedBy: "capacity",
 		})
@@ -256,7 +255,7 @@
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	for {
-		status, err := call[api.Status](d.OperatorsURL(), harness.OperatorToken, func(c *api.Client) (*http.Response, error) {
+		status, err := client.Call[api.Status](d.OperatorsURL(), harness.OperatorToken, func(c *api.Client) (*http.Response, error) {
 			return c.GetStatus(ctx)
 		})
 		if err == nil && status.Revision >= revision {
@@ -388,7 +387,7 @@
 		if d.Settings.Daemon.Zone != zone {
 			continue
 		}
-		status, err := call[api.Status](d.OperatorsURL(), harness.OperatorToken, func(c *api.Client) (*http.Response, error) {
+		status, err := client.Call[api.Status](d.OperatorsURL(), harness.OperatorToken, func(c *api.Client) (*http.Response, error) {
 			return c.GetStatus(ctx)
 		})
 		if err != nil {
@@ -408,7 +407,7 @@
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	for {
-		job, err := call[api.Job](r.cluster.Daemons[0].CallersURL(), callerToken, func(c *api.Client) (*http.Response, error) {
+		job, err := client.Call[api.Job](r.cluster.Daemons[0].CallersURL(), callerToken, func(c *api.Client) (*http.Response, error) {
 			return c.GetJob(ctx, id)
 		})
 		if err == nil && job.StartedMs > 0 {
@@ -420,30 +419,6 @@
 	}
 }
 
-func call[T any](server, token string, do func(*api.Client) (*http.Response, error)) (T, error) {
-	var out T
-	client, err := api.NewClient(server, api.WithRequestEditorFn(func(_ context.Context, request *http.Request) error {
-		request.Header.Set("Authorization", "Bearer "+token)
-		return nil
-	}))
-	if err != nil {
-		return out, eris.Wrap(err, "make client")
-	}
-	response, err := do(client)
-	if err != nil {
-		return out, eris.Wrap(err, "call daemon")
-	}
-	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
-	if err != nil {
-		return out, eris.Wrap(err, "read answer")
-	}
-	if response.StatusCode >= http.StatusMultipleChoices {
-		return out, eris.Errorf("status %d: %s", response.StatusCode, body)
-	}
-	return out, eris.Wrap(json.Unmarshal(body, &out), "decode answer")
-}
-
 func sleep(ctx context.Context, d time.Duration) bool {
 	select {
 	case <-ctx.Done():
--- a/test/configuration/client_test.go
+++ b/test/configuration/client_test.go
@@ -1,10 +1,7 @@
 package configuration
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
-	"io"
 	"net/http"
 	"os"
 	"time"
@@ -13,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/samphirepath/samphirepath/api"
+	"github.com/samphirepath/samphirepath/test/client"
 	"github.com/samphirepath/samphirepath/test/harness"
 )
 
@@ -28,35 +26,6 @@
 
 func daemonPath() string { return os.Getenv(envDaemon) }
 
-var client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}
-
-// call makes an HTTP call and decodes the answer into result. It returns status
-// 0 when there is no answer.
-func call(ctx context.Context, wait time.Duration, method, url, token string, value, result any) int {
-	ctx, cancel := context.WithTimeout(ctx, wait)
-	defer cancel()
-	body, err := json.Marshal(value)
-	if err != nil {
-		panic(err)
-	}
-	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
-	if err != nil {
-		panic(err)
-	}
-	request.Header.Set("Content-Type", "application/json")
-	request.Header.Set("Authorization", "Bearer "+token)
-	response, err := client.Do(request)
-	if err != nil {
-		return 0
-	}
-	defer response.Body.Close()
-	data, err := io.ReadAll(response.Body)
-	if err != nil || result != nil && json.Unmarshal(data, result) != nil {
-		return 0
-	}
-	return response.StatusCode
-}
-
 // answer holds the fields of a head and of a problem that the specs use.
 type answer struct {
 	api.Problem
@@ -70,7 +39,7 @@
 
 func applyAt(ctx context.Context, url string, expected int64, m mark) (int, answer) {
 	var out answer
-	status := call(ctx, writeWait, http.MethodPut, url+"/v1/catalogue", harness.OperatorToken,
+	status := client.Do(ctx, writeWait, http.MethodPut, url+"/v1/catalogue", harness.OperatorToken,
 		api.CatalogueApply{ExpectedRevision: expected, Catalogue: m.catalogue(), ChangedBy: "test"}, &out)
 	return status, out
 }
@@ -79,7 +48,7 @@
 func changeZone(ctx context.Context, d *harness.Daemon, zone string, state api.ZoneState) int64 {
 	GinkgoHelper()
 	var out answer
-	status := call(ctx, writeWait, http.MethodPut, d.OperatorsURL()+"/v1/zones/"+zone, harness.OperatorToken,
+	status := client.Do(ctx, writeWait, http.MethodPut, d.OperatorsURL()+"/v1/zones/"+zone, harness.OperatorToken,
 		api.ZoneChange{State: state, ChangedBy: "test"}, &out)
 	Expect(status).To(Equal(http.StatusOK), out.Detail)
 	return out.Revision
@@ -88,7 +57,7 @@
 // readStored reads the newest revision from the store through a daemon.
 func readStored(ctx context.Context, d *harness.Daemon) (int64, bool) {
 	var out api.ConfigurationList
-	status := call(ctx, readWait, http.MethodGet, d.OperatorsURL()+"/v1/catalogue/history?limit=1", harness.OperatorToken, nil, &out)
+	status := client.Do(ctx, readWait, http.MethodGet, d.OperatorsURL()+"/v1/catalogue/history?limit=1", harness.OperatorToken, nil, &out)
 	if status != http.StatusOK {
 		return 0, false
 	}
@@ -111,7 +80,7 @@
 
 func statusOf(ctx context.Context, d *harness.Daemon) (api.Status, bool) {
 	var out api.Status
-	return out, call(ctx, readWait, http.MethodGet, d.OperatorsURL()+"/v1/status", harness.OperatorToken, nil, &out) == http.StatusOK
+	return out, client.Do(ctx, readWait, http.MethodGet, d.OperatorsURL()+"/v1/status", harness.OperatorToken, nil, &out) == http.StatusOK
 }
 
 // held is the revision in force on a daemon, -1 without an answer.
--- a/test/configuration/observer_test.go
+++ b/test/configuration/observer_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/samphirepath/samphirepath/api"
+	"github.com/samphirepath/samphirepath/test/client"
 	"github.com/samphirepath/samphirepath/test/harness"
 )
 
@@ -66,7 +67,7 @@
 		return
 	}
 	var current api.Configuration
-	if call(ctx, readWait, http.MethodGet, d.OperatorsURL()+"/v1/catalogue", harness.OperatorToken, nil, &current) != http.StatusOK {
+	if client.Do(ctx, readWait, http.MethodGet, d.OperatorsURL()+"/v1/catalogue", harness.OperatorToken, nil, &current) != http.StatusOK {
 		return
 	}
 	accepted, refused := o.probe(ctx, d, current)
@@ -93,7 +94,7 @@
 	}
 	now := mark(current.Catalogue.Organisations[0].QuotaAccelerators)
 	url := d.CallersURL() + "/v1/jobs"
-	return call(ctx, readWait, http.MethodGet, url, now.token(), nil, nil), call(ctx, readWait, http.MethodGet, url, (now - 1).token(), nil, nil)
+	return client.Do(ctx, readWait, http.MethodGet, url, now.token(), nil, nil), client.Do(ctx, readWait, http.MethodGet, url, (now - 1).token(), nil, nil)
 }
 
 // step needs the lock.
--- a/test/configuration/spread_test.go
+++ b/test/configuration/spread_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/samphirepath/samphirepath/api"
 	"github.com/samphirepath/samphirepath/internal/standin"
+	"github.com/samphirepath/samphirepath/test/client"
 	"github.com/samphirepath/samphirepath/test/faultproxy"
 	"github.com/samphirepath/samphirepath/test/harness"
 )
@@ -32,7 +33,7 @@
 	// The zone does not exist, so that no job is accepted even within the quota.
 	submit := func(accelerators int) string {
 		var out api.Problem
-		call(ctx, readWait, http.MethodPost, d.CallersURL()+"/v1/jobs", lastMark.token(), api.JobSpec{
+		client.Do(ctx, readWait, http.MethodPost, d.CallersURL()+"/v1/jobs", lastMark.token(), api.JobSpec{
 			Key: fmt.Sprintf("quota-%d-%d", lastMark, accelerators), Name: "quota", Entry: "refits", Tasks: 1,
 			Resources: api.Resources{Accelerators: accelerators}, Zones: []string{"nowhere"},
 		}, &out)
@@ -195,7 +196,7 @@
 			awaitInForce(ctx, change(ctx), cluster.Daemons...)
 			awaitInForce(ctx, changeZone(ctx, cluster.Daemons[0], zoneFar, api.Out), cluster.Daemons...)
 			var job api.Job
-			Expect(call(ctx, writeWait, http.MethodPost, cluster.Daemons[0].CallersURL()+"/v1/jobs", lastMark.token(), api.JobSpec{
+			Expect(client.Do(ctx, writeWait, http.MethodPost, cluster.Daemons[0].CallersURL()+"/v1/jobs", lastMark.token(), api.JobSpec{
 				Key: fmt.Sprintf("zone-%d", lastMark), Name: "zone", Entry: "refits", Tasks: 1, Zones: []string{zoneFar},
 				Resources: api.Resources{Cores: 1}, Parameters: map[string]string{standin.ParamRunMs: "100"},
 			}, &job)).To(Equal(http.StatusCreated))
--- a/test/guarantees/client_test.go
+++ b/test/guarantees/client_test.go
@@ -1,11 +1,8 @@
 package guarantees
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"os"
 	"strings"
@@ -16,6 +13,7 @@
 
 	"github.com/samphirepath/samphirepath/api"
 	"github.com/samphirepath/samphirepath/internal/standin"
+	"github.com/samphirepath/samphirepath/test/client"
 	"github.com/samphirepath/samphirepath/test/harness"
 )
 
@@ -31,28 +29,7 @@
 // call makes an HTTP call and decodes the answer into result. It returns status
 // 0 when there is no answer.
 func call(ctx context.Context, method, url, bearer string, value, result any) int {
-	ctx, cancel := context.WithTimeout(ctx, callWait)
-	defer cancel()
-	body, err := json.Marshal(value)
-	if err != nil {
-		panic(err)
-	}
-	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
-	if err != nil {
-		panic(err)
-	}
-	request.Header.Set("Content-Type", "application/json")
-	request.Header.Set("Authorization", "Bearer "+bearer)
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return 0
-	}
-	defer response.Body.Close()
-	data, err := io.ReadAll(response.Body)
-	if err != nil || result != nil && json.Unmarshal(data, result) != nil {
-		return 0
-	}
-	return response.StatusCode
+	return client.Do(ctx, callWait, method, url, bearer, value, result)
 }
 
 // work describes a gang of tasks that take a whole worker each.
--- a/test/jobs/rig_test.go
+++ b/test/jobs/rig_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
@@ -12,14 +10,13 @@
 
 	"github.com/samphirepath/samphirepath/api"
 	"github.com/samphirepath/samphirepath/internal/standin"
+	"github.com/samphirepath/samphirepath/test/client"
 	"github.com/samphirepath/samphirepath/test/harness"
 )
 
 const (
 	// pollEvery is the interval of polls for a state.
 	pollEvery = 50 * time.Millisecond
-	// callWait bounds one call to a daemon, which may be frozen.
-	callWait = 10 * time.Second
 )
 
 // Names in the catalogue of the tests.
@@ -56,7 +53,7 @@
 			{Name: urgentEntry, Kind: api.EntryKindJob, Owner: organisation, Class: "urgent"},
 		},
 	}
-	head, err := call[api.ConfigurationHead](r.Daemons[0].OperatorsURL(), harness.OperatorToken, func(c *api.Client) (*http.Response, error) {
+	head, err := client.Call[api.ConfigurationHead](r.Daemons[0].OperatorsURL(), harness.OperatorToken, func(c *api.Client) (*http.Response, error) {
 		return c.ApplyCatalogue(ctx, api.CatalogueApply{Catalogue: catalogue, ChangedBy: "test"})
 	})
 	if err != nil {
@@ -74,7 +71,7 @@
 }
 
 func (r *rig) status(ctx context.Context, d *harness.Daemon) (api.Status, error) {
-	return call[api.Status](d.OperatorsURL(), harness.OperatorToken, func(c *api.Client) (*http.Response, error) {
+	return client.Call[api.Status](d.OperatorsURL(), harness.OperatorToken, func(c *api.Client) (*http.Response, error) {
 		return c.GetStatus(ctx)
 	})
 }
@@ -95,13 +92,13 @@
 }
 
 func (r *rig) submit(ctx context.Context, d *harness.Daemon, spec api.JobSpec) (api.Job, error) {
-	return call[api.Job](d.CallersURL(), callerToken, func(c *api.Client) (*http.Response, error) {
+	return client.Call[api.Job](d.CallersURL(), callerToken, func(c *api.Client) (*http.Response, error) {
 		return c.SubmitJob(ctx, spec)
 	})
 }
 
 func (r *rig) job(ctx context.Context, d *harness.Daemon, id string) (api.Job, error) {
-	return call[api.Job](d.CallersURL(), callerToken, func(c *api.Client) (*http.Response, error) {
+	return client.Call[api.Job](d.CallersURL(), callerToken, func(c *api.Client) (*http.Response, error) {
 		return c.GetJob(ctx, id)
 	})
 }
@@ -109,7 +106,7 @@
 // changeZone commits the state of a zone through a daemon. It returns the time at which
 // the answer arrived, which is not before the commit.
 func (r *rig) changeZone(ctx context.Context, d *harness.Daemon, zone string, state api.ZoneState) (time.Time, error) {
-	_, err := call[api.ConfigurationHead](d.OperatorsURL(), harness.OperatorToken, func(c *api.Client) (*http.Response, error) {
+	_, err := client.Call[api.ConfigurationHead](d.OperatorsURL(), harness.OperatorToken, func(c *api.Client) (*http.Response, error) {
 		return c.ChangeZone(ctx, zone, api.ZoneChange{State: state, ChangedBy: "test", Reason: "test"})
 	})
 	return time.Now(), eris.Wrapf(err, "set zone %s %s", zone, state)
@@ -159,31 +156,6 @@
 	}
 }
 
-func call[T any](server, token string, do func(*api.Client) (*http.Response, error)) (T, error) {
-	var out T
-	client, err := api.NewClient(server, api.WithHTTPClient(&http.Client{Timeout: callWait}),
-		api.WithRequestEditorFn(func(_ context.Context, request *http.Request) error {
-			request.Header.Set("Authorization", "Bearer "+token)
-			return nil
-		}))
-	if err != nil {
-		return out, eris.Wrap(err, "make client")
-	}
-	response, err := do(client)
-	if err != nil {
-		return out, eris.Wrap(err, "call daemon")
-	}
-	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
-	if err != nil {
-		return out, eris.Wrap(err, "read answer")
-	}
-	if response.StatusCode >= http.StatusMultipleChoices {
-		return out, eris.Errorf("status %d: %s", response.StatusCode, body)
-	}
-	return out, eris.Wrap(json.Unmarshal(body, &out), "decode answer")
-}
-
 // waitState waits until the job is in the state.
 func (r *rig) waitState(ctx context.Context, d *harness.Daemon, id string, state api.JobState, wait time.Duration) error {
 	return until(ctx, wait, fmt.Sprintf("job %s is %s", id, state), func() (bool, error) {
--- a/test/jobs/store_test.go
+++ b/test/jobs/store_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/samphirepath/samphirepath/api"
 	"github.com/samphirepath/samphirepath/internal/standin"
+	"github.com/samphirepath/samphirepath/test/client"
 	"github.com/samphirepath/samphirepath/test/harness"
 )
 
@@ -219,7 +220,7 @@
 
 func (r *rig) cancelUntilAccepted(ctx context.Context, id string, n int) error {
 	return until(ctx, 30*time.Second, "the cancellation is accepted", func() (bool, error) {
-		_, err := call[api.Job](r.Daemons[n%len(r.Daemons)].CallersURL(), callerToken, func(c *api.Client) (*http.Response, error) {
+		_, err := client.Call[api.Job](r.Daemons[n%len(r.Daemons)].CallersURL(), callerToken, func(c *api.Client) (*http.Response, error) {
 			return c.CancelJob(ctx, id)
 		})
 		return err == nil, err
