Wait for both tasks in a test of workers

Cause: the spec failed once in 5 race runs: it read the end of the second task as soon as the first had ended, though the second started later. Ruled out: a fault of the stand-in; both tasks run for the time they were given. Change: the spec waits for the second task too, and the first runs long enough to be seen running on a busy machine. Conclusion: the expectations are unchanged.

--- a/internal/platform/workers_test.go
+++ b/internal/platform/workers_test.go
@@ -114,13 +114,13 @@
 
 	ginkgo.It("runs a task to its end, or to the failure that it asks for", func() {
 		f := newWorkerFixture(0)
-		f.start(startTask("good", runFor(50)))
+		f.start(startTask("good", runFor(500))) // longer than the other starts take on a busy machine
 		f.start(startTask("bad", map[string]string{standin.ParamRunMs: "50", standin.ParamFail: "true"}))
 		f.start(startTask("here", map[string]string{standin.ParamFail: "worker=w1"}))
 		f.start(startTask("elsewhere", map[string]string{standin.ParamFail: "worker=w2"}))
 		gomega.Expect(f.task("good").State).To(gomega.Equal(api.TaskStateRunning))
 		gomega.Eventually(f.exit("good"), "3s", "10ms").Should(gomega.Equal(api.TaskExitSucceeded))
-		gomega.Expect(f.task("bad").Exit).To(gomega.Equal(api.TaskExitFailed))
+		gomega.Eventually(f.exit("bad"), "3s", "10ms").Should(gomega.Equal(api.TaskExitFailed))
 		gomega.Expect(f.task("here").Exit).To(gomega.Equal(api.TaskExitFailed))
 		gomega.Expect(f.task("elsewhere").State).To(gomega.Equal(api.TaskStateRunning))
 	})
