Take defaults for loggers, scopes and tracers from one place

Ruled out: making them mandatory; tests and embedders leave them out. Change: telemetry.Logger, Scope and Tracer in constructors.

--- a/internal/configuration/service.go
+++ b/internal/configuration/service.go
@@ -100,9 +100,7 @@
 	if c.Zones == nil {
 		c.Zones = func() []string { return nil }
 	}
-	if c.Logger == nil {
-		c.Logger = zap.NewNop()
-	}
+	c.Logger = telemetry.Logger(c.Logger)
 	c.Scope = telemetry.Scope(c.Scope)
 	c.Tracer = telemetry.Tracer(c.Tracer)
 }
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -13,7 +13,6 @@
 	"github.com/rotisserie/eris"
 	"github.com/uber-go/tally/v4"
 	"go.opentelemetry.io/otel/trace"
-	"go.opentelemetry.io/otel/trace/noop"
 	"go.uber.org/zap"
 
 	"github.com/samphirepath/samphirepath/api"
@@ -22,6 +21,7 @@
 	"github.com/samphirepath/samphirepath/internal/peers"
 	"github.com/samphirepath/samphirepath/internal/planner"
 	"github.com/samphirepath/samphirepath/internal/platform"
+	"github.com/samphirepath/samphirepath/internal/telemetry"
 	"github.com/samphirepath/samphirepath/lease"
 )
 
@@ -160,15 +160,9 @@
 	if cfg.VMListEvery <= 0 {
 		cfg.VMListEvery = defaultVMListEvery
 	}
-	if cfg.Log == nil {
-		cfg.Log = zap.NewNop()
-	}
-	if cfg.Scope == nil {
-		cfg.Scope = tally.NoopScope
-	}
-	if cfg.Tracer == nil {
-		cfg.Tracer = noop.NewTracerProvider().Tracer("control")
-	}
+	cfg.Log = telemetry.Logger(cfg.Log)
+	cfg.Scope = telemetry.Scope(cfg.Scope)
+	cfg.Tracer = telemetry.Tracer(cfg.Tracer)
 	if cfg.Quarantine == nil {
 		cfg.Quarantine = noQuarantine{}
 	}
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -12,11 +12,11 @@
 	"github.com/labstack/echo/v4"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
-	"go.opentelemetry.io/otel/trace/noop"
 	"go.uber.org/zap"
 
 	"github.com/samphirepath/samphirepath/api"
 	"github.com/samphirepath/samphirepath/internal/jobs"
+	"github.com/samphirepath/samphirepath/internal/telemetry"
 )
 
 const (
@@ -64,12 +64,8 @@
 	if cfg.MaxBodyBytes <= 0 {
 		cfg.MaxBodyBytes = defaultMaxJobBytes
 	}
-	if cfg.Log == nil {
-		cfg.Log = zap.NewNop()
-	}
-	if cfg.Tracer == nil {
-		cfg.Tracer = noop.NewTracerProvider().Tracer("entry")
-	}
+	cfg.Log = telemetry.Logger(cfg.Log)
+	cfg.Tracer = telemetry.Tracer(cfg.Tracer)
 	return &JobHandlers{cfg: cfg}
 }
 
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -13,12 +13,12 @@
 	"github.com/rotisserie/eris"
 	"github.com/uber-go/tally/v4"
 	"go.opentelemetry.io/otel/trace"
-	"go.opentelemetry.io/otel/trace/noop"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/samphirepath/samphirepath/api"
 	"github.com/samphirepath/samphirepath/internal/configuration"
+	"github.com/samphirepath/samphirepath/internal/telemetry"
 )
 
 const (
@@ -68,15 +68,9 @@
 
 // New returns a server; Listen and Run start it.
 func New(config Config) *Server {
-	if config.Log == nil {
-		config.Log = zap.NewNop()
-	}
-	if config.Scope == nil {
-		config.Scope = tally.NoopScope
-	}
-	if config.Tracer == nil {
-		config.Tracer = noop.NewTracerProvider().Tracer("entry")
-	}
+	config.Log = telemetry.Logger(config.Log)
+	config.Scope = telemetry.Scope(config.Scope)
+	config.Tracer = telemetry.Tracer(config.Tracer)
 	if config.GracefulStop <= 0 {
 		config.GracefulStop = defaultGracefulStop
 	}
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -13,7 +13,6 @@
 
 	"github.com/uber-go/tally/v4"
 	"go.opentelemetry.io/otel/trace"
-	"go.opentelemetry.io/otel/trace/noop"
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
 
@@ -22,6 +21,7 @@
 	"github.com/samphirepath/samphirepath/internal/jobs"
 	"github.com/samphirepath/samphirepath/internal/peers"
 	"github.com/samphirepath/samphirepath/internal/platform"
+	"github.com/samphirepath/samphirepath/internal/telemetry"
 )
 
 const (
@@ -114,15 +114,9 @@
 	if cfg.StartsPerSecond <= 0 {
 		cfg.StartsPerSecond = defaultStartsPerSecond
 	}
-	if cfg.Log == nil {
-		cfg.Log = zap.NewNop()
-	}
-	if cfg.Scope == nil {
-		cfg.Scope = tally.NoopScope
-	}
-	if cfg.Tracer == nil {
-		cfg.Tracer = noop.NewTracerProvider().Tracer("executor")
-	}
+	cfg.Log = telemetry.Logger(cfg.Log)
+	cfg.Scope = telemetry.Scope(cfg.Scope)
+	cfg.Tracer = telemetry.Tracer(cfg.Tracer)
 	// A larger burst would let the zone start more than the limit in the first
 	// second after its return.
 	limiter := rate.NewLimiter(rate.Limit(cfg.StartsPerSecond), 1)
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -15,6 +15,7 @@
 
 	"github.com/samphirepath/samphirepath/api"
 	"github.com/samphirepath/samphirepath/internal/platform"
+	"github.com/samphirepath/samphirepath/internal/telemetry"
 )
 
 const (
@@ -44,9 +45,7 @@
 
 // New returns an empty inventory.
 func New(cfg Config) *Inventory {
-	if cfg.Log == nil {
-		cfg.Log = zap.NewNop()
-	}
+	cfg.Log = telemetry.Logger(cfg.Log)
 	return &Inventory{cfg: cfg, reports: map[string]api.WorkerReport{}}
 }
 
--- a/internal/jobs/applier.go
+++ b/internal/jobs/applier.go
@@ -10,6 +10,7 @@
 
 	"github.com/samphirepath/samphirepath/api"
 	"github.com/samphirepath/samphirepath/internal/planner"
+	"github.com/samphirepath/samphirepath/internal/telemetry"
 )
 
 const (
@@ -52,12 +53,8 @@
 	if cfg.Epoch == nil {
 		cfg.Epoch = func() int64 { return 0 }
 	}
-	if cfg.Log == nil {
-		cfg.Log = zap.NewNop()
-	}
-	if cfg.Scope == nil {
-		cfg.Scope = tally.NoopScope
-	}
+	cfg.Log = telemetry.Logger(cfg.Log)
+	cfg.Scope = telemetry.Scope(cfg.Scope)
 	return &Applier{cfg: cfg, unsettled: map[string]Change{}}
 }
 
--- a/internal/jobs/follower.go
+++ b/internal/jobs/follower.go
@@ -13,6 +13,7 @@
 
 	"github.com/samphirepath/samphirepath/api"
 	"github.com/samphirepath/samphirepath/internal/peers"
+	"github.com/samphirepath/samphirepath/internal/telemetry"
 	"github.com/samphirepath/samphirepath/table"
 )
 
@@ -55,12 +56,8 @@
 	if cfg.PollEvery <= 0 {
 		cfg.PollEvery = DefaultPollEvery
 	}
-	if cfg.Log == nil {
-		cfg.Log = zap.NewNop()
-	}
-	if cfg.Scope == nil {
-		cfg.Scope = tally.NoopScope
-	}
+	cfg.Log = telemetry.Logger(cfg.Log)
+	cfg.Scope = telemetry.Scope(cfg.Scope)
 	f := &Follower{cfg: cfg, hint: make(chan struct{}, 1), rows: map[string]*Row{}, changed: make(chan struct{})}
 	if cfg.Network != nil {
 		cfg.Network.Handle(peers.KindJobHint, f.onHint)
--- a/internal/jobs/submit.go
+++ b/internal/jobs/submit.go
@@ -10,6 +10,7 @@
 
 	"github.com/samphirepath/samphirepath/api"
 	"github.com/samphirepath/samphirepath/internal/configuration"
+	"github.com/samphirepath/samphirepath/internal/telemetry"
 )
 
 // retryPause is the pause between two tries of a write within its deadline.
@@ -62,12 +63,8 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
-	if cfg.Log == nil {
-		cfg.Log = zap.NewNop()
-	}
-	if cfg.Scope == nil {
-		cfg.Scope = tally.NoopScope
-	}
+	cfg.Log = telemetry.Logger(cfg.Log)
+	cfg.Scope = telemetry.Scope(cfg.Scope)
 	return &Service{cfg: cfg}
 }
 
--- a/internal/jobs/writer.go
+++ b/internal/jobs/writer.go
@@ -10,6 +10,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/samphirepath/samphirepath/api"
+	"github.com/samphirepath/samphirepath/internal/telemetry"
 	"github.com/samphirepath/samphirepath/table"
 )
 
@@ -91,12 +92,8 @@
 
 // NewWriter returns a writer; Run must run for changes to be made.
 func NewWriter(cfg WriterConfig) *Writer {
-	if cfg.Log == nil {
-		cfg.Log = zap.NewNop()
-	}
-	if cfg.Scope == nil {
-		cfg.Scope = tally.NoopScope
-	}
+	cfg.Log = telemetry.Logger(cfg.Log)
+	cfg.Scope = telemetry.Scope(cfg.Scope)
 	if cfg.Limiter == nil {
 		cfg.Limiter = rate.NewLimiter(rate.Inf, 1)
 	}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -17,6 +17,7 @@
 	"github.com/samphirepath/samphirepath/internal/jobs"
 	"github.com/samphirepath/samphirepath/internal/peers"
 	"github.com/samphirepath/samphirepath/internal/platform"
+	"github.com/samphirepath/samphirepath/internal/telemetry"
 )
 
 const (
@@ -77,12 +78,8 @@
 	if cfg.MaxClockSkew <= 0 {
 		cfg.MaxClockSkew = defaultClockSkew
 	}
-	if cfg.Log == nil {
-		cfg.Log = zap.NewNop()
-	}
-	if cfg.Scope == nil {
-		cfg.Scope = tally.NoopScope
-	}
+	cfg.Log = telemetry.Logger(cfg.Log)
+	cfg.Scope = telemetry.Scope(cfg.Scope)
 	if cfg.Planning == nil {
 		cfg.Planning = func() bool { return false }
 	}
--- a/internal/peers/mesh.go
+++ b/internal/peers/mesh.go
@@ -135,9 +135,7 @@
 	if c.Dial == nil {
 		c.Dial = (&net.Dialer{}).DialContext
 	}
-	if c.Logger == nil {
-		c.Logger = zap.NewNop()
-	}
+	c.Logger = telemetry.Logger(c.Logger)
 	c.Scope = telemetry.Scope(c.Scope)
 	c.Tracer = telemetry.Tracer(c.Tracer)
 }
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -10,8 +10,9 @@
 	"github.com/rotisserie/eris"
 	"github.com/uber-go/tally/v4"
 	"go.opentelemetry.io/otel/trace"
-	"go.opentelemetry.io/otel/trace/noop"
 	"go.uber.org/zap"
+
+	"github.com/samphirepath/samphirepath/internal/telemetry"
 )
 
 // Defaults of Config.
@@ -65,15 +66,9 @@
 	c.DialTimeout = cmp.Or(c.DialTimeout, DefaultDialTimeout)
 	c.Connections = cmp.Or(c.Connections, connections)
 	c.MaxAnswerBytes = cmp.Or(c.MaxAnswerBytes, answerBytes)
-	if c.Logger == nil {
-		c.Logger = zap.NewNop()
-	}
-	if c.Scope == nil {
-		c.Scope = tally.NoopScope
-	}
-	if c.Tracer == nil {
-		c.Tracer = noop.NewTracerProvider().Tracer("")
-	}
+	c.Logger = telemetry.Logger(c.Logger)
+	c.Scope = telemetry.Scope(c.Scope)
+	c.Tracer = telemetry.Tracer(c.Tracer)
 	c.Logger = c.Logger.Named(part)
 	c.part = part
 	return c
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -10,7 +10,6 @@
 	"github.com/rotisserie/eris"
 	"github.com/uber-go/tally/v4"
 	"go.opentelemetry.io/otel/trace"
-	"go.opentelemetry.io/otel/trace/noop"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
@@ -19,6 +18,7 @@
 	"github.com/samphirepath/samphirepath/internal/configuration"
 	"github.com/samphirepath/samphirepath/internal/peers"
 	"github.com/samphirepath/samphirepath/internal/platform"
+	"github.com/samphirepath/samphirepath/internal/telemetry"
 	"github.com/samphirepath/samphirepath/retry"
 )
 
@@ -104,15 +104,9 @@
 
 // New returns a router and registers its handlers with the network.
 func New(config Config) *Router {
-	if config.Log == nil {
-		config.Log = zap.NewNop()
-	}
-	if config.Scope == nil {
-		config.Scope = tally.NoopScope
-	}
-	if config.Tracer == nil {
-		config.Tracer = noop.NewTracerProvider().Tracer("router")
-	}
+	config.Log = telemetry.Logger(config.Log)
+	config.Scope = telemetry.Scope(config.Scope)
+	config.Tracer = telemetry.Tracer(config.Tracer)
 	if config.Ejection <= 0 {
 		config.Ejection = defaultEjection
 	}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -11,6 +11,7 @@
 
 	"github.com/samphirepath/samphirepath/api"
 	"github.com/samphirepath/samphirepath/internal/platform"
+	"github.com/samphirepath/samphirepath/internal/telemetry"
 )
 
 // Addresses are the listeners of a process, host:port, empty when not hosted.
@@ -59,9 +60,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if expanded.Logger == nil {
-		expanded.Logger = zap.NewNop()
-	}
+	expanded.Logger = telemetry.Logger(expanded.Logger)
 	s := &Standin{
 		config: expanded, logger: expanded.Logger.Named("standin"),
 		servers: map[string]*server{}, switches: map[string]*faultSwitch{},
--- a/internal/telemetry/logs.go
+++ b/internal/telemetry/logs.go
@@ -34,8 +34,13 @@
 // Part returns the logger of one part of the daemon; a nil logger gives one
 // that drops everything.
 func Part(logger *zap.Logger, name string) *zap.Logger {
+	return Logger(logger).Named(name)
+}
+
+// Logger returns the logger itself, or one that drops everything when it is nil.
+func Logger(logger *zap.Logger) *zap.Logger {
 	if logger == nil {
 		return zap.NewNop()
 	}
-	return logger.Named(name)
+	return logger
 }
