--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -20,7 +20,7 @@
 	"github.com/samphirepath/samphirepath/internal/jobs"
 	"github.com/samphirepath/samphirepath/internal/peers"
 	"github.com/samphirepath/samphirepath/internal/planner"
-	"github.com/samphirepath/samphirepath/internal/platform"
+	"github.com/samphirepath/samphirepath/internal/refplatform"
 	"github.com/samphirepath/samphirepath/internal/telemetry"
 	"github.com/samphirepath/samphirepath/lease"
 )
@@ -79,8 +79,8 @@
 	Follower *jobs.Follower
 	Applier  *jobs.Applier
 	View     configuration.View
-	VMs      platform.VMs
-	Workers  platform.Workers
+	VMs      refplatform.VMs
+	Workers  refplatform.Workers
 	Network  peers.Network // may be nil; task updates of keepers come through it
 	// Plan computes a plan; it is pure and takes milliseconds.
 	Plan func(planner.Snapshot) planner.Plan
--- a/internal/daemon/clients.go
+++ b/internal/daemon/clients.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/samphirepath/samphirepath/internal/platform"
+	"github.com/samphirepath/samphirepath/internal/refplatform"
 	"github.com/samphirepath/samphirepath/internal/telemetry"
 	"github.com/samphirepath/samphirepath/table"
 )
@@ -11,10 +11,10 @@
 // clients reach the services of the platform.
 type clients struct {
 	table   table.Store
-	objects platform.Objects
-	vms     platform.VMs
-	workers platform.Workers
-	minions platform.Minions
+	objects refplatform.Objects
+	vms     refplatform.VMs
+	workers refplatform.Workers
+	minions refplatform.Minions
 }
 
 const (
@@ -31,25 +31,25 @@
 	var c clients
 	var err error
 	service.URL = p.TableURL
-	if c.table, err = platform.NewTable(service); err != nil {
+	if c.table, err = refplatform.NewTable(service); err != nil {
 		return c, err
 	}
 	service.URL = p.ObjectsURL
-	if c.objects, err = platform.NewObjects(service); err != nil {
+	if c.objects, err = refplatform.NewObjects(service); err != nil {
 		return c, err
 	}
 	service.URL = p.VmsURL
-	vms, err := platform.NewVMs(service)
+	vms, err := refplatform.NewVMs(service)
 	if err != nil {
 		return c, err
 	}
 	// Readings are shared by parts that poll at the same interval; half of it
 	// keeps a reading younger than one interval and a half.
-	c.vms = platform.NewSharedVMs(vms, d.settings.Timing.VMListEvery.Std()/2)
-	c.workers = platform.NewWorkers(d.clientConfig("workers", p.RequestTimeout.Std(), workerConnections))
+	c.vms = refplatform.NewSharedVMs(vms, d.settings.Timing.VMListEvery.Std()/2)
+	c.workers = refplatform.NewWorkers(d.clientConfig("workers", p.RequestTimeout.Std(), workerConnections))
 	t := d.settings.Timing
 	longest := longestDeadline + t.LateAnswerWait.Std()
-	c.minions = platform.NewMinions(d.clientConfig("minions", longest, d.settings.Limits.MinionConnections))
+	c.minions = refplatform.NewMinions(d.clientConfig("minions", longest, d.settings.Limits.MinionConnections))
 	return c, nil
 }
 
@@ -57,8 +57,8 @@
 // by their own deadline.
 const longestDeadline = time.Hour
 
-func (d *Daemon) clientConfig(part string, timeout time.Duration, connections int) platform.Config {
-	return platform.Config{
+func (d *Daemon) clientConfig(part string, timeout time.Duration, connections int) refplatform.Config {
+	return refplatform.Config{
 		Timeout: timeout, DialTimeout: d.settings.Platform.RequestTimeout.Std(), Connections: connections,
 		Logger: telemetry.Part(d.log, "platform"), Scope: d.metrics.Scope, Tracer: d.traces.Tracer(part),
 	}
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -20,7 +20,7 @@
 	"github.com/samphirepath/samphirepath/internal/configuration"
 	"github.com/samphirepath/samphirepath/internal/jobs"
 	"github.com/samphirepath/samphirepath/internal/peers"
-	"github.com/samphirepath/samphirepath/internal/platform"
+	"github.com/samphirepath/samphirepath/internal/refplatform"
 	"github.com/samphirepath/samphirepath/internal/telemetry"
 )
 
@@ -52,7 +52,7 @@
 	Zone     string
 	Follower *jobs.Follower
 	Applier  *jobs.Applier
-	Workers  platform.Workers
+	Workers  refplatform.Workers
 	View     configuration.View
 	Network  peers.Network
 	Places   Places
--- a/internal/executor/parts_test.go
+++ b/internal/executor/parts_test.go
@@ -12,7 +12,7 @@
 	"github.com/samphirepath/samphirepath/api"
 	"github.com/samphirepath/samphirepath/internal/configuration"
 	"github.com/samphirepath/samphirepath/internal/jobs"
-	"github.com/samphirepath/samphirepath/internal/platform"
+	"github.com/samphirepath/samphirepath/internal/refplatform"
 )
 
 // Guards against a place that is given away while a keeper may still renew.
@@ -64,7 +64,7 @@
 
 // recorder notes when each job was started and never answers.
 type recorder struct {
-	platform.Workers
+	refplatform.Workers
 	mu      sync.Mutex
 	started []string
 	times   []time.Time
--- a/internal/executor/rig_test.go
+++ b/internal/executor/rig_test.go
@@ -18,7 +18,7 @@
 	"github.com/samphirepath/samphirepath/internal/executor"
 	"github.com/samphirepath/samphirepath/internal/jobs"
 	"github.com/samphirepath/samphirepath/internal/keeper"
-	"github.com/samphirepath/samphirepath/internal/platform"
+	"github.com/samphirepath/samphirepath/internal/refplatform"
 	"github.com/samphirepath/samphirepath/lease"
 	"github.com/samphirepath/samphirepath/table"
 )
@@ -138,7 +138,7 @@
 		CheckpointWait: 300 * time.Millisecond, CheckpointEvery: c.checkpointEvery, StartWait: startWait, StartsPerSecond: 1000,
 	})
 	keep := keeper.New(keeper.Config{
-		Zone: zone, Follower: d.follower, Network: d.net, Workers: platform.Workers(d.workers), Address: d.control.Address,
+		Zone: zone, Follower: d.follower, Network: d.net, Workers: refplatform.Workers(d.workers), Address: d.control.Address,
 		Planning: func() bool { return d.control.Current().Planning }, Local: d.control.TaskUpdate,
 		RenewEvery: renewEvery, TaskLease: taskLease, MaxClockSkew: skew,
 	})
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -14,7 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/samphirepath/samphirepath/api"
-	"github.com/samphirepath/samphirepath/internal/platform"
+	"github.com/samphirepath/samphirepath/internal/refplatform"
 	"github.com/samphirepath/samphirepath/internal/telemetry"
 )
 
@@ -27,8 +27,8 @@
 
 // Config holds the dependencies of an Inventory.
 type Config struct {
-	VMs     platform.VMs
-	Workers platform.Workers
+	VMs     refplatform.VMs
+	Workers refplatform.Workers
 	Log     *zap.Logger
 }
 
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -16,7 +16,7 @@
 	"github.com/samphirepath/samphirepath/api"
 	"github.com/samphirepath/samphirepath/internal/jobs"
 	"github.com/samphirepath/samphirepath/internal/peers"
-	"github.com/samphirepath/samphirepath/internal/platform"
+	"github.com/samphirepath/samphirepath/internal/refplatform"
 	"github.com/samphirepath/samphirepath/internal/telemetry"
 )
 
@@ -43,7 +43,7 @@
 	Zone     string
 	Follower *jobs.Follower
 	Network  peers.Network
-	Workers  platform.Workers
+	Workers  refplatform.Workers
 	// Address returns the address of a worker by the VM list.
 	Address func(worker string) (string, bool)
 	// Planning tells whether this daemon plans for the zone; task states then go
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -14,7 +14,7 @@
 	"github.com/samphirepath/samphirepath/api"
 	"github.com/samphirepath/samphirepath/internal/jobs"
 	"github.com/samphirepath/samphirepath/internal/peers"
-	"github.com/samphirepath/samphirepath/internal/platform"
+	"github.com/samphirepath/samphirepath/internal/refplatform"
 )
 
 func TestKeeper(t *testing.T) {
@@ -26,7 +26,7 @@
 
 // fleet records renewals and answers for the tasks that it knows.
 type fleet struct {
-	platform.Workers
+	refplatform.Workers
 	mu     sync.Mutex
 	tasks  map[string]map[string]api.TaskReport
 	silent map[string]bool
--- a/internal/keeper/renew.go
+++ b/internal/keeper/renew.go
@@ -10,7 +10,7 @@
 	"github.com/samphirepath/samphirepath/api"
 	"github.com/samphirepath/samphirepath/gang"
 	"github.com/samphirepath/samphirepath/internal/jobs"
-	"github.com/samphirepath/samphirepath/internal/platform"
+	"github.com/samphirepath/samphirepath/internal/refplatform"
 )
 
 // endOfTime is later than any send time.
@@ -224,7 +224,7 @@
 // renewAny takes the set form unless the worker has just been asked for a report:
 // the tasks of a gang without a common expiry must not be extended by a set.
 func (k *Keeper) renewAny(ctx context.Context, c *call, address string, leases []api.TaskLease) ([]api.TaskReport, error) {
-	if renewer, ok := k.cfg.Workers.(platform.SetRenewer); ok && !c.contact && !c.set.fullForm() {
+	if renewer, ok := k.cfg.Workers.(refplatform.SetRenewer); ok && !c.contact && !c.set.fullForm() {
 		reports, err := k.renewSet(ctx, renewer, c.set, address, leases)
 		if err != nil || !c.set.fullForm() {
 			return reports, err
--- a/internal/keeper/sets.go
+++ b/internal/keeper/sets.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/samphirepath/samphirepath/api"
-	"github.com/samphirepath/samphirepath/internal/platform"
+	"github.com/samphirepath/samphirepath/internal/refplatform"
 )
 
 const (
@@ -57,7 +57,7 @@
 // renewSet renews the tasks as a set, and defines the set when the worker does
 // not know it. What is known of the worker changes only with an answer, so after
 // a lost one the worker is asked the same again.
-func (k *Keeper) renewSet(ctx context.Context, renewer platform.SetRenewer, known *workerSet, address string, leases []api.TaskLease) ([]api.TaskReport, error) {
+func (k *Keeper) renewSet(ctx context.Context, renewer refplatform.SetRenewer, known *workerSet, address string, leases []api.TaskLease) ([]api.TaskReport, error) {
 	message := setMessage(k.cfg.Network.Self().VM, leases)
 	if message.Set.Hash == known.hash {
 		message.Set.Seen = known.seen
@@ -79,7 +79,7 @@
 }
 
 // sendSet sends one renewal of a set. unknown tells that the worker has renewed nothing.
-func (k *Keeper) sendSet(ctx context.Context, renewer platform.SetRenewer, known *workerSet, address string, message api.RenewTasks, leases []api.TaskLease) (reports []api.TaskReport, unknown bool, err error) {
+func (k *Keeper) sendSet(ctx context.Context, renewer refplatform.SetRenewer, known *workerSet, address string, message api.RenewTasks, leases []api.TaskLease) (reports []api.TaskReport, unknown bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	k.cfg.Scope.Counter("renewals").Inc(1)
@@ -111,7 +111,7 @@
 			common = l.LeaseExpiresMs
 		}
 	}
-	message := api.RenewTasks{Leases: []api.TaskLease{}, Set: &api.RenewSet{Holder: holder, Hash: platform.SetHash(ids), ExpiresMs: common}}
+	message := api.RenewTasks{Leases: []api.TaskLease{}, Set: &api.RenewSet{Holder: holder, Hash: refplatform.SetHash(ids), ExpiresMs: common}}
 	for _, l := range leases {
 		if l.LeaseExpiresMs != common {
 			message.Leases = append(message.Leases, l)
--- a/internal/keeper/sets_test.go
+++ b/internal/keeper/sets_test.go
@@ -12,13 +12,13 @@
 	"github.com/samphirepath/samphirepath/api"
 	"github.com/samphirepath/samphirepath/internal/jobs"
 	"github.com/samphirepath/samphirepath/internal/peers"
-	"github.com/samphirepath/samphirepath/internal/platform"
+	"github.com/samphirepath/samphirepath/internal/refplatform"
 	"github.com/samphirepath/samphirepath/internal/standin"
 )
 
 // recorder is a client of workers that records renewals.
 type recorder struct {
-	*platform.WorkersClient
+	*refplatform.WorkersClient
 	mu    sync.Mutex
 	sets  []api.RenewTasks
 	full  [][]api.TaskLease
@@ -87,7 +87,7 @@
 
 // keeper returns a keeper with its recorder and the ended tasks that it has told.
 func (r *setRig) keeper() (*Keeper, *recorder, map[string]api.TaskReport) {
-	client := &recorder{WorkersClient: platform.NewWorkers(platform.Config{})}
+	client := &recorder{WorkersClient: refplatform.NewWorkers(refplatform.Config{})}
 	DeferCleanup(client.Close)
 	told := map[string]api.TaskReport{}
 	k := New(Config{Zone: "z", Follower: r.follower, Network: &network{announced: -1}, Workers: client, Address: r.address,
@@ -103,7 +103,7 @@
 // run starts a job with one task on each worker and stores its row.
 func (r *setRig) run(id string, parameters map[string]string, workers ...string) {
 	GinkgoHelper()
-	client := platform.NewWorkers(platform.Config{})
+	client := refplatform.NewWorkers(refplatform.Config{})
 	defer client.Close()
 	job := api.Job{ID: id, State: api.JobStateRunning, Zone: "z", Attempt: 1, PlacedMs: time.Now().Add(-time.Minute).UnixMilli()}
 	for i, w := range workers {
@@ -123,7 +123,7 @@
 // lease returns the expiry of a task on w1.
 func (r *setRig) lease(task string) int64 {
 	GinkgoHelper()
-	client := platform.NewWorkers(platform.Config{})
+	client := refplatform.NewWorkers(refplatform.Config{})
 	defer client.Close()
 	address, _ := r.address("w1")
 	reports, err := client.Renew(context.Background(), address, []api.TaskLease{{TaskID: task}})
--- a/internal/peers/mesh.go
+++ b/internal/peers/mesh.go
@@ -17,7 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/samphirepath/samphirepath/api"
-	"github.com/samphirepath/samphirepath/internal/platform"
+	"github.com/samphirepath/samphirepath/internal/refplatform"
 	"github.com/samphirepath/samphirepath/internal/telemetry"
 	"github.com/samphirepath/samphirepath/revision"
 )
@@ -40,7 +40,7 @@
 	Token    string
 	Seeds    []string
 	// VMs is the list of the platform; nil leaves only seeds and direct contact.
-	VMs            platform.VMs
+	VMs            refplatform.VMs
 	VMListEvery    time.Duration // default 1 s
 	HeartbeatEvery time.Duration // default 250 ms
 	LostAfter      time.Duration // default 1 s
--- a/internal/platform/bench_test.go
+++ b/internal/refplatform/bench_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package refplatform_test
 
 import (
 	"context"
@@ -6,7 +6,7 @@
 
 	"github.com/uber-go/tally/v4"
 
-	"github.com/samphirepath/samphirepath/internal/platform"
+	"github.com/samphirepath/samphirepath/internal/refplatform"
 	"github.com/samphirepath/samphirepath/internal/standin"
 )
 
@@ -20,11 +20,11 @@
 	ended := make(chan error, 1)
 	go func() { ended <- s.Run(ctx) }()
 	scope := tally.NewTestScope("", nil)
-	client := platform.NewMinions(platform.Config{Scope: scope})
+	client := refplatform.NewMinions(refplatform.Config{Scope: scope})
 	address := s.Addresses().Minions["m1"]
 	b.ReportAllocs()
 	for b.Loop() {
-		if reply := client.Send(ctx, address, request("r1", `{}`)); reply.Status != platform.MinionRan {
+		if reply := client.Send(ctx, address, request("r1", `{}`)); reply.Status != refplatform.MinionRan {
 			b.Fatal(reply.Status, reply.Err)
 		}
 	}
--- a/internal/platform/config.go
+++ b/internal/refplatform/config.go
@@ -1,4 +1,4 @@
-package platform
+package refplatform
 
 import (
 	"cmp"
--- a/internal/platform/minions_test.go
+++ b/internal/refplatform/minions_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package refplatform_test
 
 import (
 	"context"
@@ -15,7 +15,7 @@
 	"github.com/uber-go/tally/v4"
 	sdk "go.opentelemetry.io/otel/sdk/trace"
 
-	"github.com/samphirepath/samphirepath/internal/platform"
+	"github.com/samphirepath/samphirepath/internal/refplatform"
 	"github.com/samphirepath/samphirepath/internal/standin"
 )
 
@@ -27,21 +27,21 @@
 	return s, s.Addresses().Minions["m1"]
 }
 
-func minionsClient(c platform.Config) *platform.MinionsClient {
-	client := platform.NewMinions(c)
+func minionsClient(c refplatform.Config) *refplatform.MinionsClient {
+	client := refplatform.NewMinions(c)
 	closeAfter(client)
 	return client
 }
 
-func request(id, body string) platform.MinionRequest {
-	return platform.MinionRequest{RequestID: id, Entry: "plan", Body: []byte(body), DeadlineMs: 1000}
+func request(id, body string) refplatform.MinionRequest {
+	return refplatform.MinionRequest{RequestID: id, Entry: "plan", Body: []byte(body), DeadlineMs: 1000}
 }
 
 // withHeaders gives an answer with the headers of a minion, for the request "r1".
 func withHeaders(status, body string) string {
 	header := http.Header{}
-	platform.SetBodyHeaders(header, []byte(body))
-	header.Set(platform.HeaderRequestID, "r1")
+	refplatform.SetBodyHeaders(header, []byte(body))
+	header.Set(refplatform.HeaderRequestID, "r1")
 	var text strings.Builder
 	_ = header.Write(&text)
 	return raw(status, text.String(), body)
@@ -52,12 +52,12 @@
 
 	ginkgo.It("returns the whole answer to its own request", func() {
 		s, address := hostMinion(standin.MinionConfig{})
-		client := minionsClient(platform.Config{})
+		client := minionsClient(refplatform.Config{})
 		for i := range 3 {
 			id := fmt.Sprint("r", i)
 			reply := client.Send(ctx, address, request(id, `{"echo":"`+id+`","key":"k"}`))
 			gomega.Expect(reply.Err).NotTo(gomega.HaveOccurred())
-			gomega.Expect(reply.Status).To(gomega.Equal(platform.MinionRan))
+			gomega.Expect(reply.Status).To(gomega.Equal(refplatform.MinionRan))
 			var answer standin.MinionAnswer
 			gomega.Expect(json.Unmarshal(reply.Body, &answer)).To(gomega.Succeed())
 			gomega.Expect(answer.RequestID).To(gomega.Equal(id))
@@ -72,77 +72,77 @@
 	// Guards against a truncated or crossed answer that passes as success, and
 	// against "not run" for a request that ran.
 	ginkgo.DescribeTable("tells what became of a request when the minion fails",
-		func(faults standin.Faults, status platform.MinionStatus, executions int) {
+		func(faults standin.Faults, status refplatform.MinionStatus, executions int) {
 			s, address := hostMinion(standin.MinionConfig{})
-			client := minionsClient(platform.Config{Timeout: shortTimeout})
+			client := minionsClient(refplatform.Config{Timeout: shortTimeout})
 			setFaults(s, minionTarget, faults)
 			reply := client.Send(ctx, address, request("r1", `{"echo":1}`))
 			gomega.Expect(reply.Status).To(gomega.Equal(status))
 			setFaults(s, minionTarget, standin.Faults{})
 			gomega.Eventually(func() int { return len(s.Executions()) }, "3s").Should(gomega.Equal(executions))
 		},
-		ginkgo.Entry("healthy", standin.Faults{}, platform.MinionRan, 1),
-		ginkgo.Entry("slow", standin.Faults{DelayMs: 20}, platform.MinionRan, 1),
-		ginkgo.Entry("fails all", standin.Faults{Fail: true}, platform.MinionFailed, 1),
-		ginkgo.Entry("truncated", standin.Faults{Truncate: true}, platform.MinionUnknown, 1),
-		ginkgo.Entry("truncated failure", standin.Faults{Truncate: true, Fail: true}, platform.MinionUnknown, 1),
-		ginkgo.Entry("crossed", standin.Faults{Cross: true}, platform.MinionUnknown, 1),
-		ginkgo.Entry("wrong checksum", standin.Faults{WrongChecksum: true}, platform.MinionUnknown, 1),
-		ginkgo.Entry("lost answer", standin.Faults{LoseEvery: 1}, platform.MinionUnknown, 1),
-		ginkgo.Entry("slower than the timeout", standin.Faults{DelayMs: 600}, platform.MinionUnknown, 0),
-		ginkgo.Entry("refused connection", standin.Faults{Refuse: true}, platform.MinionNotRun, 0),
-		ginkgo.Entry("says not run", standin.Faults{Down: true}, platform.MinionNotRun, 0),
+		ginkgo.Entry("healthy", standin.Faults{}, refplatform.MinionRan, 1),
+		ginkgo.Entry("slow", standin.Faults{DelayMs: 20}, refplatform.MinionRan, 1),
+		ginkgo.Entry("fails all", standin.Faults{Fail: true}, refplatform.MinionFailed, 1),
+		ginkgo.Entry("truncated", standin.Faults{Truncate: true}, refplatform.MinionUnknown, 1),
+		ginkgo.Entry("truncated failure", standin.Faults{Truncate: true, Fail: true}, refplatform.MinionUnknown, 1),
+		ginkgo.Entry("crossed", standin.Faults{Cross: true}, refplatform.MinionUnknown, 1),
+		ginkgo.Entry("wrong checksum", standin.Faults{WrongChecksum: true}, refplatform.MinionUnknown, 1),
+		ginkgo.Entry("lost answer", standin.Faults{LoseEvery: 1}, refplatform.MinionUnknown, 1),
+		ginkgo.Entry("slower than the timeout", standin.Faults{DelayMs: 600}, refplatform.MinionUnknown, 0),
+		ginkgo.Entry("refused connection", standin.Faults{Refuse: true}, refplatform.MinionNotRun, 0),
+		ginkgo.Entry("says not run", standin.Faults{Down: true}, refplatform.MinionNotRun, 0),
 	)
 
 	ginkgo.It("does not take an earlier answer on the same connection for the present one", func() {
 		s, address := hostMinion(standin.MinionConfig{})
-		client := minionsClient(platform.Config{Connections: 1})
-		gomega.Expect(client.Send(ctx, address, request("r1", `{}`)).Status).To(gomega.Equal(platform.MinionRan))
+		client := minionsClient(refplatform.Config{Connections: 1})
+		gomega.Expect(client.Send(ctx, address, request("r1", `{}`)).Status).To(gomega.Equal(refplatform.MinionRan))
 		setFaults(s, minionTarget, standin.Faults{Cross: true})
 		reply := client.Send(ctx, address, request("r2", `{}`))
-		gomega.Expect(reply.Status).To(gomega.Equal(platform.MinionUnknown))
+		gomega.Expect(reply.Status).To(gomega.Equal(refplatform.MinionUnknown))
 		gomega.Expect(reply.Body).To(gomega.BeNil())
 	})
 
 	ginkgo.It("learns that a minion is leaving", func() {
 		s, address := hostMinion(standin.MinionConfig{})
 		setFaults(s, minionTarget, standin.Faults{Leaving: true})
-		reply := minionsClient(platform.Config{}).Send(ctx, address, request("r1", `{}`))
-		gomega.Expect(reply.Status).To(gomega.Equal(platform.MinionRan))
+		reply := minionsClient(refplatform.Config{}).Send(ctx, address, request("r1", `{}`))
+		gomega.Expect(reply.Status).To(gomega.Equal(refplatform.MinionRan))
 		gomega.Expect(reply.Leaving).To(gomega.BeTrue())
 		gomega.Expect(s.Executions()[0].Leaving).To(gomega.BeTrue())
 	})
 
 	ginkgo.DescribeTable("judges an answer by its headers",
-		func(answer string, status platform.MinionStatus) {
-			reply := minionsClient(platform.Config{Timeout: time.Second, MaxAnswerBytes: 1000}).
+		func(answer string, status refplatform.MinionStatus) {
+			reply := minionsClient(refplatform.Config{Timeout: time.Second, MaxAnswerBytes: 1000}).
 				Send(ctx, rawServer(answer), request("r1", "{}"))
 			gomega.Expect(reply.Status).To(gomega.Equal(status))
-			if status == platform.MinionUnknown {
+			if status == refplatform.MinionUnknown {
 				gomega.Expect(reply.Err).To(gomega.HaveOccurred())
 				gomega.Expect(reply.Body).To(gomega.BeNil())
 			}
 		},
-		ginkgo.Entry("whole answer", withHeaders("200 OK", "body"), platform.MinionRan),
-		ginkgo.Entry("whole client error", withHeaders("422 Unprocessable", "body"), platform.MinionRan),
-		ginkgo.Entry("whole server error", withHeaders("502 Bad Gateway", "body"), platform.MinionFailed),
-		ginkgo.Entry("503 with a whole body", withHeaders("503 Service Unavailable", "body"), platform.MinionFailed),
-		ginkgo.Entry("no headers", raw("200 OK", "", "body"), platform.MinionUnknown),
-		ginkgo.Entry("server error without headers", raw("500 Internal Server Error", "", "body"), platform.MinionUnknown),
-		ginkgo.Entry("no checksum", raw("200 OK", "X-Request-Id: r1\r\nX-Body-Length: 4\r\n", "body"), platform.MinionUnknown),
-		ginkgo.Entry("other length", raw("200 OK", "X-Request-Id: r1\r\nX-Body-Length: 5\r\n", "body"), platform.MinionUnknown),
-		ginkgo.Entry("not run without an identifier", raw("503 Service Unavailable", "X-Not-Run: true\r\n", ""), platform.MinionNotRun),
-		ginkgo.Entry("not run for another request", raw("503 Service Unavailable", "X-Not-Run: true\r\nX-Request-Id: r2\r\n", ""), platform.MinionUnknown),
-		ginkgo.Entry("not run with another status", raw("500 Internal Server Error", "X-Not-Run: true\r\n", ""), platform.MinionUnknown),
-		ginkgo.Entry("too large", withHeaders("200 OK", strings.Repeat("x", 1001)), platform.MinionUnknown),
-		ginkgo.Entry("cut before the end", strings.TrimSuffix(withHeaders("200 OK", "body"), "dy"), platform.MinionUnknown),
-		ginkgo.Entry("cut in the header", "HTTP/1.1 200 OK\r\nX-Req", platform.MinionUnknown),
+		ginkgo.Entry("whole answer", withHeaders("200 OK", "body"), refplatform.MinionRan),
+		ginkgo.Entry("whole client error", withHeaders("422 Unprocessable", "body"), refplatform.MinionRan),
+		ginkgo.Entry("whole server error", withHeaders("502 Bad Gateway", "body"), refplatform.MinionFailed),
+		ginkgo.Entry("503 with a whole body", withHeaders("503 Service Unavailable", "body"), refplatform.MinionFailed),
+		ginkgo.Entry("no headers", raw("200 OK", "", "body"), refplatform.MinionUnknown),
+		ginkgo.Entry("server error without headers", raw("500 Internal Server Error", "", "body"), refplatform.MinionUnknown),
+		ginkgo.Entry("no checksum", raw("200 OK", "X-Request-Id: r1\r\nX-Body-Length: 4\r\n", "body"), refplatform.MinionUnknown),
+		ginkgo.Entry("other length", raw("200 OK", "X-Request-Id: r1\r\nX-Body-Length: 5\r\n", "body"), refplatform.MinionUnknown),
+		ginkgo.Entry("not run without an identifier", raw("503 Service Unavailable", "X-Not-Run: true\r\n", ""), refplatform.MinionNotRun),
+		ginkgo.Entry("not run for another request", raw("503 Service Unavailable", "X-Not-Run: true\r\nX-Request-Id: r2\r\n", ""), refplatform.MinionUnknown),
+		ginkgo.Entry("not run with another status", raw("500 Internal Server Error", "X-Not-Run: true\r\n", ""), refplatform.MinionUnknown),
+		ginkgo.Entry("too large", withHeaders("200 OK", strings.Repeat("x", 1001)), refplatform.MinionUnknown),
+		ginkgo.Entry("cut before the end", strings.TrimSuffix(withHeaders("200 OK", "body"), "dy"), refplatform.MinionUnknown),
+		ginkgo.Entry("cut in the header", "HTTP/1.1 200 OK\r\nX-Req", refplatform.MinionUnknown),
 	)
 
 	ginkgo.DescribeTable("does not run what it can't address or describe",
 		func(address, id string) {
-			reply := minionsClient(platform.Config{}).Send(ctx, address, request(id, "{}"))
-			gomega.Expect(reply.Status).To(gomega.Equal(platform.MinionNotRun))
+			reply := minionsClient(refplatform.Config{}).Send(ctx, address, request(id, "{}"))
+			gomega.Expect(reply.Status).To(gomega.Equal(refplatform.MinionNotRun))
 			gomega.Expect(reply.Err).To(gomega.HaveOccurred())
 		},
 		ginkgo.Entry("host name", "localhost:1", "r1"),
@@ -153,7 +153,7 @@
 
 	ginkgo.It("runs as many requests as there are slots and queues the others", func() {
 		s, address := hostMinion(standin.MinionConfig{Slots: 2})
-		client := minionsClient(platform.Config{})
+		client := minionsClient(refplatform.Config{})
 		var wg sync.WaitGroup
 		for i := range 6 {
 			wg.Go(func() { client.Send(ctx, address, request(fmt.Sprint(i), `{"sleep_ms":100}`)) })
@@ -168,7 +168,7 @@
 	ginkgo.It("waits for the slots of a slow minion", func() {
 		s, address := hostMinion(standin.MinionConfig{Slots: 1})
 		setFaults(s, minionTarget, standin.Faults{SlowMs: 100})
-		client := minionsClient(platform.Config{})
+		client := minionsClient(refplatform.Config{})
 		started := time.Now()
 		var wg sync.WaitGroup
 		for i := range 2 {
@@ -180,7 +180,7 @@
 
 	ginkgo.It("is told not run on a connection above the limit of the minion", func() {
 		s, address := hostMinion(standin.MinionConfig{Slots: 2, Connections: 4})
-		client := minionsClient(platform.Config{})
+		client := minionsClient(refplatform.Config{})
 		var wg sync.WaitGroup
 		defer wg.Wait()
 		for i := range 4 {
@@ -189,12 +189,12 @@
 		busy := func() int { c := s.MinionCounters()[0]; return c.Running + c.Queued }
 		gomega.Eventually(busy, "3s", "1ms").Should(gomega.Equal(4))
 		reply := client.Send(ctx, address, request("surplus", `{}`))
-		gomega.Expect(reply.Status).To(gomega.Equal(platform.MinionNotRun))
+		gomega.Expect(reply.Status).To(gomega.Equal(refplatform.MinionNotRun))
 	})
 
 	ginkgo.It("says not run when no connection became free in time", func() {
 		s, address := hostMinion(standin.MinionConfig{})
-		client := minionsClient(platform.Config{Connections: 1})
+		client := minionsClient(refplatform.Config{Connections: 1})
 		var wg sync.WaitGroup
 		defer wg.Wait()
 		wg.Go(func() { client.Send(ctx, address, request("r1", `{"sleep_ms":500}`)) })
@@ -202,14 +202,14 @@
 		short, cancel := context.WithTimeout(ctx, shortTimeout)
 		defer cancel()
 		reply := client.Send(short, address, request("r2", `{}`))
-		gomega.Expect(reply.Status).To(gomega.Equal(platform.MinionNotRun))
+		gomega.Expect(reply.Status).To(gomega.Equal(refplatform.MinionNotRun))
 	})
 
 	// Guards against calls that no metric shows.
 	ginkgo.It("counts calls by outcome and their durations", func() {
 		_, address := hostMinion(standin.MinionConfig{})
 		scope := tally.NewTestScope("", nil)
-		client := minionsClient(platform.Config{Scope: scope})
+		client := minionsClient(refplatform.Config{Scope: scope})
 		client.Send(ctx, address, request("r1", `{}`))
 		client.Send(ctx, address, request("r2", `{"fail":true}`))
 		client.Send(ctx, "127.0.0.1:1", request("r3", `{}`))
@@ -234,11 +234,11 @@
 		const parent = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
 		r := request("r1", "{}")
 		r.Traceparent = parent
-		minionsClient(platform.Config{}).Send(ctx, address, r)
+		minionsClient(refplatform.Config{}).Send(ctx, address, r)
 		gomega.Expect(<-seen).To(gomega.Equal(parent))
 		provider := sdk.NewTracerProvider()
 		defer func() { _ = provider.Shutdown(ctx) }()
-		minionsClient(platform.Config{Tracer: provider.Tracer("test")}).Send(ctx, address, r)
+		minionsClient(refplatform.Config{Tracer: provider.Tracer("test")}).Send(ctx, address, r)
 		gomega.Expect(<-seen).To(gomega.And(gomega.HavePrefix(parent[:36]), gomega.Not(gomega.Equal(parent))))
 	})
 })
--- a/internal/platform/objects_test.go
+++ b/internal/refplatform/objects_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package refplatform_test
 
 import (
 	"context"
@@ -7,13 +7,13 @@
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
-	"github.com/samphirepath/samphirepath/internal/platform"
+	"github.com/samphirepath/samphirepath/internal/refplatform"
 	"github.com/samphirepath/samphirepath/internal/standin"
 )
 
-func objectsClient(s *standin.Standin, timeout time.Duration) *platform.ObjectsClient {
+func objectsClient(s *standin.Standin, timeout time.Duration) *refplatform.ObjectsClient {
 	ginkgo.GinkgoHelper()
-	client, err := platform.NewObjects(platform.Config{URL: "http://" + s.Addresses().Objects, Timeout: timeout})
+	client, err := refplatform.NewObjects(refplatform.Config{URL: "http://" + s.Addresses().Objects, Timeout: timeout})
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	closeAfter(client)
 	return client
@@ -24,7 +24,7 @@
 }
 
 // objectsContract is what every object store must meet.
-func objectsContract(newObjects func() platform.Objects) {
+func objectsContract(newObjects func() refplatform.Objects) {
 	ctx := context.Background()
 
 	ginkgo.It("reads back what was put, and absence", func() {
@@ -66,7 +66,7 @@
 var _ = ginkgo.Describe("ObjectsClient", func() {
 	ctx := context.Background()
 
-	objectsContract(func() platform.Objects { return objectsClient(hostObjects(), 0) })
+	objectsContract(func() refplatform.Objects { return objectsClient(hostObjects(), 0) })
 
 	ginkgo.DescribeTable("tells whether a failed put may have taken effect",
 		func(faults standin.Faults, matcher gomega.OmegaMatcher, applied bool) {
--- a/internal/platform/platform.go
+++ b/internal/refplatform/platform.go
@@ -1,7 +1,7 @@
-// Package platform holds the interfaces to the services of the platform and
+// Package refplatform holds the interfaces to the services of the platform and
 // their clients over HTTP and JSON. Nothing else in the daemon knows how the
 // platform is reached. The table service is described by package table.
-package platform
+package refplatform
 
 import (
 	"context"
--- a/internal/platform/renewset_test.go
+++ b/internal/refplatform/renewset_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package refplatform_test
 
 import (
 	"context"
@@ -8,13 +8,13 @@
 	"github.com/onsi/gomega"
 
 	"github.com/samphirepath/samphirepath/api"
-	"github.com/samphirepath/samphirepath/internal/platform"
+	"github.com/samphirepath/samphirepath/internal/refplatform"
 	"github.com/samphirepath/samphirepath/internal/standin"
 )
 
 // setOf is a renewal of tasks by a holder, without their list.
 func setOf(holder string, expires int64, ids ...string) api.RenewTasks {
-	return api.RenewTasks{Set: &api.RenewSet{Holder: holder, Hash: platform.SetHash(ids), ExpiresMs: expires}}
+	return api.RenewTasks{Set: &api.RenewSet{Holder: holder, Hash: refplatform.SetHash(ids), ExpiresMs: expires}}
 }
 
 // define adds the list of the tasks to a renewal.
@@ -35,8 +35,8 @@
 	ginkgo.BeforeEach(func() { f = newWorkerFixture(0) })
 
 	ginkgo.It("hashes a set whatever the order of its tasks", func() {
-		gomega.Expect(platform.SetHash([]string{"a", "b"})).To(gomega.Equal(platform.SetHash([]string{"b", "a"})))
-		gomega.Expect(platform.SetHash([]string{"ab"})).NotTo(gomega.Equal(platform.SetHash([]string{"a", "b"})))
+		gomega.Expect(refplatform.SetHash([]string{"a", "b"})).To(gomega.Equal(refplatform.SetHash([]string{"b", "a"})))
+		gomega.Expect(refplatform.SetHash([]string{"ab"})).NotTo(gomega.Equal(refplatform.SetHash([]string{"a", "b"})))
 	})
 
 	ginkgo.It("extends the tasks of a known set and lists only changes", func() {
@@ -138,12 +138,12 @@
 
 	ginkgo.DescribeTable("refuses an answer about another set",
 		func(body string) {
-			client := platform.NewWorkers(platform.Config{Timeout: time.Second})
+			client := refplatform.NewWorkers(refplatform.Config{Timeout: time.Second})
 			closeAfter(client)
 			_, err := client.RenewSet(context.Background(), rawServer(raw("200 OK", "", body)), setOf("k", 0, "a"))
 			gomega.Expect(err).To(beMaybeSent())
 		},
 		ginkgo.Entry("other hash", `{"tasks":[],"set":"0123"}`),
-		ginkgo.Entry("known and unknown", `{"tasks":[],"unknown_set":true,"set":"`+platform.SetHash([]string{"a"})+`"}`),
+		ginkgo.Entry("known and unknown", `{"tasks":[],"unknown_set":true,"set":"`+refplatform.SetHash([]string{"a"})+`"}`),
 	)
 })
--- a/internal/platform/suite_test.go
+++ b/internal/refplatform/suite_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package refplatform_test
 
 import (
 	"context"
@@ -11,7 +11,7 @@
 	"github.com/onsi/gomega"
 	"go.uber.org/goleak"
 
-	"github.com/samphirepath/samphirepath/internal/platform"
+	"github.com/samphirepath/samphirepath/internal/refplatform"
 	"github.com/samphirepath/samphirepath/internal/standin"
 )
 
@@ -93,9 +93,9 @@
 }
 
 func beNotSent() gomega.OmegaMatcher {
-	return gomega.WithTransform(platform.NotSent, gomega.BeTrue())
+	return gomega.WithTransform(refplatform.NotSent, gomega.BeTrue())
 }
 
 func beMaybeSent() gomega.OmegaMatcher {
-	return gomega.And(gomega.HaveOccurred(), gomega.WithTransform(platform.NotSent, gomega.BeFalse()))
+	return gomega.And(gomega.HaveOccurred(), gomega.WithTransform(refplatform.NotSent, gomega.BeFalse()))
 }
--- a/internal/platform/table_test.go
+++ b/internal/refplatform/table_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package refplatform_test
 
 import (
 	"context"
@@ -10,7 +10,7 @@
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
-	"github.com/samphirepath/samphirepath/internal/platform"
+	"github.com/samphirepath/samphirepath/internal/refplatform"
 	"github.com/samphirepath/samphirepath/internal/standin"
 	"github.com/samphirepath/samphirepath/table"
 	"github.com/samphirepath/samphirepath/table/tabletest"
@@ -20,9 +20,9 @@
 	return host(standin.Config{Seed: 7, Table: &standin.TableConfig{}})
 }
 
-func tableClient(address string, timeout time.Duration) *platform.TableClient {
+func tableClient(address string, timeout time.Duration) *refplatform.TableClient {
 	ginkgo.GinkgoHelper()
-	client, err := platform.NewTable(platform.Config{URL: "http://" + address, Timeout: timeout})
+	client, err := refplatform.NewTable(refplatform.Config{URL: "http://" + address, Timeout: timeout})
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	closeAfter(client)
 	return client
@@ -156,11 +156,11 @@
 	ginkgo.It("bounds the size of an answer with and without a length", func() {
 		body := strings.Repeat("x", 2000)
 		for _, answer := range []string{raw("200 OK", "", body), "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + body} {
-			client, err := platform.NewTable(platform.Config{URL: "http://" + rawServer(answer), MaxAnswerBytes: 1000})
+			client, err := refplatform.NewTable(refplatform.Config{URL: "http://" + rawServer(answer), MaxAnswerBytes: 1000})
 			gomega.Expect(err).NotTo(gomega.HaveOccurred())
 			closeAfter(client)
 			_, _, err = client.Get(ctx, "a")
-			gomega.Expect(errors.Is(err, platform.ErrAnswerTooLarge)).To(gomega.BeTrue())
+			gomega.Expect(errors.Is(err, refplatform.ErrAnswerTooLarge)).To(gomega.BeTrue())
 		}
 	})
 
@@ -180,10 +180,10 @@
 
 	ginkgo.It("accepts only http URLs with an IP address", func() {
 		for _, url := range []string{"", "http://localhost:1", "https://127.0.0.1:1", "http://127.0.0.1", "http://127.0.0.1:1/?a=b", "127.0.0.1:1"} {
-			_, err := platform.NewTable(platform.Config{URL: url})
+			_, err := refplatform.NewTable(refplatform.Config{URL: url})
 			gomega.Expect(err).To(gomega.HaveOccurred(), url)
 		}
-		_, err := platform.NewTable(platform.Config{URL: "http://[::1]:8080/"})
+		_, err := refplatform.NewTable(refplatform.Config{URL: "http://[::1]:8080/"})
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	})
 })
--- a/internal/platform/vms_test.go
+++ b/internal/refplatform/vms_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package refplatform_test
 
 import (
 	"bytes"
@@ -11,7 +11,7 @@
 	"github.com/onsi/gomega"
 
 	"github.com/samphirepath/samphirepath/api"
-	"github.com/samphirepath/samphirepath/internal/platform"
+	"github.com/samphirepath/samphirepath/internal/refplatform"
 	"github.com/samphirepath/samphirepath/internal/standin"
 )
 
@@ -28,9 +28,9 @@
 	})
 }
 
-func vmsClient(address string) *platform.VMsClient {
+func vmsClient(address string) *refplatform.VMsClient {
 	ginkgo.GinkgoHelper()
-	client, err := platform.NewVMs(platform.Config{URL: "http://" + address, Timeout: shortTimeout})
+	client, err := refplatform.NewVMs(refplatform.Config{URL: "http://" + address, Timeout: shortTimeout})
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	closeAfter(client)
 	return client
--- a/internal/platform/wire.go
+++ b/internal/refplatform/wire.go
@@ -1,4 +1,4 @@
-package platform
+package refplatform
 
 // Paths of the services below their base URL or address.
 const (
--- a/internal/platform/workers_test.go
+++ b/internal/refplatform/workers_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package refplatform_test
 
 import (
 	"context"
@@ -9,7 +9,7 @@
 	"github.com/onsi/gomega"
 
 	"github.com/samphirepath/samphirepath/api"
-	"github.com/samphirepath/samphirepath/internal/platform"
+	"github.com/samphirepath/samphirepath/internal/refplatform"
 	"github.com/samphirepath/samphirepath/internal/standin"
 )
 
@@ -22,7 +22,7 @@
 // workerFixture is a client with one worker of 4 cores and 2 accelerators.
 type workerFixture struct {
 	host    *standin.Standin
-	client  *platform.WorkersClient
+	client  *refplatform.WorkersClient
 	address string
 }
 
@@ -31,7 +31,7 @@
 		Objects: &standin.Listen{},
 		Workers: []standin.WorkerConfig{{ID: "w1", Zone: "z1", Rack: "r1", Cores: 4, MemoryMB: 1000, Accelerators: 2, Model: "a100"}},
 	})
-	client := platform.NewWorkers(platform.Config{Timeout: timeout})
+	client := refplatform.NewWorkers(refplatform.Config{Timeout: timeout})
 	closeAfter(client)
 	return workerFixture{host: s, client: client, address: s.Addresses().Workers["w1"]}
 }
@@ -298,7 +298,7 @@
 	ginkgo.DescribeTable("refuses an answer that does not fit the call",
 		func(body string) {
 			address := rawServer(raw("200 OK", "", body))
-			client := platform.NewWorkers(platform.Config{Timeout: time.Second})
+			client := refplatform.NewWorkers(refplatform.Config{Timeout: time.Second})
 			closeAfter(client)
 			_, err := client.Start(ctx, address, startTask("j1.1.0", nil))
 			gomega.Expect(err).To(beMaybeSent())
--- a/internal/router/claimed.go
+++ b/internal/router/claimed.go
@@ -9,7 +9,7 @@
 
 	"github.com/samphirepath/samphirepath/api"
 	"github.com/samphirepath/samphirepath/claim"
-	"github.com/samphirepath/samphirepath/internal/platform"
+	"github.com/samphirepath/samphirepath/internal/refplatform"
 	"github.com/samphirepath/samphirepath/retry"
 )
 
@@ -43,7 +43,7 @@
 	}
 	held := *j.held
 	j.held = nil
-	call := &claimedCall{router: r, job: *j, held: held, minion: m, answer: make(chan platform.MinionReply, 1)}
+	call := &claimedCall{router: r, job: *j, held: held, minion: m, answer: make(chan refplatform.MinionReply, 1)}
 	r.flights.extend()
 	sent := time.Now()
 	go call.run(context.WithoutCancel(ctx))
@@ -61,8 +61,8 @@
 	return step{reply: unknown(j, "no answer by the deadline; a late answer is kept and can be fetched by key")}
 }
 
-func (r *Router) judgeClaimed(j *job, m *minion, reply platform.MinionReply, held claim.Held) step {
-	if reply.Status == platform.MinionNotRun {
+func (r *Router) judgeClaimed(j *job, m *minion, reply refplatform.MinionReply, held claim.Held) step {
+	if reply.Status == refplatform.MinionNotRun {
 		j.held = &held
 	}
 	return r.judge(j, m, reply)
@@ -74,7 +74,7 @@
 	job    job // copy; the caller goes on with its own
 	held   claim.Held
 	minion *minion
-	answer chan platform.MinionReply
+	answer chan refplatform.MinionReply
 	taken  atomic.Bool // set by the one who decides what becomes of the answer
 }
 
@@ -84,7 +84,7 @@
 	sendCtx, cancel := context.WithDeadline(ctx, c.job.Deadline.Add(r.config.Timing.LateAnswerWait.Std()))
 	defer cancel()
 	reply := r.send(sendCtx, &c.job, c.minion)
-	if reply.Status == platform.MinionNotRun {
+	if reply.Status == refplatform.MinionNotRun {
 		if c.taken.CompareAndSwap(false, true) {
 			c.answer <- reply // the caller sends it elsewhere or releases the claim
 			return
@@ -103,7 +103,7 @@
 
 // store keeps the result under the claim. It takes at most half of the time that
 // the caller still has, so that a slow store does not make the answer late.
-func (c *claimedCall) store(ctx context.Context, reply platform.MinionReply) {
+func (c *claimedCall) store(ctx context.Context, reply refplatform.MinionReply) {
 	r := c.router
 	c.job.minions = map[string]bool{}
 	s := r.judge(&c.job, c.minion, reply)
--- a/internal/router/cluster_test.go
+++ b/internal/router/cluster_test.go
@@ -18,7 +18,7 @@
 	"github.com/samphirepath/samphirepath/claim"
 	"github.com/samphirepath/samphirepath/internal/configuration"
 	"github.com/samphirepath/samphirepath/internal/peers"
-	"github.com/samphirepath/samphirepath/internal/platform"
+	"github.com/samphirepath/samphirepath/internal/refplatform"
 	"github.com/samphirepath/samphirepath/internal/router"
 	"github.com/samphirepath/samphirepath/retry"
 	"github.com/samphirepath/samphirepath/table"
@@ -55,7 +55,7 @@
 	dead        chan struct{}
 	draining    atomic.Bool
 	// onSend runs around each request to a minion.
-	onSend func(send func() platform.MinionReply) platform.MinionReply
+	onSend func(send func() refplatform.MinionReply) refplatform.MinionReply
 }
 
 // newCluster starts daemons named d0, d1 ... in the given zones and minions m0,
@@ -124,7 +124,7 @@
 	}
 }
 
-// List implements platform.VMs.
+// List implements refplatform.VMs.
 func (c *cluster) List(context.Context) (api.VMList, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -328,9 +328,9 @@
 	return table.CommitResult{Status: table.Committed, Version: c.version}
 }
 
-// Send implements platform.Minions.
-func (d *daemon) Send(ctx context.Context, address string, request platform.MinionRequest) platform.MinionReply {
-	send := func() platform.MinionReply { return d.cluster.minions[address].run(ctx, request) }
+// Send implements refplatform.Minions.
+func (d *daemon) Send(ctx context.Context, address string, request refplatform.MinionRequest) refplatform.MinionReply {
+	send := func() refplatform.MinionReply { return d.cluster.minions[address].run(ctx, request) }
 	if d.onSend != nil {
 		return d.onSend(send)
 	}
--- a/internal/router/dispatch.go
+++ b/internal/router/dispatch.go
@@ -11,7 +11,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/samphirepath/samphirepath/api"
-	"github.com/samphirepath/samphirepath/internal/platform"
+	"github.com/samphirepath/samphirepath/internal/refplatform"
 )
 
 // traceparentHeader is the key of the W3C trace context.
@@ -24,12 +24,12 @@
 }
 
 // send sends the request and gives the slot back when the minion is done with it.
-func (r *Router) send(ctx context.Context, j *job, m *minion) platform.MinionReply {
+func (r *Router) send(ctx context.Context, j *job, m *minion) refplatform.MinionReply {
 	ctx, span := r.tracer.Start(ctx, "minion", trace.WithAttributes(attribute.String("minion", m.vm.ID)))
 	defer span.End()
 	started := time.Now()
 	left := time.Until(j.Deadline)
-	reply := r.config.Minions.Send(ctx, m.vm.Address, platform.MinionRequest{
+	reply := r.config.Minions.Send(ctx, m.vm.Address, refplatform.MinionRequest{
 		RequestID: j.ID, Entry: j.Submit.Entry, Body: j.Submit.Body,
 		DeadlineMs: left.Milliseconds(), Traceparent: traceparent(ctx),
 	})
@@ -49,16 +49,16 @@
 }
 
 // observe tells what a reply says about the minion.
-func observe(reply platform.MinionReply) observation {
+func observe(reply refplatform.MinionReply) observation {
 	switch reply.Status {
-	case platform.MinionRan:
+	case refplatform.MinionRan:
 		return answered
-	case platform.MinionFailed:
+	case refplatform.MinionFailed:
 		if retryable(reply.Code) {
 			return failing
 		}
 		return answered
-	case platform.MinionNotRun:
+	case refplatform.MinionNotRun:
 		if reply.Leaving {
 			return noObservation
 		}
@@ -72,20 +72,20 @@
 }
 
 // judge turns the reply of a minion into a step.
-func (r *Router) judge(j *job, m *minion, reply platform.MinionReply) step {
-	if reply.Status != platform.MinionNotRun {
+func (r *Router) judge(j *job, m *minion, reply refplatform.MinionReply) step {
+	if reply.Status != refplatform.MinionNotRun {
 		j.attempts++
 	}
 	out := Reply{Result: result(j, api.OutcomeRan, "")}
 	out.Result.Minion, out.Result.Status, out.Result.Body = m.vm.ID, reply.Code, reply.Body
 	switch reply.Status {
-	case platform.MinionRan:
+	case refplatform.MinionRan:
 		return step{reply: out}
-	case platform.MinionFailed:
+	case refplatform.MinionFailed:
 		out.Result.Outcome, out.Result.Reason = api.OutcomeFailed, describe(reply)
 		j.minions[m.vm.ID] = true
 		return step{reply: out, retry: retryable(reply.Code) && !j.Submit.NonIdempotent}
-	case platform.MinionNotRun:
+	case refplatform.MinionNotRun:
 		busy := observe(reply) == tooBusy
 		if !busy {
 			j.minions[m.vm.ID] = true
@@ -104,16 +104,16 @@
 	return code == http.StatusBadGateway || code == http.StatusServiceUnavailable || code == http.StatusGatewayTimeout
 }
 
-func describe(reply platform.MinionReply) string {
+func describe(reply refplatform.MinionReply) string {
 	switch reply.Status {
-	case platform.MinionFailed:
+	case refplatform.MinionFailed:
 		return fmt.Sprintf("the minion answered with status %d", reply.Code)
-	case platform.MinionNotRun:
+	case refplatform.MinionNotRun:
 		if reply.Code != 0 {
 			return fmt.Sprintf("the minion refused the request with status %d", reply.Code)
 		}
 		return "no connection to the minion"
-	case platform.MinionUnknown:
+	case refplatform.MinionUnknown:
 		return "no whole answer of the minion arrived"
 	default:
 		return ""
--- a/internal/router/faults_test.go
+++ b/internal/router/faults_test.go
@@ -13,7 +13,7 @@
 	"go.uber.org/goleak"
 
 	"github.com/samphirepath/samphirepath/api"
-	"github.com/samphirepath/samphirepath/internal/platform"
+	"github.com/samphirepath/samphirepath/internal/refplatform"
 	"github.com/samphirepath/samphirepath/internal/router"
 )
 
@@ -85,12 +85,12 @@
 	// not_run for one that may have run.
 	DescribeTable("death of the dispatching daemon", func(afterDispatch bool, runs int) {
 		for _, d := range c.daemons[1:] {
-			d.onSend = func(send func() platform.MinionReply) platform.MinionReply {
+			d.onSend = func(send func() refplatform.MinionReply) refplatform.MinionReply {
 				if afterDispatch {
 					send()
 				}
 				d.kill()
-				return platform.MinionReply{Status: platform.MinionUnknown, Err: errDown}
+				return refplatform.MinionReply{Status: refplatform.MinionUnknown, Err: errDown}
 			}
 		}
 		reply := c.daemons[0].submit("k", "body", true, wait)
--- a/internal/router/minion_test.go
+++ b/internal/router/minion_test.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/samphirepath/samphirepath/internal/platform"
+	"github.com/samphirepath/samphirepath/internal/refplatform"
 )
 
 // fakeMinion runs requests on a limited number of slots.
@@ -23,7 +23,7 @@
 	runs    map[string]int
 }
 
-func (m *fakeMinion) run(ctx context.Context, request platform.MinionRequest) platform.MinionReply {
+func (m *fakeMinion) run(ctx context.Context, request refplatform.MinionRequest) refplatform.MinionReply {
 	m.mu.Lock()
 	m.calls++
 	mode, service := m.mode, m.service
@@ -31,7 +31,7 @@
 		service = time.Duration(float64(service) * rand.ExpFloat64())
 	}
 	if mode == "unreachable" || m.busy >= m.slots {
-		reply := platform.MinionReply{Status: platform.MinionNotRun, Err: errDown}
+		reply := refplatform.MinionReply{Status: refplatform.MinionNotRun, Err: errDown}
 		if mode != "unreachable" {
 			reply.Code = 503
 		}
@@ -50,17 +50,17 @@
 	select {
 	case <-time.After(service):
 	case <-ctx.Done():
-		return platform.MinionReply{Status: platform.MinionUnknown, Err: ctx.Err()}
+		return refplatform.MinionReply{Status: refplatform.MinionUnknown, Err: ctx.Err()}
 	}
 	switch mode {
 	case "fails":
-		return platform.MinionReply{Status: platform.MinionFailed, Code: 503}
+		return refplatform.MinionReply{Status: refplatform.MinionFailed, Code: 503}
 	case "refuses":
-		return platform.MinionReply{Status: platform.MinionFailed, Code: 422, Body: []byte("no")}
+		return refplatform.MinionReply{Status: refplatform.MinionFailed, Code: 422, Body: []byte("no")}
 	case "broken":
-		return platform.MinionReply{Status: platform.MinionUnknown, Err: errDown}
+		return refplatform.MinionReply{Status: refplatform.MinionUnknown, Err: errDown}
 	}
-	return platform.MinionReply{Status: platform.MinionRan, Code: 200, Body: append([]byte("answer to "), request.Body...)}
+	return refplatform.MinionReply{Status: refplatform.MinionRan, Code: 200, Body: append([]byte("answer to "), request.Body...)}
 }
 
 func (c *cluster) eachMinion(change func(*fakeMinion)) {
--- a/internal/router/random_test.go
+++ b/internal/router/random_test.go
@@ -10,7 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/samphirepath/samphirepath/api"
-	"github.com/samphirepath/samphirepath/internal/platform"
+	"github.com/samphirepath/samphirepath/internal/refplatform"
 )
 
 // lockedRandom is a random source for many goroutines.
@@ -51,13 +51,13 @@
 	c.storeFault = func(*daemon) string { return random.pick(20, "unavailable", "answer lost") }
 	c.mu.Unlock()
 	for _, d := range c.daemons {
-		d.onSend = func(send func() platform.MinionReply) platform.MinionReply {
+		d.onSend = func(send func() refplatform.MinionReply) refplatform.MinionReply {
 			switch random.pick(20, "not run", "broken") {
 			case "not run":
-				return platform.MinionReply{Status: platform.MinionNotRun, Err: errDown}
+				return refplatform.MinionReply{Status: refplatform.MinionNotRun, Err: errDown}
 			case "broken":
 				send()
-				return platform.MinionReply{Status: platform.MinionUnknown, Err: errDown}
+				return refplatform.MinionReply{Status: refplatform.MinionUnknown, Err: errDown}
 			}
 			return send()
 		}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -17,7 +17,7 @@
 	"github.com/samphirepath/samphirepath/claim"
 	"github.com/samphirepath/samphirepath/internal/configuration"
 	"github.com/samphirepath/samphirepath/internal/peers"
-	"github.com/samphirepath/samphirepath/internal/platform"
+	"github.com/samphirepath/samphirepath/internal/refplatform"
 	"github.com/samphirepath/samphirepath/internal/telemetry"
 	"github.com/samphirepath/samphirepath/retry"
 )
@@ -43,8 +43,8 @@
 	Scope  tally.Scope
 	Tracer trace.Tracer
 
-	VMs     platform.VMs
-	Minions platform.Minions
+	VMs     refplatform.VMs
+	Minions refplatform.Minions
 	Network peers.Network
 	View    configuration.View
 	Claims  *claim.Claims
--- a/internal/standin/endpoint.go
+++ b/internal/standin/endpoint.go
@@ -13,7 +13,7 @@
 	"github.com/labstack/echo/v4"
 	"github.com/rotisserie/eris"
 
-	"github.com/samphirepath/samphirepath/internal/platform"
+	"github.com/samphirepath/samphirepath/internal/refplatform"
 )
 
 // maxBodyBytes is the limit of the body of one call.
@@ -49,13 +49,13 @@
 
 func notRunReply(reason string) reply {
 	r := errorReply(http.StatusServiceUnavailable, eris.New(reason))
-	r.header.Set(platform.HeaderNotRun, platform.HeaderTrue)
+	r.header.Set(refplatform.HeaderNotRun, refplatform.HeaderTrue)
 	return r
 }
 
 func absentReply() reply {
 	r := newReply(http.StatusNotFound, nil)
-	r.header.Set(platform.HeaderAbsent, platform.HeaderTrue)
+	r.header.Set(refplatform.HeaderAbsent, refplatform.HeaderTrue)
 	return r
 }
 
--- a/internal/standin/minion.go
+++ b/internal/standin/minion.go
@@ -12,7 +12,7 @@
 	"github.com/labstack/echo/v4"
 	"github.com/rotisserie/eris"
 
-	"github.com/samphirepath/samphirepath/internal/platform"
+	"github.com/samphirepath/samphirepath/internal/refplatform"
 )
 
 // maxExecutions is the number of executions that a minion remembers. When it
@@ -87,14 +87,14 @@
 
 func (m *minion) routes() http.Handler {
 	e := echo.New()
-	e.POST(platform.PathRun, m.change(m.run))
+	e.POST(refplatform.PathRun, m.change(m.run))
 	return e
 }
 
 // run waits for a slot and runs the request. A request whose client goes away
 // while it waits is not run; one that has begun runs to its end.
 func (m *minion) run(r *http.Request, body []byte) reply {
-	if err := platform.CheckBody(r.Header, body); err != nil {
+	if err := refplatform.CheckBody(r.Header, body); err != nil {
 		refusal := notRunReply(err.Error())
 		return m.mark(refusal, r)
 	}
@@ -154,8 +154,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	execution := &Execution{
-		Minion: m.config.ID, RequestID: r.Header.Get(platform.HeaderRequestID), Key: key,
-		Entry: r.Header.Get(platform.HeaderEntry), StartedMs: time.Now().UnixMilli(), Leaving: leaving,
+		Minion: m.config.ID, RequestID: r.Header.Get(refplatform.HeaderRequestID), Key: key,
+		Entry: r.Header.Get(refplatform.HeaderEntry), StartedMs: time.Now().UnixMilli(), Leaving: leaving,
 	}
 	m.total++
 	m.byRequest[execution.RequestID]++
@@ -191,7 +191,7 @@
 		status = http.StatusInternalServerError
 	}
 	whole := jsonReply(status, message)
-	platform.SetBodyHeaders(whole.header, whole.body)
+	refplatform.SetBodyHeaders(whole.header, whole.body)
 	whole = m.mark(whole, r)
 	faults := m.faults.get()
 	m.mu.Lock()
@@ -202,16 +202,16 @@
 		return crossedReply(crossed, whole)
 	}
 	if faults.WrongChecksum {
-		platform.SetBodyHeaders(whole.header, append([]byte("x"), whole.body[1:]...))
+		refplatform.SetBodyHeaders(whole.header, append([]byte("x"), whole.body[1:]...))
 	}
 	return whole
 }
 
 // mark adds what every answer carries.
 func (m *minion) mark(answer reply, r *http.Request) reply {
-	answer.header.Set(platform.HeaderRequestID, r.Header.Get(platform.HeaderRequestID))
+	answer.header.Set(refplatform.HeaderRequestID, r.Header.Get(refplatform.HeaderRequestID))
 	if m.faults.get().Leaving {
-		answer.header.Set(platform.HeaderLeaving, platform.HeaderTrue)
+		answer.header.Set(refplatform.HeaderLeaving, refplatform.HeaderTrue)
 	}
 	return answer
 }
@@ -223,7 +223,7 @@
 		return earlier
 	}
 	whole.header = whole.header.Clone()
-	whole.header.Set(platform.HeaderRequestID, "another-request")
+	whole.header.Set(refplatform.HeaderRequestID, "another-request")
 	return whole
 }
 
--- a/internal/standin/objects.go
+++ b/internal/standin/objects.go
@@ -6,7 +6,7 @@
 
 	"github.com/labstack/echo/v4"
 
-	"github.com/samphirepath/samphirepath/internal/platform"
+	"github.com/samphirepath/samphirepath/internal/refplatform"
 )
 
 // objectService serves objects in memory.
@@ -22,13 +22,13 @@
 
 func (o *objectService) routes() http.Handler {
 	e := echo.New()
-	e.GET(platform.PathObject, o.read(o.get))
-	e.PUT(platform.PathObject, o.change(o.put))
-	e.DELETE(platform.PathObject, o.change(o.remove))
+	e.GET(refplatform.PathObject, o.read(o.get))
+	e.PUT(refplatform.PathObject, o.change(o.put))
+	e.DELETE(refplatform.PathObject, o.change(o.remove))
 	return e
 }
 
-func objectKey(r *http.Request) string { return r.URL.Query().Get(platform.ParamKey) }
+func objectKey(r *http.Request) string { return r.URL.Query().Get(refplatform.ParamKey) }
 
 func (o *objectService) get(r *http.Request, _ []byte) reply {
 	o.mu.Lock()
@@ -38,12 +38,12 @@
 		return absentReply()
 	}
 	answer := newReply(http.StatusOK, value)
-	platform.SetBodyHeaders(answer.header, value)
+	refplatform.SetBodyHeaders(answer.header, value)
 	return answer
 }
 
 func (o *objectService) put(r *http.Request, body []byte) reply {
-	if err := platform.CheckBody(r.Header, body); err != nil {
+	if err := refplatform.CheckBody(r.Header, body); err != nil {
 		return errorReply(http.StatusBadRequest, err)
 	}
 	o.mu.Lock()
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -10,7 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/samphirepath/samphirepath/api"
-	"github.com/samphirepath/samphirepath/internal/platform"
+	"github.com/samphirepath/samphirepath/internal/refplatform"
 	"github.com/samphirepath/samphirepath/internal/telemetry"
 )
 
@@ -35,7 +35,7 @@
 	switches map[string]*faultSwitch // by target
 	order    []string                // targets in the order of the config
 
-	objectsClient *platform.ObjectsClient
+	objectsClient *refplatform.ObjectsClient
 
 	table   *tableService
 	objects *objectService
@@ -127,7 +127,7 @@
 	if url == "" {
 		return nil
 	}
-	client, err := platform.NewObjects(platform.Config{URL: url, Logger: s.logger, Scope: s.config.Scope})
+	client, err := refplatform.NewObjects(refplatform.Config{URL: url, Logger: s.logger, Scope: s.config.Scope})
 	s.objectsClient = client
 	return err
 }
--- a/internal/standin/table.go
+++ b/internal/standin/table.go
@@ -10,7 +10,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/samphirepath/samphirepath/api"
-	"github.com/samphirepath/samphirepath/internal/platform"
+	"github.com/samphirepath/samphirepath/internal/refplatform"
 	"github.com/samphirepath/samphirepath/table"
 )
 
@@ -67,15 +67,15 @@
 
 func (t *tableService) routes() http.Handler {
 	e := echo.New()
-	e.GET(platform.PathRow, t.read(t.limited(t.reads, t.row)))
-	e.GET(platform.PathRows, t.read(t.limited(t.reads, t.rows)))
-	e.POST(platform.PathCommit, t.change(t.limited(t.writes, t.commit)))
+	e.GET(refplatform.PathRow, t.read(t.limited(t.reads, t.row)))
+	e.GET(refplatform.PathRows, t.read(t.limited(t.reads, t.rows)))
+	e.POST(refplatform.PathCommit, t.change(t.limited(t.writes, t.commit)))
 	return e
 }
 
 func (t *tableService) row(r *http.Request, _ []byte) reply {
 	t.gets.Add(1)
-	row, ok, err := t.store.Get(t.ctx, r.URL.Query().Get(platform.ParamKey))
+	row, ok, err := t.store.Get(t.ctx, r.URL.Query().Get(refplatform.ParamKey))
 	if err != nil {
 		return notRunReply(err.Error())
 	}
@@ -88,11 +88,11 @@
 func (t *tableService) rows(r *http.Request, _ []byte) reply {
 	t.lists.Add(1)
 	query := r.URL.Query()
-	since, err := strconv.ParseInt(query.Get(platform.ParamSince), 10, 64)
+	since, err := strconv.ParseInt(query.Get(refplatform.ParamSince), 10, 64)
 	if err != nil {
 		return errorReply(http.StatusBadRequest, err)
 	}
-	listing, err := t.store.List(t.ctx, query.Get(platform.ParamPrefix), since)
+	listing, err := t.store.List(t.ctx, query.Get(refplatform.ParamPrefix), since)
 	if err != nil {
 		return notRunReply(err.Error())
 	}
--- a/internal/standin/vms.go
+++ b/internal/standin/vms.go
@@ -15,7 +15,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/samphirepath/samphirepath/api"
-	"github.com/samphirepath/samphirepath/internal/platform"
+	"github.com/samphirepath/samphirepath/internal/refplatform"
 )
 
 // vmService serves a list of VMs as it was some time ago.
@@ -44,7 +44,7 @@
 
 func (v *vmService) routes() http.Handler {
 	e := echo.New()
-	e.GET(platform.PathVMs, v.read(func(r *http.Request, _ []byte) reply {
+	e.GET(refplatform.PathVMs, v.read(func(r *http.Request, _ []byte) reply {
 		return conditionalReply(r, v.lagging())
 	}))
 	return e
@@ -62,7 +62,7 @@
 		answer = newReply(http.StatusNotModified, nil)
 	}
 	answer.header.Set("ETag", tag)
-	answer.header.Set(platform.HeaderAsOf, strconv.FormatInt(list.AsOfMs, 10))
+	answer.header.Set(refplatform.HeaderAsOf, strconv.FormatInt(list.AsOfMs, 10))
 	return answer
 }
 
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -13,7 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/samphirepath/samphirepath/api"
-	"github.com/samphirepath/samphirepath/internal/platform"
+	"github.com/samphirepath/samphirepath/internal/refplatform"
 )
 
 const (
@@ -28,7 +28,7 @@
 type worker struct {
 	service
 	config  WorkerConfig
-	objects platform.Objects
+	objects refplatform.Objects
 	now     func() time.Time
 
 	mu           sync.Mutex
@@ -52,7 +52,7 @@
 	memoryMB int64
 }
 
-func newWorker(s service, c WorkerConfig, objects platform.Objects) *worker {
+func newWorker(s service, c WorkerConfig, objects refplatform.Objects) *worker {
 	w := &worker{service: s, config: c, objects: objects, now: time.Now}
 	w.reset()
 	return w
--- a/internal/standin/worker_http.go
+++ b/internal/standin/worker_http.go
@@ -11,17 +11,17 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/samphirepath/samphirepath/api"
-	"github.com/samphirepath/samphirepath/internal/platform"
+	"github.com/samphirepath/samphirepath/internal/refplatform"
 )
 
 func (w *worker) routes() http.Handler {
 	e := echo.New()
-	e.GET(platform.PathReport, w.read(func(*http.Request, []byte) reply {
+	e.GET(refplatform.PathReport, w.read(func(*http.Request, []byte) reply {
 		return jsonReply(http.StatusOK, w.report())
 	}))
-	e.POST(platform.PathStart, w.change(w.serveStart))
-	e.POST(platform.PathRenew, w.change(w.serveRenew))
-	e.POST(platform.PathActions, w.change(w.serveAction))
+	e.POST(refplatform.PathStart, w.change(w.serveStart))
+	e.POST(refplatform.PathRenew, w.change(w.serveRenew))
+	e.POST(refplatform.PathActions, w.change(w.serveAction))
 	return e
 }
 
--- a/internal/standin/worker_sets.go
+++ b/internal/standin/worker_sets.go
@@ -7,7 +7,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/samphirepath/samphirepath/api"
-	"github.com/samphirepath/samphirepath/internal/platform"
+	"github.com/samphirepath/samphirepath/internal/refplatform"
 )
 
 var errSetHash = eris.New("hash does not fit the tasks of the set")
@@ -26,7 +26,7 @@
 	w.advance()
 	asked := message.Set
 	if len(asked.TaskIds) > 0 {
-		if platform.SetHash(asked.TaskIds) != asked.Hash {
+		if refplatform.SetHash(asked.TaskIds) != asked.Hash {
 			return api.TaskReports{}, errSetHash
 		}
 		w.sets[asked.Holder] = taskSet{asked.Hash, slices.Clone(asked.TaskIds)}
--- a/test/harness/harness_test.go
+++ b/test/harness/harness_test.go
@@ -18,7 +18,7 @@
 	"github.com/pelletier/go-toml/v2"
 
 	"github.com/samphirepath/samphirepath/api"
-	"github.com/samphirepath/samphirepath/internal/platform"
+	"github.com/samphirepath/samphirepath/internal/refplatform"
 	"github.com/samphirepath/samphirepath/internal/standin"
 	"github.com/samphirepath/samphirepath/test/faultproxy"
 	"github.com/samphirepath/samphirepath/test/harness"
@@ -55,11 +55,11 @@
 	if err := toml.Unmarshal(data, &settings); err != nil {
 		panic(err)
 	}
-	table, err := platform.NewTable(platform.Config{URL: settings.Platform.TableURL, Timeout: 200 * time.Millisecond})
+	table, err := refplatform.NewTable(refplatform.Config{URL: settings.Platform.TableURL, Timeout: 200 * time.Millisecond})
 	if err != nil {
 		panic(err)
 	}
-	vms, err := platform.NewVMs(platform.Config{URL: settings.Platform.VmsURL, Timeout: 200 * time.Millisecond})
+	vms, err := refplatform.NewVMs(refplatform.Config{URL: settings.Platform.VmsURL, Timeout: 200 * time.Millisecond})
 	if err != nil {
 		panic(err)
 	}
@@ -166,7 +166,7 @@
 	ginkgo.It("switches faults and reads out what happened", func() {
 		c := startCluster()
 		s := c.Standin
-		workers := platform.NewWorkers(platform.Config{})
+		workers := refplatform.NewWorkers(refplatform.Config{})
 		defer workers.Close()
 		task := api.StartTask{TaskID: "j.1.0", JobID: "j", StartBeforeMs: time.Now().Add(time.Minute).UnixMilli(), LeaseExpiresMs: time.Now().Add(time.Minute).UnixMilli()}
 		start := func() error {
--- a/test/requests/rig_test.go
+++ b/test/requests/rig_test.go
@@ -12,7 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/samphirepath/samphirepath/api"
-	"github.com/samphirepath/samphirepath/internal/platform"
+	"github.com/samphirepath/samphirepath/internal/refplatform"
 	"github.com/samphirepath/samphirepath/test/client"
 	"github.com/samphirepath/samphirepath/test/faultproxy"
 	"github.com/samphirepath/samphirepath/test/harness"
@@ -62,7 +62,7 @@
 	ledger        *ledger
 	// minionCount is the number of minions.
 	minionCount int
-	table       *platform.TableClient
+	table       *refplatform.TableClient
 	stop        context.CancelFunc
 	proxies     errgroup.Group
 }
@@ -100,7 +100,7 @@
 		Cluster: cluster, Gomega: gomega.NewGomega(ginkgo.Fail), callers: map[string]*client.Client{}, operators: map[string]*client.Client{},
 		minions: map[string]*faultproxy.Proxy{}, ledger: newLedger(), minionCount: s.minions,
 	}
-	if r.table, err = platform.NewTable(platform.Config{URL: "http://" + cluster.Standin.Addresses.Table}); err != nil {
+	if r.table, err = refplatform.NewTable(refplatform.Config{URL: "http://" + cluster.Standin.Addresses.Table}); err != nil {
 		return nil, errors.Join(err, cluster.Stop())
 	}
 	for _, d := range cluster.Daemons {
