Serve batch jobs on the users' platform: the whole path, thin

Cause: the request asks for the product on the users' platform, through an adapter in platform/; today's planner knows one gang in one zone, the platform's jobs have several steps and gangs anywhere. Ruled out: bending the job model inside the adapter; a planner per zone, because a guarantee holds for the whole system and a gang may span zones.

--- a/api/api.gen.go
+++ b/api/api.gen.go
@@ -293,6 +293,138 @@
 // Adjacency How close the accelerators of a gang must be: one worker, one rack, or anywhere in one availability zone.
 type Adjacency string
 
+// BatchJob Row jobs/{id}: a job as it was accepted. It never changes.
+type BatchJob struct {
+	// AcceptedAtMs Unix time of acceptance by the accepting daemon.
+	AcceptedAtMs int64 `cbor:"14,keyasint,omitempty" json:"accepted_at_ms,omitempty"`
+	EveryMs      int64 `cbor:"13,keyasint,omitempty" json:"every_ms,omitempty"`
+
+	// FirstAtMs Unix time of the first occurrence.
+	FirstAtMs    int64  `cbor:"12,keyasint,omitempty" json:"first_at_ms,omitempty"`
+	ID           string `cbor:"1,keyasint,omitempty" json:"id,omitempty"`
+	MaxAttempts  int    `cbor:"8,keyasint,omitempty" json:"max_attempts,omitempty"`
+	Organisation string `cbor:"4,keyasint,omitempty" json:"organisation,omitempty"`
+
+	// Priority 0 comes first and may preempt others.
+	Priority int    `cbor:"7,keyasint,omitempty" json:"priority,omitempty"`
+	Queue    string `cbor:"2,keyasint,omitempty" json:"queue,omitempty"`
+
+	// Repeats Number of occurrences; 0 is a job without a schedule.
+	Repeats int64 `cbor:"11,keyasint,omitempty" json:"repeats,omitempty"`
+
+	// Service Service whose workers run the tasks.
+	Service string      `cbor:"3,keyasint,omitempty" json:"service,omitempty"`
+	Spec    string      `cbor:"5,keyasint,omitempty" json:"spec,omitempty"`
+	Steps   []BatchStep `cbor:"6,keyasint,omitempty" json:"steps,omitempty"`
+
+	// Stretch Objective as a multiple of the ideal run time.
+	Stretch float64 `cbor:"9,keyasint,omitempty" json:"stretch,omitempty"`
+
+	// TargetMs Part of the objective that does not depend on the run time.
+	TargetMs int64 `cbor:"10,keyasint,omitempty" json:"target_ms,omitempty"`
+}
+
+// BatchNeed What one task occupies on a worker.
+type BatchNeed struct {
+	Accelerators int64 `cbor:"3,keyasint,omitempty" json:"accelerators,omitempty"`
+	MemoryMb     int64 `cbor:"2,keyasint,omitempty" json:"memory_mb,omitempty"`
+
+	// MilliCPU Thousandths of a core.
+	MilliCPU int64 `cbor:"1,keyasint,omitempty" json:"milli_cpu,omitempty"`
+}
+
+// BatchProgress Row progress/{id}: what is known of a batch job, written by the scheduler alone.
+type BatchProgress struct {
+	EndedAtMs int64 `cbor:"6,keyasint,omitempty" json:"ended_at_ms,omitempty"`
+
+	// NextOccurrence Occurrences from this number on have not been opened.
+	NextOccurrence int64 `cbor:"3,keyasint,omitempty" json:"next_occurrence,omitempty"`
+
+	// Started A task has been started.
+	Started bool          `cbor:"5,keyasint,omitempty" json:"started,omitempty"`
+	State   string        `cbor:"1,keyasint,omitempty" json:"state,omitempty"`
+	Units   []BatchUnit   `cbor:"2,keyasint,omitempty" json:"units,omitempty"`
+	Workers []BatchWorker `cbor:"4,keyasint,omitempty" json:"workers,omitempty"`
+}
+
+// BatchStep Tasks of a batch job that start together once the steps before them are done.
+type BatchStep struct {
+	// After Indexes of earlier steps that must be done first.
+	After []int64 `cbor:"4,keyasint,omitempty" json:"after,omitempty"`
+
+	// BestEffort The tasks use the capacity that others leave idle.
+	BestEffort bool `cbor:"10,keyasint,omitempty" json:"best_effort,omitempty"`
+
+	// Checkpoint The tasks save their progress.
+	Checkpoint bool `cbor:"7,keyasint,omitempty" json:"checkpoint,omitempty"`
+
+	// DataRack Rack that holds the input; tasks elsewhere slow down.
+	DataRack string `cbor:"12,keyasint,omitempty" json:"data_rack,omitempty"`
+
+	// EstimateMs Rough run time of one task.
+	EstimateMs int64 `cbor:"3,keyasint,omitempty" json:"estimate_ms,omitempty"`
+
+	// Gang The tasks run only together and end together.
+	Gang  bool   `cbor:"5,keyasint,omitempty" json:"gang,omitempty"`
+	Image string `cbor:"15,keyasint,omitempty" json:"image,omitempty"`
+
+	// Label Label that the worker must have.
+	Label string `cbor:"11,keyasint,omitempty" json:"label,omitempty"`
+
+	// MaxPerWorker Limit on the tasks of the step on one worker; 0 is none.
+	MaxPerWorker int `cbor:"13,keyasint,omitempty" json:"max_per_worker,omitempty"`
+
+	// MaxUnavailable How many persistent tasks may be away at once through our own orders; 0 is no limit.
+	MaxUnavailable int       `cbor:"14,keyasint,omitempty" json:"max_unavailable,omitempty"`
+	Need           BatchNeed `cbor:"2,keyasint,omitempty" json:"need,omitempty"`
+
+	// Persistent The tasks run until the job is cancelled.
+	Persistent bool `cbor:"9,keyasint,omitempty" json:"persistent,omitempty"`
+
+	// SameRack The tasks slow down when they span racks.
+	SameRack bool `cbor:"6,keyasint,omitempty" json:"same_rack,omitempty"`
+
+	// Speculative Copies of a task may run in parallel.
+	Speculative bool `cbor:"8,keyasint,omitempty" json:"speculative,omitempty"`
+
+	// TargetLatencyMs Tail latency that a serving task must stay below.
+	TargetLatencyMs int64 `cbor:"16,keyasint,omitempty" json:"target_latency_ms,omitempty"`
+	Tasks           int   `cbor:"1,keyasint,omitempty" json:"tasks,omitempty"`
+}
+
+// BatchTask State of one task.
+type BatchTask struct {
+	Done     bool `cbor:"3,keyasint,omitempty" json:"done,omitempty"`
+	Failures int  `cbor:"2,keyasint,omitempty" json:"failures,omitempty"`
+
+	// Run Number of the last start.
+	Run int64 `cbor:"1,keyasint,omitempty" json:"run,omitempty"`
+
+	// Saved Newest checkpoint.
+	Saved string `cbor:"5,keyasint,omitempty" json:"saved,omitempty"`
+
+	// Worker Position in the list of workers, from 1, while a run may exist; else 0.
+	Worker int `cbor:"4,keyasint,omitempty" json:"worker,omitempty"`
+}
+
+// BatchUnit One step of one occurrence.
+type BatchUnit struct {
+	// FailedRun Newest run of a gang whose failure has been counted.
+	FailedRun  int64       `cbor:"4,keyasint,omitempty" json:"failed_run,omitempty"`
+	Occurrence int64       `cbor:"1,keyasint,omitempty" json:"occurrence,omitempty"`
+	Step       int         `cbor:"2,keyasint,omitempty" json:"step,omitempty"`
+	Tasks      []BatchTask `cbor:"3,keyasint,omitempty" json:"tasks,omitempty"`
+}
+
+// BatchWorker One life of a worker.
+type BatchWorker struct {
+	Address string `cbor:"3,keyasint,omitempty" json:"address,omitempty"`
+
+	// Born Unix time of its start in ms.
+	Born int64  `cbor:"2,keyasint,omitempty" json:"born,omitempty"`
+	ID   string `cbor:"1,keyasint,omitempty" json:"id,omitempty"`
+}
+
 // Catalogue What operators edit.
 type Catalogue struct {
 	Classes       []Class        `json:"classes"`
--- a/cmd/samphirepathd/main.go
+++ b/cmd/samphirepathd/main.go
@@ -22,8 +22,9 @@
 )
 
 type arguments struct {
-	Run           fileArgument `cmd:"" help:"Run the daemon until SIGTERM or SIGINT."`
-	CheckSettings fileArgument `cmd:"" help:"Report every problem of a settings file and start nothing; exits 2 if there is one."`
+	Run           fileArgument    `cmd:"" help:"Run the daemon until SIGTERM or SIGINT."`
+	Platform      platformCommand `cmd:"" help:"Run the daemon on the users' platform; SAMPHIREPATH_CONFIG names the settings file."`
+	CheckSettings fileArgument    `cmd:"" help:"Report every problem of a settings file and start nothing; exits 2 if there is one."`
 }
 
 type fileArgument struct {
@@ -38,7 +39,13 @@
 		fmt.Println("The settings are valid.")
 		return
 	}
-	if err := run(load(args.Run.File)); err != nil {
+	var err error
+	if parsed.Command() == "platform" {
+		err = args.Platform.Run()
+	} else {
+		err = run(load(args.Run.File))
+	}
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "samphirepathd:", err)
 		os.Exit(exitFailed)
 	}
--- /dev/null
+++ b/internal/batch/job.go
@@ -0,0 +1,128 @@
+// Package batch holds jobs of several steps and the state of their tasks. It
+// does no I/O: the dispatcher applies what happened and stores the result.
+package batch
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/samphirepath/samphirepath/api"
+)
+
+// Types of the stored rows.
+type (
+	Job  = api.BatchJob
+	Step = api.BatchStep
+	Need = api.BatchNeed
+)
+
+// Limits of a job. They keep its progress row below the 64 KiB that a table
+// service takes, at about 30 bytes a task.
+const (
+	MaxTasks = 1500
+	MaxSteps = 100
+	// MaxOpenOccurrences bounds the occurrences of a scheduled job that run at once.
+	MaxOpenOccurrences = 32
+)
+
+// TaskRef names a task.
+type TaskRef struct {
+	Job        string
+	Occurrence int64
+	Step       int
+	Index      int
+}
+
+func (r TaskRef) String() string {
+	return fmt.Sprintf("%s/%d/%d/%d", r.Job, r.Occurrence, r.Step, r.Index)
+}
+
+// RunRef names one start of a task.
+type RunRef struct {
+	TaskRef
+	Run int64
+}
+
+// Validate returns why a job cannot be accepted, or an empty string.
+func Validate(job Job) string {
+	if len(job.Steps) == 0 || len(job.Steps) > MaxSteps {
+		return fmt.Sprintf("a job has 1 to %d steps, this one has %d", MaxSteps, len(job.Steps))
+	}
+	total := 0
+	for i, step := range job.Steps {
+		if step.Tasks < 1 {
+			return fmt.Sprintf("step %d has no tasks", i)
+		}
+		if step.Tasks > MaxTasks {
+			return fmt.Sprintf("step %d has %d tasks, the limit of a job is %d", i, step.Tasks, MaxTasks)
+		}
+		total += step.Tasks
+		if step.Need.MilliCPU < 0 || step.Need.MemoryMb < 0 || step.Need.Accelerators < 0 {
+			return fmt.Sprintf("step %d asks for a negative amount", i)
+		}
+		if slices.ContainsFunc(step.After, func(after int64) bool { return after < 0 || after >= int64(i) }) {
+			return fmt.Sprintf("step %d comes after a step that is not an earlier one", i)
+		}
+	}
+	if total > MaxTasks {
+		return fmt.Sprintf("the job has %d tasks, the limit is %d", total, MaxTasks)
+	}
+	if job.Repeats < 0 || (job.Repeats > 1 && job.EveryMs < 0) {
+		return "the schedule has a negative count or interval"
+	}
+	return ""
+}
+
+// Due returns when an occurrence may start.
+func Due(job Job, occurrence int64) time.Time {
+	if job.Repeats == 0 {
+		return time.UnixMilli(0)
+	}
+	return time.UnixMilli(job.FirstAtMs + occurrence*job.EveryMs)
+}
+
+// EncodeJob returns the row value of a job.
+func EncodeJob(job Job) ([]byte, error) {
+	value, err := cbor.Marshal(job)
+	return value, eris.Wrap(err, "encode a job")
+}
+
+// DecodeJob reads a row value.
+func DecodeJob(value []byte) (Job, error) {
+	var job Job
+	if err := cbor.Unmarshal(value, &job); err != nil {
+		return Job{}, eris.Wrap(err, "decode a job")
+	}
+	if problem := Validate(job); problem != "" {
+		return Job{}, eris.Errorf("decode a job: %s", problem)
+	}
+	return job, nil
+}
+
+// Ideal returns the longest chain of estimated work of one occurrence.
+func Ideal(job Job) time.Duration {
+	finish := make([]int64, len(job.Steps))
+	longest := int64(0)
+	for i, step := range job.Steps {
+		for _, after := range step.After {
+			finish[i] = max(finish[i], finish[after])
+		}
+		finish[i] += step.EstimateMs
+		longest = max(longest, finish[i])
+	}
+	return time.Duration(longest) * time.Millisecond
+}
+
+// Objective returns by when an occurrence should be done.
+func Objective(job Job, occurrence int64) time.Time {
+	begin := time.UnixMilli(job.AcceptedAtMs)
+	if job.Repeats > 0 {
+		begin = Due(job, occurrence)
+	}
+	stretched := time.Duration(float64(Ideal(job)) * job.Stretch)
+	return begin.Add(stretched + time.Duration(job.TargetMs)*time.Millisecond)
+}
--- /dev/null
+++ b/internal/batch/progress.go
@@ -0,0 +1,370 @@
+package batch
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/samphirepath/samphirepath/api"
+)
+
+// State is the state of a job as its caller sees it.
+type State string
+
+// States of a job.
+const (
+	Queued    State = "queued"
+	Running   State = "running"
+	Completed State = "completed"
+	Failed    State = "failed"
+	Cancelled State = "cancelled"
+)
+
+// Final tells whether the state can no longer change.
+func (s State) Final() bool { return s == Completed || s == Failed || s == Cancelled }
+
+// Place is the life of a worker that a run was given to.
+type Place struct {
+	ID      string
+	Born    int64
+	Address string
+}
+
+// Task is the state of one task. Place is set while a run of it may exist.
+type Task struct {
+	Run      int64
+	Failures int
+	Done     bool
+	Place    Place
+	Saved    string
+}
+
+// Placed tells whether a run of the task may exist.
+func (t Task) Placed() bool { return t.Place.ID != "" }
+
+// Unit is one step of one occurrence. The tasks of a gang are started together
+// and share the run number.
+type Unit struct {
+	Occurrence int64
+	Step       int
+	Tasks      []Task
+	// FailedRun is the newest run of a gang whose failure has been counted.
+	FailedRun int64
+}
+
+// Done tells whether all tasks are done.
+func (u *Unit) Done() bool {
+	for i := range u.Tasks {
+		if !u.Tasks[i].Done {
+			return false
+		}
+	}
+	return true
+}
+
+// Placed tells whether a run of any task may exist.
+func (u *Unit) Placed() bool {
+	for i := range u.Tasks {
+		if u.Tasks[i].Placed() {
+			return true
+		}
+	}
+	return false
+}
+
+// Tracker follows one job.
+type Tracker struct {
+	Job     Job
+	State   State
+	Units   []*Unit
+	Started bool
+	EndedAt time.Time
+	// next is the first occurrence that has not been opened.
+	next int64
+}
+
+// NewTracker returns the tracker of a job that nothing is known of yet.
+func NewTracker(job Job) *Tracker { return &Tracker{Job: job, State: Queued} }
+
+// occurrences returns how often the steps run in all.
+func (t *Tracker) occurrences() int64 { return max(t.Job.Repeats, 1) }
+
+// Open adds the units of all occurrences that are due, and returns when the
+// next one is.
+func (t *Tracker) Open(now time.Time) (next time.Time, opened bool) {
+	for !t.State.Final() && t.next < t.occurrences() && t.open() < MaxOpenOccurrences {
+		due := Due(t.Job, t.next)
+		if now.Before(due) {
+			return due, opened
+		}
+		for step := range t.Job.Steps {
+			t.Units = append(t.Units, &Unit{Occurrence: t.next, Step: step, Tasks: make([]Task, t.Job.Steps[step].Tasks)})
+		}
+		t.next++
+		opened = true
+	}
+	return time.Time{}, opened
+}
+
+func (t *Tracker) open() int {
+	if len(t.Job.Steps) == 0 {
+		return 0
+	}
+	return len(t.Units) / len(t.Job.Steps)
+}
+
+// Unit returns the unit of an occurrence's step, or nil.
+func (t *Tracker) Unit(occurrence int64, step int) *Unit {
+	for _, unit := range t.Units {
+		if unit.Occurrence == occurrence && unit.Step == step {
+			return unit
+		}
+	}
+	return nil
+}
+
+// Task returns the state of a task, or nil.
+func (t *Tracker) Task(ref TaskRef) *Task {
+	unit := t.Unit(ref.Occurrence, ref.Step)
+	if unit == nil || ref.Index < 0 || ref.Index >= len(unit.Tasks) {
+		return nil
+	}
+	return &unit.Tasks[ref.Index]
+}
+
+// Startable tells whether the tasks of a unit may be started: its job goes on
+// and all steps before it are done.
+func (t *Tracker) Startable(unit *Unit) bool {
+	if t.State.Final() || unit.Done() {
+		return false
+	}
+	for _, after := range t.Job.Steps[unit.Step].After {
+		before := t.Unit(unit.Occurrence, int(after))
+		if before != nil && !before.Done() {
+			return false
+		}
+	}
+	return true
+}
+
+// Assign records that a task is about to be started at a place. Members of a
+// gang get the number after the highest of all members.
+func (t *Tracker) Assign(unit *Unit, index int, place Place) RunRef {
+	task := &unit.Tasks[index]
+	task.Run++
+	task.Place = place
+	t.Started = true
+	if t.State == Queued {
+		t.State = Running
+	}
+	return RunRef{TaskRef: TaskRef{Job: t.Job.ID, Occurrence: unit.Occurrence, Step: unit.Step, Index: index}, Run: task.Run}
+}
+
+// AlignGang gives all members of a gang the highest run number and the newest
+// checkpoint of any member, so that the next start of all of them matches.
+func (t *Tracker) AlignGang(unit *Unit, saved string) {
+	highest := int64(0)
+	for i := range unit.Tasks {
+		highest = max(highest, unit.Tasks[i].Run)
+	}
+	for i := range unit.Tasks {
+		unit.Tasks[i].Run = highest
+		unit.Tasks[i].Saved = saved
+	}
+}
+
+// current returns the task if the run is its newest one.
+func (t *Tracker) current(run RunRef) (*Unit, *Task) {
+	unit := t.Unit(run.Occurrence, run.Step)
+	task := t.Task(run.TaskRef)
+	if task == nil || task.Run != run.Run {
+		return nil, nil
+	}
+	return unit, task
+}
+
+// Finish records that a run has ended done and tells whether that changed
+// anything. The end of one member of a gang stands for all of them. A task that
+// is meant to last is started again.
+func (t *Tracker) Finish(run RunRef) bool {
+	unit := t.Unit(run.Occurrence, run.Step)
+	task := t.Task(run.TaskRef)
+	if task == nil {
+		return false
+	}
+	if task.Run == run.Run {
+		task.Place = Place{}
+	}
+	if t.Job.Steps[run.Step].Persistent {
+		return true
+	}
+	task.Done = true
+	if t.Job.Steps[run.Step].Gang && task.Run == run.Run {
+		for i := range unit.Tasks {
+			unit.Tasks[i].Done = true
+		}
+	}
+	return true
+}
+
+// Fail records that a run has ended by a failure, and fails the job when the
+// task has no attempts left. A gang has as many attempts as one task.
+func (t *Tracker) Fail(run RunRef, now time.Time) bool {
+	unit, task := t.current(run)
+	if task == nil || !task.Placed() {
+		return false
+	}
+	task.Place = Place{}
+	if task.Done {
+		return true
+	}
+	step := t.Job.Steps[run.Step]
+	counted := task
+	if step.Gang {
+		if unit.FailedRun >= run.Run {
+			return true
+		}
+		unit.FailedRun = run.Run
+		counted = &unit.Tasks[0]
+	}
+	counted.Failures++
+	if !step.Persistent && counted.Failures >= max(t.Job.MaxAttempts, 1) && !t.State.Final() {
+		t.end(Failed, now)
+	}
+	return true
+}
+
+// Drop records that a run no longer exists without having finished or failed.
+// A checkpoint that it left is kept.
+func (t *Tracker) Drop(run RunRef, saved string) bool {
+	_, task := t.current(run)
+	if task == nil || !task.Placed() {
+		return false
+	}
+	task.Place = Place{}
+	if saved != "" {
+		task.Saved = saved
+	}
+	return true
+}
+
+// Cancel ends the job. Runs that exist stay recorded until they have ended.
+func (t *Tracker) Cancel(now time.Time) bool {
+	if t.State.Final() {
+		return false
+	}
+	t.end(Cancelled, now)
+	return true
+}
+
+// Settle drops the units of finished occurrences and completes the job when
+// nothing is left to do.
+func (t *Tracker) Settle(now time.Time) {
+	if t.State.Final() {
+		return
+	}
+	open := map[int64]bool{}
+	for _, unit := range t.Units {
+		if !unit.Done() {
+			open[unit.Occurrence] = true
+		}
+	}
+	if len(open) == 0 && t.next >= t.occurrences() {
+		t.end(Completed, now)
+		return
+	}
+	kept := t.Units[:0]
+	for _, unit := range t.Units {
+		if open[unit.Occurrence] {
+			kept = append(kept, unit)
+		}
+	}
+	t.Units = kept
+}
+
+func (t *Tracker) end(state State, now time.Time) {
+	t.State = state
+	t.EndedAt = now
+}
+
+// Quiet tells whether no run of the job may exist.
+func (t *Tracker) Quiet() bool {
+	for _, unit := range t.Units {
+		if unit.Placed() {
+			return false
+		}
+	}
+	return true
+}
+
+// Encode returns the row value.
+func (t *Tracker) Encode() ([]byte, error) {
+	row := api.BatchProgress{State: string(t.State), NextOccurrence: t.next, Started: t.Started}
+	if !t.EndedAt.IsZero() {
+		row.EndedAtMs = t.EndedAt.UnixMilli()
+	}
+	places := map[Place]int{}
+	if !t.State.Final() || !t.Quiet() {
+		for _, unit := range t.Units {
+			row.Units = append(row.Units, encodeUnit(unit, places, &row))
+		}
+	}
+	value, err := cbor.Marshal(row)
+	return value, eris.Wrap(err, "encode the progress of a job")
+}
+
+func encodeUnit(unit *Unit, places map[Place]int, row *api.BatchProgress) api.BatchUnit {
+	encoded := api.BatchUnit{Occurrence: unit.Occurrence, Step: unit.Step, FailedRun: unit.FailedRun, Tasks: make([]api.BatchTask, len(unit.Tasks))}
+	for i, task := range unit.Tasks {
+		encoded.Tasks[i] = api.BatchTask{Run: task.Run, Failures: task.Failures, Done: task.Done, Saved: task.Saved}
+		if !task.Placed() {
+			continue
+		}
+		position, known := places[task.Place]
+		if !known {
+			row.Workers = append(row.Workers, api.BatchWorker{ID: task.Place.ID, Born: task.Place.Born, Address: task.Place.Address})
+			position = len(row.Workers)
+			places[task.Place] = position
+		}
+		encoded.Tasks[i].Worker = position
+	}
+	return encoded
+}
+
+// DecodeState reads only the state of a progress row.
+func DecodeState(value []byte) (State, error) {
+	var row api.BatchProgress
+	if err := cbor.Unmarshal(value, &row); err != nil {
+		return "", eris.Wrap(err, "decode the state of a job")
+	}
+	return State(row.State), nil
+}
+
+// Restore fills the tracker from a row value.
+func (t *Tracker) Restore(value []byte) error {
+	var row api.BatchProgress
+	if err := cbor.Unmarshal(value, &row); err != nil {
+		return eris.Wrap(err, "decode the progress of a job")
+	}
+	t.State, t.next, t.Started, t.Units = State(row.State), row.NextOccurrence, row.Started, nil
+	if row.EndedAtMs != 0 {
+		t.EndedAt = time.UnixMilli(row.EndedAtMs)
+	}
+	for _, encoded := range row.Units {
+		if encoded.Step < 0 || encoded.Step >= len(t.Job.Steps) {
+			return eris.Errorf("progress of job %s names step %d of %d", t.Job.ID, encoded.Step, len(t.Job.Steps))
+		}
+		unit := &Unit{Occurrence: encoded.Occurrence, Step: encoded.Step, FailedRun: encoded.FailedRun, Tasks: make([]Task, t.Job.Steps[encoded.Step].Tasks)}
+		for i := range min(len(encoded.Tasks), len(unit.Tasks)) {
+			from := encoded.Tasks[i]
+			unit.Tasks[i] = Task{Run: from.Run, Failures: from.Failures, Done: from.Done, Saved: from.Saved}
+			if from.Worker > 0 && from.Worker <= len(row.Workers) {
+				worker := row.Workers[from.Worker-1]
+				unit.Tasks[i].Place = Place{ID: worker.ID, Born: worker.Born, Address: worker.Address}
+			}
+		}
+		t.Units = append(t.Units, unit)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/dispatch/dispatch.go
@@ -0,0 +1,110 @@
+// Package dispatch runs batch jobs: the daemon that holds the lease follows the
+// accepted jobs and the workers, plans, starts and stops tasks, and stores what
+// became of them. All state of a term belongs to one goroutine; calls to the
+// store and to workers run beside it and post their results.
+package dispatch
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"github.com/samphirepath/samphirepath/internal/fleet"
+	"github.com/samphirepath/samphirepath/internal/telemetry"
+	"github.com/samphirepath/samphirepath/lease"
+	"github.com/samphirepath/samphirepath/table"
+)
+
+// Keys of the rows. Progress, counts and the lease are committed together.
+const (
+	JobsPrefix     = "jobs/"
+	CancelSuffix   = "/cancel"
+	ProgressPrefix = "progress/"
+	PendingKey     = "counts/pending"
+	LeasePrefix    = "leader/"
+)
+
+const (
+	// planEvery bounds how often a plan is made; events between are planned together.
+	planEvery = 10 * time.Millisecond
+	// tickEvery is the interval of the checks that no event triggers.
+	tickEvery = 100 * time.Millisecond
+	// holdWithoutLease is how long a holder that lost touch with the store goes on
+	// extending the leases of workers. It outlasts an outage of the store, and a
+	// successor waits for it before it gives up a worker that it cannot reach.
+	holdWithoutLease = 12 * time.Second
+	// leasePoll is how often the end of the lease is looked for.
+	leasePoll = 50 * time.Millisecond
+)
+
+// Discovery tells how to read the rows in which workers announce themselves.
+type Discovery struct {
+	Prefix string
+	Decode func(table.Row) (fleet.Worker, error)
+}
+
+// Zones tells which zones are taken out of service.
+type Zones interface {
+	OutOfService(zone string) bool
+}
+
+// Config holds what a Dispatcher needs.
+type Config struct {
+	Store     table.Watcher
+	Lease     *lease.Lease
+	Workers   Discovery
+	Client    fleet.Client
+	Zones     Zones
+	MaxHold   time.Duration // longest lease that a worker accepts
+	Keep      time.Duration // how long finished jobs stay known
+	SaveEvery time.Duration // interval at which tasks save progress
+	Follow    table.Follower
+	Log       *zap.Logger
+	Scope     tally.Scope
+}
+
+// Dispatcher runs terms while this daemon holds the lease.
+type Dispatcher struct {
+	cfg     Config
+	log     *zap.Logger
+	scope   tally.Scope
+	leading atomic.Bool
+}
+
+// New returns a dispatcher.
+func New(cfg Config) *Dispatcher {
+	return &Dispatcher{cfg: cfg, log: telemetry.Part(cfg.Log, "dispatch"), scope: telemetry.Scope(cfg.Scope)}
+}
+
+// Leading tells whether a term is running.
+func (d *Dispatcher) Leading() bool { return d.leading.Load() }
+
+// Run holds a term whenever the lease is held, until ctx ends.
+func (d *Dispatcher) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if status := d.cfg.Lease.Status(); status.Held {
+			d.term(ctx, status.Epoch)
+			continue
+		}
+		select {
+		case <-ctx.Done():
+		case <-d.cfg.Lease.Changed():
+		case <-time.After(tickEvery):
+		}
+	}
+	return nil
+}
+
+func (d *Dispatcher) term(ctx context.Context, epoch int64) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	d.leading.Store(true)
+	defer d.leading.Store(false)
+	t := newTerm(ctx, d, epoch)
+	d.log.Info("Term started.", zap.Int64("epoch", epoch))
+	reason := t.run()
+	d.log.Info("Term ended.", zap.Int64("epoch", epoch), zap.String("reason", reason))
+}
--- /dev/null
+++ b/internal/dispatch/term.go
@@ -0,0 +1,312 @@
+package dispatch
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/samphirepath/samphirepath/internal/batch"
+	"github.com/samphirepath/samphirepath/internal/telemetry"
+	"github.com/samphirepath/samphirepath/table"
+)
+
+// eventQueue is the room for results of calls; senders wait when it is full.
+const eventQueue = 1024
+
+// term is the state of one period of holding the lease.
+type term struct {
+	*Dispatcher
+	ctx    context.Context
+	epoch  int64
+	began  time.Time
+	events chan func()
+	over   string // why the term ends; empty while it goes on
+
+	jobs     map[string]*entry
+	finished map[string]time.Time // jobs that have ended and of which nothing runs, by when
+	hosts    map[string]*host
+	loaded   bool // the jobs have been listed
+	located  bool // the workers have been listed
+
+	changed    map[string]bool // jobs whose row is to be written
+	committing bool
+	retryAt    time.Time
+	pending    map[string]int64 // last stored counts of waiting jobs
+	pendingAt  time.Time
+
+	dirty    bool
+	planned  time.Time
+	lastHeld time.Time
+}
+
+// entry is a job of the term.
+type entry struct {
+	tracker *batch.Tracker
+	version int64 // version of the progress row
+	// edits counts the changes, durable those that the stored row contains.
+	edits   int64
+	durable int64
+	waiting []afterCommit
+	since   map[unitKey]time.Time // when units became startable
+	avoid   map[unitKey]map[string]bool
+	runs    map[batch.RunRef]*run
+	next    time.Time // when the next occurrence is due
+}
+
+type unitKey struct {
+	occurrence int64
+	step       int
+}
+
+// afterCommit is done once the row contains the edit.
+type afterCommit struct {
+	edit int64
+	do   func()
+}
+
+func newTerm(ctx context.Context, d *Dispatcher, epoch int64) *term {
+	now := time.Now()
+	return &term{
+		Dispatcher: d, ctx: ctx, epoch: epoch, began: now, lastHeld: now,
+		events: make(chan func(), eventQueue),
+		jobs:   map[string]*entry{}, finished: map[string]time.Time{}, hosts: map[string]*host{},
+		changed: map[string]bool{},
+	}
+}
+
+// post hands a result to the goroutine of the term.
+func (t *term) post(f func()) {
+	select {
+	case t.events <- f:
+	case <-t.ctx.Done():
+	}
+}
+
+// run returns why the term has ended.
+func (t *term) run() string {
+	progress, err := t.loadProgress()
+	if err != nil {
+		t.log.Warn("Progress of jobs not read.", telemetry.Cause(err))
+		return "progress not read"
+	}
+	t.follow(JobsPrefix, func(update table.Update) { t.jobsChanged(update, progress) })
+	t.follow(t.cfg.Workers.Prefix, t.workersChanged)
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	for t.over == "" {
+		select {
+		case <-t.ctx.Done():
+			return "stopping"
+		case f := <-t.events:
+			f()
+			t.drain()
+		case <-tick.C:
+			t.tick()
+		case <-t.planTimer():
+		}
+		t.step()
+	}
+	return t.over
+}
+
+// drain handles what else is queued, so that one plan serves all of it.
+func (t *term) drain() {
+	for range eventQueue {
+		select {
+		case f := <-t.events:
+			f()
+		default:
+			return
+		}
+	}
+}
+
+// planTimer fires when a plan is due.
+func (t *term) planTimer() <-chan time.Time {
+	if !t.dirty {
+		return nil
+	}
+	return time.After(max(0, planEvery-time.Since(t.planned)))
+}
+
+// step does what the events have made due.
+func (t *term) step() {
+	if t.over != "" {
+		return
+	}
+	if t.dirty && time.Since(t.planned) >= planEvery && t.ready() {
+		t.dirty = false
+		t.planned = time.Now()
+		t.plan()
+	}
+	t.flush()
+}
+
+// ready tells whether new work may be given out.
+func (t *term) ready() bool {
+	return t.loaded && t.located && t.cfg.Lease.Status().Held
+}
+
+func (t *term) tick() {
+	now := time.Now()
+	status := t.cfg.Lease.Status()
+	switch {
+	case status.Held && status.Epoch != t.epoch:
+		t.over = "lease taken anew"
+	case status.Held:
+		t.lastHeld = now
+	case status.Epoch > t.epoch:
+		t.over = "lease taken by another daemon"
+	case now.Sub(t.lastHeld) > holdWithoutLease:
+		t.over = "lease not renewed for too long"
+	}
+	for _, e := range t.jobs {
+		if !e.next.IsZero() && !now.Before(e.next) {
+			t.open(e)
+		}
+	}
+	for _, h := range t.hosts {
+		t.checkHost(h, now)
+	}
+	t.forgetFinished(now)
+	t.dirty = t.dirty || len(t.jobs) > 0
+}
+
+func (t *term) follow(prefix string, handle func(table.Update)) {
+	follower := t.cfg.Follow
+	follower.Store, follower.Prefix = t.cfg.Store, prefix
+	go follower.Run(t.ctx, func(update table.Update) {
+		t.post(func() {
+			if update.Err == nil {
+				handle(update)
+			}
+		})
+	})
+}
+
+// loadProgress reads the progress rows of all jobs.
+func (t *term) loadProgress() (map[string]table.Row, error) {
+	ctx, cancel := context.WithTimeout(t.ctx, t.cfg.Follow.Wait+t.cfg.Follow.Grace)
+	defer cancel()
+	listing, err := t.cfg.Store.List(ctx, ProgressPrefix, 0)
+	if err != nil {
+		return nil, err
+	}
+	rows := make(map[string]table.Row, len(listing.Rows))
+	for _, row := range listing.Rows {
+		rows[strings.TrimPrefix(row.Key, ProgressPrefix)] = row
+	}
+	return rows, nil
+}
+
+// jobsChanged takes new jobs and cancellations.
+func (t *term) jobsChanged(update table.Update, progress map[string]table.Row) {
+	var cancelled []string
+	for _, row := range update.Rows {
+		id := strings.TrimPrefix(row.Key, JobsPrefix)
+		if job, ok := strings.CutSuffix(id, CancelSuffix); ok {
+			cancelled = append(cancelled, job)
+			continue
+		}
+		t.addJob(id, row, progress)
+	}
+	for _, id := range cancelled {
+		t.cancel(id)
+	}
+	if update.Full {
+		t.loaded = true
+		t.adoptAll()
+	}
+	t.dirty = t.dirty || len(update.Rows) > 0
+}
+
+func (t *term) addJob(id string, row table.Row, progress map[string]table.Row) {
+	if _, known := t.jobs[id]; known {
+		return
+	}
+	if _, known := t.finished[id]; known {
+		return
+	}
+	job, err := batch.DecodeJob(row.Value)
+	if err != nil || job.ID != id {
+		t.log.Error("Job row ignored.", zap.String("job", id), zap.Int64("version", row.Version), telemetry.Cause(err))
+		return
+	}
+	e := &entry{
+		tracker: batch.NewTracker(job), since: map[unitKey]time.Time{},
+		avoid: map[unitKey]map[string]bool{}, runs: map[batch.RunRef]*run{},
+	}
+	if stored, ok := progress[id]; ok && !t.loaded {
+		e.version = stored.Version
+		if err := e.tracker.Restore(stored.Value); err != nil {
+			t.log.Error("Progress row ignored.", zap.String("job", id), zap.Int64("version", stored.Version), telemetry.Cause(err))
+			return
+		}
+		if e.tracker.State.Final() && e.tracker.Quiet() {
+			t.finished[id] = e.tracker.EndedAt
+			return
+		}
+	}
+	t.jobs[id] = e
+	t.log.Info("Job taken.", zap.String("job", id), zap.String("queue", job.Queue), zap.String("organisation", job.Organisation),
+		zap.Int64("version", row.Version), zap.String("state", string(e.tracker.State)), zap.Int("priority", job.Priority), zap.Int("steps", len(job.Steps)))
+	t.open(e)
+}
+
+// open adds the occurrences that are due.
+func (t *term) open(e *entry) {
+	next, opened := e.tracker.Open(time.Now())
+	e.next = next
+	if opened {
+		t.dirty = true
+	}
+}
+
+func (t *term) cancel(id string) {
+	e, ok := t.jobs[id]
+	if !ok || !e.tracker.Cancel(time.Now()) {
+		return
+	}
+	t.log.Info("Job cancelled.", zap.String("job", id), zap.Int("runs", len(e.runs)))
+	t.edited(e)
+	t.stopAll(e, "cancelled")
+}
+
+// settle applies what follows from a change of a job's tasks.
+func (t *term) settle(e *entry) {
+	before := e.tracker.State
+	t.open(e)
+	e.tracker.Settle(time.Now())
+	t.open(e)
+	if after := e.tracker.State; after != before {
+		t.log.Info("Job ended.", zap.String("job", e.tracker.Job.ID), zap.String("state", string(after)),
+			zap.Int64("age_ms", time.Now().UnixMilli()-e.tracker.Job.AcceptedAtMs))
+	}
+	if e.tracker.State.Final() {
+		t.stopAll(e, string(e.tracker.State))
+	}
+	t.edited(e)
+	t.dirty = true
+}
+
+// forgetFinished drops jobs that nothing is left to do for, and deletes their
+// rows once callers need not find them any more.
+func (t *term) forgetFinished(now time.Time) {
+	for id, e := range t.jobs {
+		if e.tracker.State.Final() && len(e.runs) == 0 && e.tracker.Quiet() && e.durable == e.edits {
+			t.finished[id] = e.tracker.EndedAt
+			delete(t.jobs, id)
+		}
+	}
+	var expired []string
+	for id, ended := range t.finished {
+		if now.Sub(ended) > t.cfg.Keep && len(expired) < maxExpired {
+			expired = append(expired, id)
+		}
+	}
+	if len(expired) > 0 && t.loaded {
+		t.expire(expired)
+	}
+}
--- a/internal/telemetry/logs.go
+++ b/internal/telemetry/logs.go
@@ -44,3 +44,12 @@
 	}
 	return logger
 }
+
+// Cause is the field of an error without its stack trace, which would make the
+// volume of the log depend on the failures.
+func Cause(err error) zap.Field {
+	if err == nil {
+		return zap.Skip()
+	}
+	return zap.String("error", err.Error())
+}
--- a/table/memory.go
+++ b/table/memory.go
@@ -7,6 +7,7 @@
 	"sort"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/rotisserie/eris"
 )
@@ -28,11 +29,12 @@
 	deleted map[string]int64 // key to the version of its deletion
 	changes []change         // ordered by version; outdated entries are skipped
 	version int64
+	changed chan struct{} // closed by the next commit that writes
 }
 
 // NewMemory returns an empty store.
 func NewMemory() *Memory {
-	return &Memory{rows: map[string]Row{}, deleted: map[string]int64{}}
+	return &Memory{rows: map[string]Row{}, deleted: map[string]int64{}, changed: make(chan struct{})}
 }
 
 // Get returns the row and whether it exists.
@@ -66,6 +68,29 @@
 	return listing, nil
 }
 
+// Watch returns what changed below the prefix after version since, and waits up
+// to wait for the first change.
+func (m *Memory) Watch(ctx context.Context, prefix string, since int64, wait time.Duration) (Listing, error) {
+	deadline := time.NewTimer(wait)
+	defer deadline.Stop()
+	for {
+		m.mu.Lock()
+		changed := m.changed
+		m.mu.Unlock()
+		listing, err := m.List(ctx, prefix, max(since, 1))
+		if err != nil || len(listing.Rows)+len(listing.Deleted) > 0 {
+			return listing, err
+		}
+		select {
+		case <-changed:
+		case <-deadline.C:
+			return listing, nil
+		case <-ctx.Done():
+			return Listing{}, eris.Wrap(ctx.Err(), "watch rows")
+		}
+	}
+}
+
 func (m *Memory) addAll(listing *Listing, prefix string) {
 	for key, row := range m.rows {
 		if strings.HasPrefix(key, prefix) {
@@ -115,6 +140,8 @@
 		m.version++
 		m.apply(lastWrites(writes))
 		m.compact()
+		close(m.changed)
+		m.changed = make(chan struct{})
 	}
 	return CommitResult{Status: Committed, Version: m.version}
 }
--- /dev/null
+++ b/table/watch.go
@@ -0,0 +1,86 @@
+package table
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// ErrHistoryLost means that the store no longer keeps the changes after the
+// version asked for. The reader has to list everything again.
+var ErrHistoryLost = eris.New("table: the history after this version is no longer kept")
+
+// Watcher is a Store that can wait for changes.
+type Watcher interface {
+	Store
+	// Watch returns what changed below the prefix after version since. It waits
+	// up to wait for the first change and then returns an empty listing.
+	Watch(ctx context.Context, prefix string, since int64, wait time.Duration) (Listing, error)
+}
+
+// Update is a step of a Follower.
+type Update struct {
+	// Full means that Rows holds all rows below the prefix; rows that are not in
+	// it no longer exist.
+	Full    bool
+	Rows    []Row
+	Deleted []string
+	Version int64
+	// AsOf is when the read was sent: the state is at least this fresh.
+	AsOf time.Time
+	// Err is set when the store did not answer; the other fields are empty.
+	Err error
+}
+
+// Follower keeps a reader up to date with the rows below a prefix.
+type Follower struct {
+	Store  Watcher
+	Prefix string
+	// Wait bounds one watch. A connection that went silent is noticed after
+	// Wait and Grace.
+	Wait  time.Duration
+	Grace time.Duration
+	// Pause is the delay after a failed read.
+	Pause time.Duration
+}
+
+// Run calls deliver with a full listing and then with each change, in order,
+// until ctx ends. An update without rows tells that nothing has changed.
+func (f Follower) Run(ctx context.Context, deliver func(Update)) {
+	version, full := int64(0), true
+	for ctx.Err() == nil {
+		sent := time.Now()
+		listing, err := f.read(ctx, version, full)
+		switch {
+		case ctx.Err() != nil:
+			return
+		case eris.Is(err, ErrHistoryLost):
+			full = true
+		case err != nil:
+			deliver(Update{Err: err})
+			pause(ctx, f.Pause)
+		default:
+			deliver(Update{Full: full, Rows: listing.Rows, Deleted: listing.Deleted, Version: listing.Version, AsOf: sent})
+			version, full = listing.Version, false
+		}
+	}
+}
+
+func (f Follower) read(ctx context.Context, version int64, full bool) (Listing, error) {
+	ctx, cancel := context.WithTimeout(ctx, f.Wait+f.Grace)
+	defer cancel()
+	if full {
+		return f.Store.List(ctx, f.Prefix, 0)
+	}
+	return f.Store.Watch(ctx, f.Prefix, version, f.Wait)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
