Reach the store through peers, hold workers more often, survive SIGHUP

Ruled out: a consensus among daemons; refusing at once on every failure, because peers reach the store in platform_down of single machines.

--- a/api/api.gen.go
+++ b/api/api.gen.go
@@ -978,6 +978,54 @@
 	Type         string `json:"type"`
 }
 
+// RelayFrame Store operation that a daemon asks a peer for, or its result: CBOR map with integer keys.
+type RelayFrame struct {
+	Conditions []RelayRow `cbor:"6,keyasint,omitempty" json:"conditions,omitempty"`
+
+	// Failure Why the operation failed; empty when it did not.
+	Failure     string `cbor:"12,keyasint,omitempty" json:"failure,omitempty"`
+	HistoryLost bool   `cbor:"13,keyasint,omitempty" json:"history_lost,omitempty"`
+
+	// ID Identifier of the operation; the result carries the same.
+	ID uint64 `cbor:"1,keyasint" json:"id"`
+
+	// Key Key or prefix.
+	Key string `cbor:"3,keyasint,omitempty" json:"key,omitempty"`
+
+	// Keys Deleted keys of a listing, or keys whose condition did not hold.
+	Keys []string `cbor:"9,keyasint,omitempty" json:"keys,omitempty"`
+
+	// Operation get, list, watch or commit; empty in a result.
+	Operation string     `cbor:"2,keyasint,omitempty" json:"operation,omitempty"`
+	Rows      []RelayRow `cbor:"8,keyasint,omitempty" json:"rows,omitempty"`
+	Since     int64      `cbor:"4,keyasint,omitempty" json:"since,omitempty"`
+
+	// Status Status of a commit.
+	Status int `cbor:"11,keyasint,omitempty" json:"status,omitempty"`
+
+	// Traceparent W3C trace context.
+	Traceparent string `cbor:"14,keyasint,omitempty" json:"traceparent,omitempty"`
+	Version     int64  `cbor:"10,keyasint,omitempty" json:"version,omitempty"`
+
+	// WaitMs How long a watch waits, or how long the caller waits for another operation.
+	WaitMs int64      `cbor:"5,keyasint,omitempty" json:"wait_ms,omitempty"`
+	Writes []RelayRow `cbor:"7,keyasint,omitempty" json:"writes,omitempty"`
+}
+
+// RelayPeer Row daemons/{vm}: where peers reach a daemon.
+type RelayPeer struct {
+	Address string `cbor:"1,keyasint" json:"address"`
+	Zone    string `cbor:"2,keyasint,omitempty" json:"zone,omitempty"`
+}
+
+// RelayRow Row, condition or write of a store operation between daemons.
+type RelayRow struct {
+	Delete  bool   `cbor:"4,keyasint,omitempty" json:"delete,omitempty"`
+	Key     string `cbor:"1,keyasint" json:"key"`
+	Value   []byte `cbor:"2,keyasint,omitempty" json:"value,omitempty"`
+	Version int64  `cbor:"3,keyasint,omitempty" json:"version,omitempty"`
+}
+
 // RenewSet Names tasks by a set that the worker has learned from the same holder.
 type RenewSet struct {
 	// ExpiresMs Unix time in milliseconds, the new expiry of the tasks that are not in leases.
--- a/cmd/samphirepathd/platform.go
+++ b/cmd/samphirepathd/platform.go
@@ -9,10 +9,12 @@
 	"syscall"
 
 	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
 
 	"github.com/samphirepath/samphirepath/internal/catalogue"
 	"github.com/samphirepath/samphirepath/internal/intake"
 	"github.com/samphirepath/samphirepath/internal/node"
+	"github.com/samphirepath/samphirepath/internal/relay"
 	"github.com/samphirepath/samphirepath/internal/telemetry"
 	"github.com/samphirepath/samphirepath/platform"
 )
@@ -49,11 +51,13 @@
 		return err
 	}
 	defer metrics.Close()
-	store := platform.NewStore(settings.StoreAddress, node.Partition)
+	own := platform.NewStore(settings.StoreAddress, node.Partition)
+	go reloadOnHangup(ctx, path, own, log)
+	store := relay.NewStore(own, settings.Name, log, metrics.Scope)
 	current := &catalogue.Current{}
 	front := &platform.Front{Current: current, Intake: intake.New(store, log, metrics.Scope)}
 	n, err := node.New(settings, node.Parts{
-		Store: store, Operator: platform.Operator(), Workers: platform.Discovery(), Client: platform.NewWorkers(),
+		Store: store, Own: own, Operator: platform.Operator(), Workers: platform.Discovery(), Client: platform.NewWorkers(),
 		Current: current, Front: front.Handler(), Metrics: metrics.Handler, Log: log, Scope: metrics.Scope,
 	})
 	if err != nil {
@@ -61,3 +65,26 @@
 	}
 	return n.Run(ctx)
 }
+
+// reloadOnHangup reads the settings again on SIGHUP. The address of the store is
+// taken at once; listeners and bounds stay until the next start.
+func reloadOnHangup(ctx context.Context, path string, store *platform.Store, log *zap.Logger) {
+	log = telemetry.Part(log, "settings")
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+		}
+		settings, problems := platform.LoadSettings(path)
+		for _, problem := range problems {
+			log.Error("Settings not taken.", telemetry.Cause(problem))
+		}
+		if len(problems) == 0 {
+			store.SetAddress(settings.StoreAddress)
+			log.Info("Settings reloaded.", zap.String("store", settings.StoreAddress))
+		}
+	}
+}
--- /dev/null
+++ b/internal/batch/batch_test.go
@@ -0,0 +1,148 @@
+package batch_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/samphirepath/samphirepath/internal/batch"
+)
+
+func TestBatch(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "batch")
+}
+
+var place = batch.Place{ID: "w1", Born: 7, Address: "10.0.0.1:80"}
+
+func gangJob(attempts int) batch.Job {
+	return batch.Job{ID: "j", MaxAttempts: attempts, Steps: []batch.Step{{Tasks: 3, Gang: true}}}
+}
+
+// startAll assigns every task of a unit.
+func startAll(t *batch.Tracker, unit *batch.Unit) []batch.RunRef {
+	var refs []batch.RunRef
+	for i := range unit.Tasks {
+		refs = append(refs, t.Assign(unit, i, place))
+	}
+	return refs
+}
+
+var _ = Describe("the progress of a job", func() {
+	now := time.Unix(1000, 0)
+
+	It("starts a step only after the steps before it", func() {
+		t := batch.NewTracker(batch.Job{ID: "j", Steps: []batch.Step{{Tasks: 1}, {Tasks: 1, After: []int64{0}}}})
+		t.Open(now)
+		Expect(t.Startable(t.Units[0])).To(BeTrue())
+		Expect(t.Startable(t.Units[1])).To(BeFalse())
+		ref := t.Assign(t.Units[0], 0, place)
+		t.Finish(ref)
+		t.Settle(now)
+		Expect(t.Startable(t.Units[1])).To(BeTrue())
+		Expect(t.State).To(Equal(batch.Running))
+	})
+
+	It("counts a gang's failure once, whatever order the ends arrive in", func() {
+		t := batch.NewTracker(gangJob(2))
+		t.Open(now)
+		refs := startAll(t, t.Units[0])
+		t.Drop(refs[0], "") // broken, reported first
+		t.Fail(refs[1], now)
+		t.Fail(refs[2], now)
+		Expect(t.State).To(Equal(batch.Running))
+		t.AlignGang(t.Units[0], "s")
+		refs = startAll(t, t.Units[0])
+		Expect(refs[0].Run).To(Equal(int64(2)))
+		Expect(t.Units[0].Tasks[2].Saved).To(Equal("s"))
+		t.Drop(refs[0], "")
+		t.Fail(refs[1], now)
+		Expect(t.State).To(Equal(batch.Failed))
+	})
+
+	It("takes one done end for the whole gang", func() {
+		t := batch.NewTracker(gangJob(1))
+		t.Open(now)
+		refs := startAll(t, t.Units[0])
+		t.Finish(refs[1])
+		t.Settle(now)
+		Expect(t.State).To(Equal(batch.Completed))
+	})
+
+	It("does not complete while an occurrence is to come, and opens each when it is due", func() {
+		job := batch.Job{ID: "j", Repeats: 2, FirstAtMs: now.UnixMilli(), EveryMs: 1000, Steps: []batch.Step{{Tasks: 1}}}
+		t := batch.NewTracker(job)
+		next, _ := t.Open(now.Add(-time.Millisecond))
+		Expect(next).To(BeTemporally("==", now))
+		Expect(t.Units).To(BeEmpty())
+		t.Open(now)
+		t.Finish(t.Assign(t.Units[0], 0, place))
+		t.Settle(now)
+		Expect(t.State).To(Equal(batch.Running))
+		t.Open(now.Add(time.Second))
+		t.Finish(t.Assign(t.Unit(1, 0), 0, place))
+		t.Settle(now)
+		Expect(t.State).To(Equal(batch.Completed))
+	})
+
+	It("starts a lasting task again however it ends", func() {
+		t := batch.NewTracker(batch.Job{ID: "j", MaxAttempts: 1, Steps: []batch.Step{{Tasks: 1, Persistent: true}}})
+		t.Open(now)
+		for range 3 {
+			t.Fail(t.Assign(t.Units[0], 0, place), now)
+			t.Finish(t.Assign(t.Units[0], 0, place))
+		}
+		t.Settle(now)
+		Expect(t.State).To(Equal(batch.Running))
+		Expect(t.Startable(t.Units[0])).To(BeTrue())
+	})
+
+	It("ignores ends of runs that a later one has replaced", func() {
+		t := batch.NewTracker(batch.Job{ID: "j", MaxAttempts: 2, Steps: []batch.Step{{Tasks: 1}}})
+		t.Open(now)
+		first := t.Assign(t.Units[0], 0, place)
+		t.Drop(first, "")
+		second := t.Assign(t.Units[0], 0, place)
+		Expect(t.Fail(first, now)).To(BeFalse())
+		Expect(t.Drop(first, "x")).To(BeFalse())
+		Expect(t.Units[0].Tasks[0].Placed()).To(BeTrue())
+		Expect(second.Run).To(Equal(int64(2)))
+	})
+
+	It("is the same after a store and a read", func() {
+		t := batch.NewTracker(gangJob(3))
+		t.Open(now)
+		refs := startAll(t, t.Units[0])
+		t.Fail(refs[0], now)
+		value, err := t.Encode()
+		Expect(err).NotTo(HaveOccurred())
+		again := batch.NewTracker(gangJob(3))
+		Expect(again.Restore(value)).To(Succeed())
+		Expect(again).To(Equal(t))
+	})
+
+	DescribeTable("refuses what cannot be a job", func(job batch.Job) {
+		Expect(batch.Validate(job)).NotTo(BeEmpty())
+	},
+		Entry("no steps", batch.Job{}),
+		Entry("a step without tasks", batch.Job{Steps: []batch.Step{{}}}),
+		Entry("a step after itself", batch.Job{Steps: []batch.Step{{Tasks: 1, After: []int64{0}}}}),
+		Entry("too many tasks", batch.Job{Steps: []batch.Step{{Tasks: batch.MaxTasks}, {Tasks: 1}}}),
+		Entry("a negative need", batch.Job{Steps: []batch.Step{{Tasks: 1, Need: batch.Need{MilliCPU: -1}}}}),
+	)
+
+	It("keeps the row of the largest job below the limit of the store", func() {
+		t := batch.NewTracker(batch.Job{ID: "0123456789abcdef", Steps: []batch.Step{{Tasks: batch.MaxTasks}}})
+		t.Open(now)
+		startAll(t, t.Units[0])
+		for i := range t.Units[0].Tasks {
+			t.Units[0].Tasks[i].Saved = "00000bb87a21d94b"
+			t.Units[0].Tasks[i].Failures = 3
+		}
+		value, err := t.Encode()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(len(value)).To(BeNumerically("<", 64<<10))
+	})
+})
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -23,7 +23,8 @@
 	JobsPrefix     = "jobs/"
 	CancelSuffix   = "/cancel"
 	ProgressPrefix = "progress/"
-	PendingKey     = "counts/pending"
+	CountsPrefix   = "counts/"
+	PendingKey     = CountsPrefix + "pending"
 	LeasePrefix    = "leader/"
 )
 
@@ -36,8 +37,6 @@
 	// extending the leases of workers. It outlasts an outage of the store, and a
 	// successor waits for it before it gives up a worker that it cannot reach.
 	holdWithoutLease = 12 * time.Second
-	// leasePoll is how often the end of the lease is looked for.
-	leasePoll = 50 * time.Millisecond
 )
 
 // Discovery tells how to read the rows in which workers announce themselves.
@@ -72,6 +71,9 @@
 	log     *zap.Logger
 	scope   tally.Scope
 	leading atomic.Bool
+	// topFence is the highest fence given out by a term of this process. A lease
+	// may serve two terms, and workers remember the fences of the first.
+	topFence int64
 }
 
 // New returns a dispatcher.
--- a/internal/dispatch/hosts.go
+++ b/internal/dispatch/hosts.go
@@ -18,11 +18,12 @@
 	fenceBits = 20
 	// holdWait is how long a worker may wait for an end before it answers. It
 	// bounds the time in which a silent connection is noticed.
-	holdWait = 1200 * time.Millisecond
+	holdWait = 600 * time.Millisecond
 	// callGrace is added to the wait of a call for the way there and back.
-	callGrace = 600 * time.Millisecond
-	// probePause is the delay between calls to a worker that did not answer.
-	probePause = 250 * time.Millisecond
+	callGrace = 400 * time.Millisecond
+	// probePause is the delay between calls to a worker that did not answer. A
+	// worker that is back is held before its lease ends.
+	probePause = 100 * time.Millisecond
 	// ackPause is how long an answer with ends that are not stored yet holds back
 	// the next call, which would return the same ends.
 	ackPause = 400 * time.Millisecond
@@ -75,7 +76,7 @@
 }
 
 func (t *term) newHost(worker fleet.Worker) *host {
-	h := &host{worker: worker, fence: t.epoch << fenceBits, runs: map[batch.RunRef]*run{}, orders: make(chan func(), eventQueue)}
+	h := &host{worker: worker, fence: t.topFence, runs: map[batch.RunRef]*run{}, orders: make(chan func(), eventQueue)}
 	go func() {
 		for {
 			select {
@@ -174,7 +175,8 @@
 // raiseFence shuts out all orders sent to a worker so far, once it has answered
 // a call with the new fence.
 func (t *term) raiseFence(h *host) {
-	h.fence++
+	t.topFence++
+	h.fence = t.topFence
 	h.next = time.Time{}
 }
 
@@ -217,7 +219,7 @@
 	if clock == 0 {
 		return 0
 	}
-	lasts := t.cfg.MaxHold - leaseSlack
+	lasts := t.cfg.MaxHold
 	if until := now.Add(time.Duration(float64(lasts)/slowClock) + leaseSlack); until.After(h.lapsed) {
 		h.lapsed = until
 	}
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -320,7 +320,7 @@
 	r := t.newRun(e, unit, ref, h, unknown)
 	r.saved = unit.Tasks[index].Saved
 	// Any call of this term raises the fence above the one of the order.
-	r.fence = t.epoch<<fenceBits - 1
+	r.fence = h.fence - 1
 	if place.Born != 0 && h.worker.Born > place.Born {
 		t.raiseFence(h)
 	}
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -68,6 +68,7 @@
 
 func newTerm(ctx context.Context, d *Dispatcher, epoch int64) *term {
 	now := time.Now()
+	d.topFence = max(d.topFence+1, epoch<<fenceBits)
 	return &term{
 		Dispatcher: d, ctx: ctx, epoch: epoch, began: now, lastHeld: now,
 		events: make(chan func(), eventQueue),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,9 +16,11 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/samphirepath/samphirepath/api"
 	"github.com/samphirepath/samphirepath/internal/catalogue"
 	"github.com/samphirepath/samphirepath/internal/dispatch"
 	"github.com/samphirepath/samphirepath/internal/fleet"
+	"github.com/samphirepath/samphirepath/internal/relay"
 	"github.com/samphirepath/samphirepath/internal/telemetry"
 	"github.com/samphirepath/samphirepath/lease"
 	"github.com/samphirepath/samphirepath/table"
@@ -61,7 +63,8 @@
 
 // Parts are the implementations that a platform provides.
 type Parts struct {
-	Store    table.Watcher
+	Store    *relay.Store
+	Own      table.Watcher // the own path to the store, which peers may use
 	Operator Operator
 	Workers  dispatch.Discovery
 	Client   fleet.Client
@@ -91,8 +94,10 @@
 	switch name + "/" {
 	case dispatch.JobsPrefix:
 		return "intake"
-	case dispatch.ProgressPrefix, dispatch.LeasePrefix, "counts/":
+	case dispatch.ProgressPrefix, dispatch.LeasePrefix, dispatch.CountsPrefix:
 		return "control"
+	case relay.PeersPrefix:
+		return "peers"
 	}
 	return ""
 }
@@ -129,7 +134,11 @@
 	if err != nil {
 		return err
 	}
-	servers := []*server{ready}
+	peers, err := n.listen(n.settings.PeerAddress, relay.Handler(n.parts.Own, n.parts.Log))
+	if err != nil {
+		return err
+	}
+	servers := []*server{ready, peers}
 	if n.settings.MetricsAddr != "" {
 		metrics, err := n.listen(n.settings.MetricsAddr, n.parts.Metrics)
 		if err != nil {
@@ -144,6 +153,9 @@
 	defer stopLeading()
 	var group errgroup.Group
 	group.Go(func() error { n.follower(n.parts.Operator.Prefix).Run(serving, n.operatorChanged); return nil })
+	group.Go(func() error {
+		return n.parts.Store.Run(serving, api.RelayPeer{Address: n.settings.PeerAddress, Zone: n.settings.Zone})
+	})
 	group.Go(func() error { return n.lease.Run(leading) })
 	group.Go(func() error { return n.dispatcher.Run(leading) })
 	<-ctx.Done()
@@ -193,6 +205,7 @@
 	if err := n.lease.Release(ctx); err != nil {
 		n.log.Warn("Lease not released.", telemetry.Cause(err))
 	}
+	n.parts.Store.Withdraw(ctx)
 	cancel()
 	time.Sleep(turnAway - time.Since(began))
 	ctx, cancel = context.WithTimeout(context.Background(), n.settings.Grace-stopMargin-time.Since(began))
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -9,6 +9,7 @@
 	Zone          string
 	FrontAddress  string // for callers
 	ReadyAddress  string // for the load balancer's checks
+	PeerAddress   string // for other daemons
 	MetricsAddr   string
 	StoreAddress  string
 	MaxHold       time.Duration // longest lease that a worker accepts
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,148 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/samphirepath/samphirepath/internal/batch"
+	"github.com/samphirepath/samphirepath/internal/placement"
+)
+
+func TestPlacement(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "placement")
+}
+
+var now = time.Unix(1000, 0)
+
+func accelerators(n int64) batch.Need {
+	return batch.Need{MilliCPU: 1000, MemoryMb: 1000, Accelerators: n}
+}
+
+// fleet returns racks of workers with 8 accelerators each.
+func fleet(racks, perRack int) []placement.Worker {
+	var workers []placement.Worker
+	for i := range racks * perRack {
+		workers = append(workers, placement.Worker{
+			ID: fmt.Sprintf("w%d", i), Service: "s", Rack: fmt.Sprintf("r%d", i/perRack), Labels: []string{"a"}, Usable: true,
+			Free: batch.Need{MilliCPU: 64000, MemoryMb: 128000, Accelerators: 8},
+		})
+	}
+	return workers
+}
+
+func demand(priority, tasks int, step batch.Step) placement.Demand {
+	step.Tasks = tasks
+	if step.EstimateMs == 0 {
+		step.EstimateMs = 2000
+	}
+	d := placement.Demand{Key: placement.StepKey{Job: fmt.Sprint(priority, tasks, step)}, Step: &step, Service: "s", Priority: priority, Objective: now.Add(time.Minute), Since: now}
+	for i := range tasks {
+		d.Tasks = append(d.Tasks, i)
+	}
+	return d
+}
+
+// placedOn returns how many tasks of a demand went to each worker.
+func placedOn(result placement.Result, d int) map[int]int {
+	on := map[int]int{}
+	for _, p := range result.Placements {
+		if p.Demand == d {
+			for _, w := range p.Workers {
+				on[w]++
+			}
+		}
+	}
+	return on
+}
+
+var _ = Describe("a plan", func() {
+	It("places a gang whole or not at all", func() {
+		gang := demand(1, 3, batch.Step{Gang: true, Need: accelerators(8)})
+		Expect(placedOn(placement.Plan(placement.Snapshot{Now: now, Workers: fleet(1, 3), Demands: []placement.Demand{gang}}), 0)).To(HaveLen(3))
+		Expect(placement.Plan(placement.Snapshot{Now: now, Workers: fleet(1, 2), Demands: []placement.Demand{gang}}).Placements).To(BeEmpty())
+	})
+
+	It("keeps a gang in one rack while it may wait for that", func() {
+		workers := fleet(2, 2)
+		workers[0].Free.Accelerators = 0
+		workers[0].Releases = []placement.Release{{At: now.Add(time.Second), Need: accelerators(8)}}
+		workers[2].Free.Accelerators = 0
+		workers[2].Releases = []placement.Release{{At: now.Add(time.Second), Need: accelerators(8)}}
+		gang := demand(1, 2, batch.Step{Gang: true, SameRack: true, Need: accelerators(8)})
+		Expect(placement.Plan(placement.Snapshot{Now: now, Workers: workers, Demands: []placement.Demand{gang}}).Placements).To(BeEmpty())
+		gang.Since = now.Add(-time.Minute)
+		Expect(placedOn(placement.Plan(placement.Snapshot{Now: now, Workers: workers, Demands: []placement.Demand{gang}}), 0)).To(Equal(map[int]int{1: 1, 3: 1}))
+	})
+
+	It("spreads a gang that no rack can hold", func() {
+		gang := demand(1, 3, batch.Step{Gang: true, SameRack: true, Need: accelerators(8)})
+		Expect(placedOn(placement.Plan(placement.Snapshot{Now: now, Workers: fleet(2, 2), Demands: []placement.Demand{gang}}), 0)).To(HaveLen(3))
+	})
+
+	It("evicts the cheapest work for an urgent task and keeps the room for it", func() {
+		workers := fleet(1, 2)
+		for i := range workers {
+			workers[i].Free = batch.Need{MilliCPU: 64000, MemoryMb: 128000}
+		}
+		groups := []placement.Group{
+			{ID: 0, Priority: 1, Loss: 500, Parts: []placement.Part{{Worker: 0, Need: accelerators(8)}}},
+			{ID: 1, Priority: 2, Loss: 100, Parts: []placement.Part{{Worker: 1, Need: accelerators(8)}}},
+		}
+		urgent := demand(0, 1, batch.Step{Need: accelerators(8)})
+		result := placement.Plan(placement.Snapshot{Now: now, Workers: workers, Demands: []placement.Demand{urgent}, Groups: groups})
+		Expect(result.Evict).To(Equal([]int{1}))
+		By("the room that is being freed goes to the urgent task, and nothing more is evicted")
+		workers[1].Leaving = accelerators(8)
+		result = placement.Plan(placement.Snapshot{Now: now, Workers: workers, Demands: []placement.Demand{urgent, demand(2, 1, batch.Step{Need: accelerators(1)})}, Groups: groups[:1]})
+		Expect(result.Evict).To(BeEmpty())
+		workers[1].Free, workers[1].Leaving = batch.Need{MilliCPU: 64000, MemoryMb: 128000, Accelerators: 8}, batch.Need{}
+		result = placement.Plan(placement.Snapshot{Now: now, Workers: workers, Demands: []placement.Demand{demand(2, 1, batch.Step{Need: accelerators(1)}), urgent}, Groups: groups[:1]})
+		Expect(placedOn(result, 1)).To(Equal(map[int]int{1: 1}))
+	})
+
+	It("never evicts work of the same priority", func() {
+		workers := fleet(1, 1)
+		workers[0].Free.Accelerators = 0
+		groups := []placement.Group{{Priority: 0, Loss: 1, Parts: []placement.Part{{Worker: 0, Need: accelerators(8)}}}}
+		result := placement.Plan(placement.Snapshot{Now: now, Workers: workers, Demands: []placement.Demand{demand(0, 1, batch.Step{Need: accelerators(8)})}, Groups: groups})
+		Expect(result.Evict).To(BeEmpty())
+	})
+
+	It("keeps workers for a blocked gang, and lets short work run until then", func() {
+		workers := fleet(1, 2)
+		workers[0].Free.Accelerators = 0
+		workers[0].Releases = []placement.Release{{At: now.Add(3 * time.Second), Need: accelerators(8)}}
+		gang := demand(1, 2, batch.Step{Gang: true, Need: accelerators(8)})
+		long := demand(2, 1, batch.Step{Need: accelerators(1), EstimateMs: 9000})
+		short := demand(2, 1, batch.Step{Need: accelerators(1), EstimateMs: 1000})
+		result := placement.Plan(placement.Snapshot{Now: now, Workers: workers, Demands: []placement.Demand{gang, long, short}})
+		Expect(placedOn(result, 1)).To(BeEmpty())
+		Expect(placedOn(result, 2)).To(Equal(map[int]int{1: 1}))
+	})
+
+	It("honours labels, limits a worker and racks of data", func() {
+		workers := fleet(2, 2)
+		workers[3].Labels = []string{"b"}
+		labelled := demand(1, 1, batch.Step{Label: "b", Need: accelerators(1)})
+		spread := demand(1, 3, batch.Step{MaxPerWorker: 1, Need: accelerators(1)})
+		near := demand(1, 2, batch.Step{DataRack: "r1", Need: accelerators(1)})
+		result := placement.Plan(placement.Snapshot{Now: now, Workers: workers, Demands: []placement.Demand{labelled, spread, near}})
+		Expect(placedOn(result, 0)).To(Equal(map[int]int{3: 1}))
+		Expect(placedOn(result, 1)).To(HaveLen(3))
+		for w := range placedOn(result, 2) {
+			Expect(w).To(BeNumerically(">=", 2))
+		}
+	})
+
+	It("gives nothing to workers that may not get work or of other services", func() {
+		workers := fleet(1, 2)
+		workers[0].Usable = false
+		workers[1].Service = "other"
+		Expect(placement.Plan(placement.Snapshot{Now: now, Workers: workers, Demands: []placement.Demand{demand(0, 1, batch.Step{Need: accelerators(1)})}}).Placements).To(BeEmpty())
+	})
+})
--- /dev/null
+++ b/internal/relay/frames.go
@@ -0,0 +1,126 @@
+// Package relay lets a daemon that the table store turns away use it through a
+// peer. Peers exchange CBOR frames over WebSocket; each frame is one operation
+// on the store or its result.
+package relay
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/samphirepath/samphirepath/api"
+	"github.com/samphirepath/samphirepath/table"
+)
+
+// Operations of a frame.
+const (
+	opGet    = "get"
+	opList   = "list"
+	opWatch  = "watch"
+	opCommit = "commit"
+)
+
+const (
+	// maxFrame bounds a frame: a listing of all open jobs of a large deployment.
+	maxFrame = 16 << 20
+	// maxElements bounds the arrays of a frame.
+	maxElements = 1 << 17
+)
+
+var decoder = newDecoder()
+
+func newDecoder() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		DupMapKey: cbor.DupMapKeyEnforcedAPF, IndefLength: cbor.IndefLengthForbidden, TagsMd: cbor.TagsForbidden,
+		MaxArrayElements: maxElements,
+	}.DecMode()
+	if err != nil {
+		panic(err) // the options are constant
+	}
+	return mode
+}
+
+func encodeFrame(frame *api.RelayFrame) ([]byte, error) {
+	data, err := cbor.Marshal(frame)
+	return data, eris.Wrap(err, "encode a relay frame")
+}
+
+func decodeFrame(data []byte) (*api.RelayFrame, error) {
+	var frame api.RelayFrame
+	if err := decoder.Unmarshal(data, &frame); err != nil {
+		return nil, eris.Wrap(err, "decode a relay frame")
+	}
+	return &frame, nil
+}
+
+func fromListing(id uint64, listing table.Listing, err error) *api.RelayFrame {
+	frame := &api.RelayFrame{ID: id, Keys: listing.Deleted, Version: listing.Version}
+	if err != nil {
+		frame.Failure = err.Error()
+		frame.HistoryLost = eris.Is(err, table.ErrHistoryLost)
+		return frame
+	}
+	for _, row := range listing.Rows {
+		frame.Rows = append(frame.Rows, api.RelayRow{Key: row.Key, Value: row.Value, Version: row.Version})
+	}
+	return frame
+}
+
+func toListing(frame *api.RelayFrame) (table.Listing, error) {
+	switch {
+	case frame.HistoryLost:
+		return table.Listing{}, table.ErrHistoryLost
+	case frame.Failure != "":
+		return table.Listing{}, eris.Errorf("through a peer: %s", frame.Failure)
+	}
+	listing := table.Listing{Deleted: frame.Keys, Version: frame.Version}
+	for _, row := range frame.Rows {
+		listing.Rows = append(listing.Rows, table.Row{Key: row.Key, Value: row.Value, Version: row.Version})
+	}
+	return listing, nil
+}
+
+func commitFrame(conditions []table.Condition, writes []table.Write) *api.RelayFrame {
+	frame := &api.RelayFrame{Operation: opCommit}
+	for _, c := range conditions {
+		frame.Conditions = append(frame.Conditions, api.RelayRow{Key: c.Key, Version: c.Version})
+	}
+	for _, w := range writes {
+		frame.Writes = append(frame.Writes, api.RelayRow{Key: w.Key, Value: w.Value, Delete: w.Delete})
+	}
+	return frame
+}
+
+func toCommit(frame *api.RelayFrame) ([]table.Condition, []table.Write) {
+	var conditions []table.Condition
+	for _, c := range frame.Conditions {
+		conditions = append(conditions, table.Condition{Key: c.Key, Version: c.Version})
+	}
+	var writes []table.Write
+	for _, w := range frame.Writes {
+		writes = append(writes, table.Write{Key: w.Key, Value: w.Value, Delete: w.Delete})
+	}
+	return conditions, writes
+}
+
+func fromResult(id uint64, result table.CommitResult) *api.RelayFrame {
+	frame := &api.RelayFrame{ID: id, Status: int(result.Status), Version: result.Version, Keys: result.Conflicts}
+	if result.Err != nil {
+		frame.Failure = result.Err.Error()
+	}
+	return frame
+}
+
+func toResult(frame *api.RelayFrame) table.CommitResult {
+	result := table.CommitResult{Status: table.CommitStatus(frame.Status), Version: frame.Version, Conflicts: frame.Keys}
+	if result.Status < table.Committed || result.Status > table.Unknown {
+		result.Status = table.Unknown
+	}
+	if frame.Failure != "" {
+		result.Err = eris.Errorf("through a peer: %s", frame.Failure)
+	}
+	return result
+}
+
+func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
