Tell the lives of a worker apart

Cause: an entry of an earlier life that arrived after a report of the new one set the start time back; the next report then looked like another start, and work that ran was given up and ran twice. A start that had reached the new life before its first report was given up as well. Ruled out: leases that outlive their bound; fences, which rise with every term. Change: entries of earlier lives are ignored; after a new start each run is settled by a call with a raised fence; ends are acknowledged for the life they belong to.

--- a/internal/dispatch/hosts.go
+++ b/internal/dispatch/hosts.go
@@ -76,6 +76,7 @@
 // ack is an end that the worker may forget once it is stored.
 type ack struct {
 	number int64
+	born   int64
 	stored bool
 }
 
@@ -128,8 +129,13 @@
 		h = t.newHost(worker)
 		t.hosts[worker.ID] = h
 		t.log.Info("Worker found.", zap.String("worker", worker.ID), zap.String("zone", worker.Zone), zap.Int64("version", version))
-	} else if h.worker.Born != 0 && worker.Born > h.worker.Born {
-		t.reborn(h, worker.Born)
+	}
+	switch {
+	case worker.Born != 0 && worker.Born < h.worker.Born:
+		t.log.Info("Entry of an earlier life of a worker ignored.", zap.String("worker", worker.ID), zap.Int64("version", version))
+		return
+	case h.worker.Born != 0 && worker.Born > h.worker.Born:
+		t.reborn(h, worker.Born, worker.Clock, now)
 	}
 	if worker.Draining && !h.worker.Draining {
 		t.log.Info("Worker is draining.", zap.String("worker", worker.ID), zap.Int64("version", version), zap.Duration("remaining", worker.Remaining))
@@ -154,26 +160,21 @@
 	t.dirty = true
 }
 
-// reborn drops what ran in the earlier life of a worker. An order whose answer
-// is missing may still reach the new life, so it stays until a raised fence has
-// shut it out.
-func (t *term) reborn(h *host, born int64) {
+// reborn begins with what is known of a later life of a worker. What ran in the
+// earlier one is gone, but an order of which the term believes that it went there
+// may have reached the new one: a call with a raised fence settles each run.
+func (t *term) reborn(h *host, born, clock int64, now time.Time) {
 	t.log.Info("Worker has started anew.", zap.String("worker", h.worker.ID), zap.Int64("born", born), zap.Int("runs", len(h.runs)))
 	h.worker.Born = born
 	h.highest, h.seen, h.told, h.acks = 0, 0, 0, nil
-	h.clockAt, h.lapsed = time.Time{}, time.Time{}
+	h.clock, h.clockAt = clock, now
 	h.streak, h.suspect = 0, time.Time{}
-	raised := false
 	for _, r := range h.runs {
-		if r.phase == starting || r.phase == unknown {
-			r.phase, raised = unknown, true
-			continue
+		if r.phase != committing {
+			r.phase = unknown
 		}
-		t.lost(r, "worker started anew")
-	}
-	if raised {
-		t.raiseFence(h)
 	}
+	t.raiseFence(h)
 }
 
 // raiseFence shuts out all orders sent to a worker so far, once it has answered
@@ -322,8 +323,7 @@
 	}
 	if report.Born != 0 && report.Born > h.worker.Born {
 		if h.worker.Born != 0 {
-			t.reborn(h, report.Born)
-			return
+			t.reborn(h, report.Born, report.Clock, now)
 		}
 		h.worker.Born = report.Born
 	}
@@ -332,7 +332,10 @@
 	}
 	h.misses = 0
 	h.answered = sent
-	h.told = max(h.told, order.SeenEnds)
+	if order.SeenEnds <= h.seen {
+		// Else the call was for an earlier life.
+		h.told = max(h.told, order.SeenEnds)
+	}
 	t.clockSeen(h, report.Clock, now)
 	for _, end := range report.Ended {
 		t.ended(h, end)
@@ -381,7 +384,7 @@
 		return
 	}
 	h.highest = end.Number
-	a := &ack{number: end.Number}
+	a := &ack{number: end.Number, born: h.worker.Born}
 	h.acks = append(h.acks, a)
 	e := t.jobs[end.Run.Job]
 	if e == nil {
@@ -399,6 +402,9 @@
 // stored lets the worker forget the ends that are stored.
 func (t *term) stored(h *host, a *ack) {
 	a.stored = true
+	if a.born != h.worker.Born {
+		return // the numbers began anew
+	}
 	for len(h.acks) > 0 && h.acks[0].stored {
 		h.seen = h.acks[0].number
 		h.acks = h.acks[1:]
