Let urgent work wait for room before it evicts; pace the plans

Ruled out: a reserve of free accelerators, which idles what would free itself within half a second. Change: an urgent demand reserves room and evicts only after 0.6 of its spare time, at most 600 ms; workers are indexed by rack; plans wait four times what the last one took.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -31,6 +31,8 @@
 const (
 	// planEvery bounds how often a plan is made; events between are planned together.
 	planEvery = 10 * time.Millisecond
+	// planShare is how many times as long as a plan takes the next one waits.
+	planShare = 4
 	// tickEvery is the interval of the checks that no event triggers.
 	tickEvery = 100 * time.Millisecond
 	// holdWithoutLease is how long a holder that lost touch with the store goes on
@@ -59,6 +61,7 @@
 	Client    fleet.Client
 	Zones     Zones
 	MaxHold   time.Duration // longest lease that a worker accepts
+	StopTime  time.Duration // longest time that a stop takes
 	Keep      time.Duration // how long finished jobs stay known
 	SaveEvery time.Duration // interval at which tasks save progress
 	Follow    table.Follower
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -13,6 +13,22 @@
 // estimate is expected to take still.
 const overdue = 0.2
 
+// Urgent work waits for room that becomes free by itself for evictPatience of the
+// time that it has to spare, at most longestPatience: in a full fleet a tenth of
+// the work ends within a second, and every eviction throws work away.
+const (
+	evictPatience   = 0.6
+	longestPatience = 600 * time.Millisecond
+	// evictMargin is what a start takes besides the stop of what is evicted.
+	evictMargin = 150 * time.Millisecond
+)
+
+// evictFrom returns when other work may be stopped for an urgent unit.
+func (t *term) evictFrom(job *batch.Job, objective, since time.Time) time.Time {
+	spare := objective.Sub(since) - batch.Ideal(*job) - t.cfg.StopTime - evictMargin
+	return since.Add(min(longestPatience, max(0, time.Duration(evictPatience*float64(spare)))))
+}
+
 // occupies is what a task counts for on its worker.
 func occupies(step *batch.Step) batch.Need { return placement.Occupies(step) }
 
@@ -51,7 +67,8 @@
 			t.stopRun(r, "evicted for an urgent job")
 		}
 	}
-	t.scope.Timer("plan").Record(time.Since(began))
+	t.planTook = time.Since(began)
+	t.scope.Timer("plan").Record(t.planTook)
 	if started > 0 || len(result.Evict) > 0 {
 		t.log.Info("Plan made.", zap.Int("waiting_groups", len(p.Demands)), zap.Int("starts", started), zap.Int("evicted_groups", len(result.Evict)),
 			zap.Int("workers", len(p.Workers)), zap.Duration("took", time.Since(began)))
@@ -114,11 +131,12 @@
 	if _, known := e.since[key]; !known {
 		e.since[key] = now
 	}
+	objective := batch.Objective(*job, unit.Occurrence)
 	return placement.Demand{
 		Key:  placement.StepKey{Job: job.ID, Occurrence: unit.Occurrence, Step: unit.Step},
 		Step: step, Service: job.Service, Tasks: tasks, Priority: job.Priority,
-		Objective: batch.Objective(*job, unit.Occurrence), Ideal: batch.Ideal(*job),
-		Since: e.since[key], Avoid: e.avoid[key],
+		Objective: objective, Ideal: batch.Ideal(*job),
+		Since: e.since[key], EvictFrom: t.evictFrom(job, objective, e.since[key]), Avoid: e.avoid[key],
 	}, true
 }
 
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -39,6 +39,7 @@
 
 	dirty    bool
 	planned  time.Time
+	planTook time.Duration
 	lastHeld time.Time
 }
 
@@ -131,7 +132,13 @@
 	if !t.dirty || !t.ready() {
 		return nil
 	}
-	return time.After(max(0, planEvery-time.Since(t.planned)))
+	return time.After(max(0, t.planPause()-time.Since(t.planned)))
+}
+
+// planPause is the time between two plans. It grows with what a plan takes, so
+// that planning leaves processor time for calls.
+func (t *term) planPause() time.Duration {
+	return max(planEvery, planShare*t.planTook)
 }
 
 // step does what the events have made due.
@@ -139,7 +146,7 @@
 	if t.over != "" {
 		return
 	}
-	if t.dirty && time.Since(t.planned) >= planEvery && t.ready() {
+	if t.dirty && time.Since(t.planned) >= t.planPause() && t.ready() {
 		t.dirty = false
 		t.planned = time.Now()
 		t.plan()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -119,7 +119,7 @@
 	n := &Node{settings: settings, parts: parts, log: telemetry.Part(parts.Log, "node"), lease: held, zonesOut: map[string]string{}}
 	n.dispatcher = dispatch.New(dispatch.Config{
 		Store: parts.Store, Lease: held, Holder: settings.Name, Workers: parts.Workers, Client: parts.Client, Zones: parts.Current,
-		MaxHold: settings.MaxHold, Keep: settings.KeepFinished, SaveEvery: settings.SaveEvery, Follow: n.follower(""),
+		MaxHold: settings.MaxHold, StopTime: settings.StopTime, Keep: settings.KeepFinished, SaveEvery: settings.SaveEvery, Follow: n.follower(""),
 		Log: parts.Log, Scope: parts.Scope,
 	})
 	return n, nil
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -13,6 +13,7 @@
 	MetricsAddr  string
 	StoreAddress string
 	MaxHold      time.Duration // longest lease that a worker accepts
+	StopTime     time.Duration // longest time that a worker takes to stop a task
 	Grace        time.Duration // time between SIGTERM and SIGKILL
 	KeepFinished time.Duration // how long finished jobs stay known
 	SaveEvery    time.Duration // interval at which tasks save progress
--- a/internal/placement/gang.go
+++ b/internal/placement/gang.go
@@ -17,19 +17,19 @@
 			return
 		}
 	}
-	if demand.Priority == 0 && p.makeGangRoom(demand, racks) {
+	if p.mayEvict(demand) && p.makeGangRoom(demand, racks) {
 		return
 	}
-	if wholeRack && !p.patient(demand) {
+	if wholeRack && !p.patient(demand) && (demand.Priority > 0 || p.mayEvict(demand)) {
 		if workers, ok := p.tryGang(demand, ""); ok {
 			p.result.Placements = append(p.result.Placements, Placement{Demand: d, Tasks: demand.Tasks, Workers: workers})
 			return
 		}
-		if demand.Priority == 0 && p.makeGangRoom(demand, []string{""}) {
+		if p.mayEvict(demand) && p.makeGangRoom(demand, []string{""}) {
 			return
 		}
 	}
-	if p.reserved < maxReservations {
+	if demand.Priority == 0 || p.reserved < maxReservations {
 		p.reserve(demand, racks)
 	}
 }
@@ -78,8 +78,8 @@
 func (p *planner) rackHolds(demand *Demand, rack string) bool {
 	slots := 0
 	need := Occupies(demand.Step)
-	for i := range p.Workers {
-		if p.Workers[i].Rack != rack || !eligible(&p.Workers[i], demand) {
+	for _, i := range p.byRack[rack] {
+		if !eligible(&p.Workers[i], demand) {
 			continue
 		}
 		whole := Plus(p.Workers[i].Free, p.Workers[i].Leaving)
@@ -151,14 +151,12 @@
 func (p *planner) slots(demand *Demand, rack string) []slot {
 	var slots []slot
 	need := Occupies(demand.Step)
-	for i := range p.Workers {
-		worker := &p.Workers[i]
-		if rack != "" && worker.Rack != rack || !eligible(worker, demand) || !p.workers[i].keepFor.IsZero() {
+	for _, i := range p.byRack[rack] {
+		if !eligible(&p.Workers[i], demand) || !p.workers[i].keepFor.IsZero() {
 			continue
 		}
 		room := Plus(p.workers[i].free, p.workers[i].leaving)
-		releases := slices.Clone(worker.Releases)
-		slices.SortFunc(releases, func(a, b Release) int { return a.At.Compare(b.At) })
+		releases := p.releases(i)
 		at, limit := p.Now, demand.Step.MaxPerWorker
 		for n, next := 0, 0; ; {
 			for Covers(room, need) && (limit <= 0 || n < limit) {
@@ -180,6 +178,15 @@
 	return slots
 }
 
+// releases returns what is expected to become free on a worker, earliest first.
+func (p *planner) releases(w int) []Release {
+	if p.released[w] == nil {
+		p.released[w] = slices.Clone(p.Workers[w].Releases)
+		slices.SortFunc(p.released[w], func(a, b Release) int { return a.At.Compare(b.At) })
+	}
+	return p.released[w]
+}
+
 // roomAt is the expected room of a worker at a time.
 func (p *planner) roomAt(w int, at time.Time) batch.Need {
 	room := Plus(p.workers[w].free, p.workers[w].leaving)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -65,6 +65,9 @@
 	Ideal time.Duration
 	// Since is when the tasks became startable.
 	Since time.Time
+	// EvictFrom is when a demand of priority 0 may have other work stopped for it;
+	// before, it waits for room that becomes free by itself.
+	EvictFrom time.Time
 	// Avoid names workers on which a task of this group has failed.
 	Avoid map[string]bool
 }
@@ -110,7 +113,9 @@
 	Snapshot
 	workers  []room
 	evicted  map[int]bool
-	byWorker [][]int // positions of groups on each worker
+	byWorker [][]int          // positions of groups on each worker
+	byRack   map[string][]int // positions of the workers of each rack; "" has all
+	released [][]Release      // releases of each worker in the order of time, as far as needed
 	reserved int
 	result   Result
 }
@@ -129,11 +134,16 @@
 
 // Plan places what fits, in the order of urgency.
 func Plan(snapshot Snapshot) Result {
-	p := planner{Snapshot: snapshot, evicted: map[int]bool{}}
+	p := planner{Snapshot: snapshot, evicted: map[int]bool{}, byRack: map[string][]int{}}
 	p.workers = make([]room, len(snapshot.Workers))
 	p.byWorker = make([][]int, len(snapshot.Workers))
+	p.released = make([][]Release, len(snapshot.Workers))
 	for i, w := range snapshot.Workers {
 		p.workers[i] = room{free: w.Free, leaving: w.Leaving}
+		p.byRack[""] = append(p.byRack[""], i)
+		if w.Rack != "" {
+			p.byRack[w.Rack] = append(p.byRack[w.Rack], i)
+		}
 	}
 	for g, group := range snapshot.Groups {
 		for _, part := range group.Parts {
@@ -194,11 +204,16 @@
 	if len(placement.Tasks) > 0 {
 		p.result.Placements = append(p.result.Placements, placement)
 	}
-	if missing := len(demand.Tasks) - len(placement.Tasks); missing > 0 && demand.Priority == 0 {
+	if missing := len(demand.Tasks) - len(placement.Tasks); missing > 0 && p.mayEvict(demand) {
 		p.makeRoom(demand, missing)
 	}
 }
 
+// mayEvict tells whether other work may be stopped for a demand.
+func (p *planner) mayEvict(demand *Demand) bool {
+	return demand.Priority == 0 && !p.Now.Before(demand.EvictFrom)
+}
+
 // patient tells whether a demand still waits for places of full speed.
 func (p *planner) patient(demand *Demand) bool {
 	if demand.Priority == 0 {
@@ -228,9 +243,9 @@
 func (p *planner) tightest(demand *Demand, rack string) (best int, usable bool) {
 	best = -1
 	var bestScore float64
-	for i := range p.Workers {
+	for _, i := range p.byRack[rack] {
 		worker := &p.Workers[i]
-		if rack != "" && worker.Rack != rack || !eligible(worker, demand) {
+		if !eligible(worker, demand) {
 			continue
 		}
 		usable = true
--- a/internal/placement/reclaim.go
+++ b/internal/placement/reclaim.go
@@ -62,9 +62,9 @@
 	best, bestLoss, bestSlack := -1, 0.0, 0.0
 	var bestGroups []int
 	need := Occupies(demand.Step)
-	for w := range p.Workers {
+	for _, w := range p.byRack[rack] {
 		worker := &p.Workers[w]
-		if rack != "" && worker.Rack != rack || worker.Suspect || !eligible(worker, demand) || !p.mayTake(w, demand, trial) {
+		if worker.Suspect || !eligible(worker, demand) || !p.mayTake(w, demand, trial) {
 			continue
 		}
 		groups, loss, ok := p.cheapest(w, need, demand.Priority, trial)
