Send an unanswered start again instead of starting a gang over

Ruled out: a longer wait for the answer; the order may come 2 to 12 s late. Change: after the raised fence shows that the order was not carried out, the same run is sent again; the wait for an answer is 350 ms.

--- a/internal/dispatch/hosts.go
+++ b/internal/dispatch/hosts.go
@@ -373,7 +373,7 @@
 		case (r.phase == running || r.phase == stopping) && r.answered.Before(sent):
 			t.lost(r, "worker no longer lists it")
 		case r.phase == unknown && order.Fence > r.fence:
-			t.lost(r, "order was not carried out")
+			t.startAgain(r, "order was not carried out")
 		}
 	}
 }
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -12,9 +12,12 @@
 )
 
 const (
-	// startTimeout bounds the wait for the answer to an order. An unanswered start
-	// is settled by a raised fence.
-	startTimeout = 700 * time.Millisecond
+	// startTimeout bounds the wait for the answer to an order, which takes a few ms.
+	// An unanswered start is settled by a raised fence and sent again, before the
+	// other members of a gang give up.
+	startTimeout = 350 * time.Millisecond
+	// maxSends bounds how often the start of one run is sent.
+	maxSends = 4
 	// stopAgain is the delay before a stop is repeated for a run still listed.
 	stopAgain = 400 * time.Millisecond
 )
@@ -40,6 +43,7 @@
 	host     *host
 	phase    phase
 	fence    int64     // fence of the start
+	sends    int       // how often the start was sent; 0 for adopted runs
 	answered time.Time // when the start was answered
 	began    time.Time
 	stop     string // why it is to be stopped; empty while it is wanted
@@ -83,6 +87,7 @@
 		return
 	}
 	r.phase, r.fence, r.began, r.savedAt = starting, r.host.fence, now, now
+	r.sends++
 	task := &r.unit.Tasks[r.ref.Index]
 	order := fleet.Start{Run: r.ref, Spec: r.entry.tracker.Job.Spec, Fence: r.fence, Deadline: deadline, Saved: task.Saved}
 	h, worker := r.host, r.host.worker
@@ -94,6 +99,18 @@
 	}
 }
 
+// startAgain sends the start of a run that a raised fence has shown not to have
+// been carried out. The run keeps its number, so a gang need not start over.
+func (t *term) startAgain(r *run, reason string) {
+	if r.sends == 0 || r.sends >= maxSends || r.stop != "" {
+		t.lost(r, reason)
+		return
+	}
+	t.log.Info("Start is sent again.", zap.Stringer("task", r.ref.TaskRef), zap.Int64("run", r.ref.Run), zap.String("worker", r.host.worker.ID), zap.String("reason", reason))
+	r.phase = committing
+	t.start(r)
+}
+
 // unwanted tells why a run that was planned may no longer be started.
 func (t *term) unwanted(r *run) string {
 	switch {
@@ -133,7 +150,7 @@
 			t.over = "fenced by worker " + r.host.worker.ID
 			return
 		}
-		t.lost(r, "start was overtaken by a raised fence")
+		t.startAgain(r, "start was overtaken by a raised fence")
 	case fleet.Unhealthy, fleet.NoRoom, fleet.OtherLife:
 		r.host.failed(now)
 		t.lost(r, "start refused: "+reply.Outcome.String())
