--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -1,6 +1,10 @@
 package dispatch
 
 import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -84,10 +88,14 @@
 	if len(p.Demands) == 0 {
 		return p
 	}
-	positions := make(map[*host]int, len(t.hosts))
-	for _, h := range t.hosts {
-		positions[h] = len(p.hosts)
-		p.hosts = append(p.hosts, h)
+	// In the order of racks, equally good workers fill one rack after the other and
+	// leave whole racks for gangs.
+	p.hosts = slices.SortedFunc(maps.Values(t.hosts), func(a, b *host) int {
+		return cmp.Or(strings.Compare(a.worker.Rack, b.worker.Rack), strings.Compare(a.worker.ID, b.worker.ID))
+	})
+	positions := make(map[*host]int, len(p.hosts))
+	for i, h := range p.hosts {
+		positions[h] = i
 		p.Workers = append(p.Workers, t.workerState(h, now))
 	}
 	if urgent {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -4,7 +4,9 @@
 package placement
 
 import (
+	"cmp"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/samphirepath/samphirepath/internal/batch"
@@ -170,7 +172,7 @@
 		if c := p.band(x) - p.band(y); c != 0 {
 			return c
 		}
-		return x.Objective.Compare(y.Objective)
+		return cmp.Or(x.Objective.Compare(y.Objective), strings.Compare(x.Key.Job, y.Key.Job))
 	})
 	return order
 }
