Spread the jobs over sixteen partitions of the store

Ruled out: longer waits, which only lengthen the queue; group commits across daemons, which need a daemon to send them through. Change: the layout of rows is the product's (node.Layout); a job and its cancellation go to one of 16 partitions by hash, listings read all of them at once.

--- a/cmd/samphirepathd/platform.go
+++ b/cmd/samphirepathd/platform.go
@@ -51,7 +51,7 @@
 		return err
 	}
 	defer metrics.Close()
-	own := platform.NewStore(settings.StoreAddress, node.Partition)
+	own := platform.NewStore(settings.StoreAddress, node.Layout{})
 	go reloadOnHangup(ctx, path, own, log)
 	store := relay.NewStore(own, settings.Name, log, metrics.Scope)
 	current := &catalogue.Current{}
--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -18,7 +18,7 @@
 	// maxRows bounds the rows of a commit. Each takes a condition and a write, and
 	// a table service takes 100 of them in one transaction.
 	maxRows = 45
-	// maxExpired bounds the finished jobs that one commit deletes, three rows each.
+	// maxExpired bounds the finished jobs that are deleted at once.
 	maxExpired = 30
 	// maxCommitBytes bounds the values of a commit below 1 MB in base64.
 	maxCommitBytes = 500 << 10
@@ -199,18 +199,13 @@
 	for _, id := range ids {
 		progress = append(progress, table.Write{Key: ProgressPrefix + id, Delete: true})
 	}
-	var jobs []table.Write
-	for _, id := range ids {
-		jobs = append(jobs, table.Write{Key: JobsPrefix + id, Delete: true}, table.Write{Key: JobsPrefix + id + CancelSuffix, Delete: true})
-	}
 	t.committing = true
 	go func() {
 		ctx, cancel := context.WithTimeout(t.ctx, commitTimeout)
 		defer cancel()
 		// The jobs go first: progress without a job is ignored, a job without
 		// progress would run again.
-		gone := t.cfg.Store.Commit(ctx, nil, jobs).Status == table.Committed &&
-			t.cfg.Store.Commit(ctx, []table.Condition{fence}, progress).Status == table.Committed
+		gone := t.deleteJobs(ctx, ids) && t.cfg.Store.Commit(ctx, []table.Condition{fence}, progress).Status == table.Committed
 		t.post(func() {
 			t.committing = false
 			if !gone {
@@ -223,3 +218,15 @@
 		})
 	}()
 }
+
+// deleteJobs deletes the rows of jobs, one commit each because they may be in
+// different partitions of the store.
+func (t *term) deleteJobs(ctx context.Context, ids []string) bool {
+	for _, id := range ids {
+		writes := []table.Write{{Key: JobsPrefix + id, Delete: true}, {Key: JobsPrefix + id + CancelSuffix, Delete: true}}
+		if t.cfg.Store.Commit(ctx, nil, writes).Status != table.Committed {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -93,20 +93,6 @@
 	stopping   atomic.Bool
 }
 
-// Partition names the partition of a table. Rows of the dispatcher are committed
-// together; jobs are written by all daemons and must not wait for them.
-func Partition(name string) string {
-	switch name + "/" {
-	case dispatch.JobsPrefix:
-		return "intake"
-	case dispatch.ProgressPrefix, dispatch.LeasePrefix, dispatch.CountsPrefix:
-		return "control"
-	case relay.PeersPrefix:
-		return "peers"
-	}
-	return ""
-}
-
 // New returns a daemon that has started nothing.
 func New(settings Settings, parts Parts) (*Node, error) {
 	held, err := lease.New(lease.Config{
