Follow the linter in the new packages

Ruled out: exclusions in the linter's settings. Change: contexts are passed, unused parts of the catalogue and the settings are gone.

--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -13,12 +13,14 @@
 	"github.com/samphirepath/samphirepath/api"
 )
 
-// Types of the stored rows.
-type (
-	Job  = api.BatchJob
-	Step = api.BatchStep
-	Need = api.BatchNeed
-)
+// Job is a job as it is stored.
+type Job = api.BatchJob
+
+// Step is a step of a job.
+type Step = api.BatchStep
+
+// Need is what a task occupies on a worker.
+type Need = api.BatchNeed
 
 // Limits of a job. They keep its progress row below the 64 KiB that a table
 // service takes, at about 30 bytes a task.
--- a/internal/catalogue/catalogue.go
+++ b/internal/catalogue/catalogue.go
@@ -3,6 +3,7 @@
 package catalogue
 
 import (
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -32,24 +33,20 @@
 
 // Catalogue is one version of the configuration.
 type Catalogue struct {
-	Version    int64
-	Limits     Limits
-	queues     map[string][]Queue // by host, longest prefix first
-	names      map[string]bool
-	tokens     map[string]string // token to organisation
-	Guaranteed map[string]int64  // accelerators that belong to an organisation
+	Version int64
+	Limits  Limits
+	queues  map[string][]Queue // by host, longest prefix first
+	tokens  map[string]string  // token to organisation
 }
 
 // New returns a catalogue. Queues of one host may have nested prefixes.
-func New(version int64, limits Limits, queues []Queue, tokens map[string]string, guaranteed map[string]int64) *Catalogue {
-	c := &Catalogue{Version: version, Limits: limits, queues: map[string][]Queue{}, names: map[string]bool{}, tokens: tokens, Guaranteed: guaranteed}
+func New(version int64, limits Limits, queues []Queue, tokens map[string]string) *Catalogue {
+	c := &Catalogue{Version: version, Limits: limits, queues: map[string][]Queue{}, tokens: tokens}
 	for _, q := range queues {
-		list := append(c.queues[q.Host], q)
-		for i := len(list) - 1; i > 0 && len(list[i].Prefix) > len(list[i-1].Prefix); i-- {
-			list[i], list[i-1] = list[i-1], list[i]
-		}
-		c.queues[q.Host] = list
-		c.names[q.Name] = true
+		c.queues[q.Host] = append(c.queues[q.Host], q)
+	}
+	for _, list := range c.queues {
+		slices.SortStableFunc(list, func(a, b Queue) int { return len(b.Prefix) - len(a.Prefix) })
 	}
 	return c
 }
--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -31,11 +31,10 @@
 	pendingEvery = 700 * time.Millisecond
 )
 
-// edited marks the row of a job as changed and returns the number of the edit.
-func (t *term) edited(e *entry) int64 {
+// edited marks the row of a job as changed.
+func (t *term) edited(e *entry) {
 	e.edits++
 	t.changed[e.tracker.Job.ID] = true
-	return e.edits
 }
 
 // whenDurable does something once the current state of the job is stored.
@@ -147,9 +146,11 @@
 		t.retryAt = time.Now().Add(commitPause)
 		return
 	}
-	if status := t.cfg.Lease.Status(); slices.Contains(result.Conflicts, fence) && !(status.Held && t.takenAgain(status)) {
-		t.over = "fenced by the store"
-		return
+	if slices.Contains(result.Conflicts, fence) {
+		if status := t.cfg.Lease.Status(); !status.Held || !t.takenAgain(status) {
+			t.over = "fenced by the store"
+			return
+		}
 	}
 	for key, version := range refreshed {
 		if e := t.jobs[strings.TrimPrefix(key, ProgressPrefix)]; e != nil {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -54,19 +54,18 @@
 
 // Config holds what a Dispatcher needs.
 type Config struct {
-	Store     table.Watcher
-	Lease     *lease.Lease
-	Holder    string // name of this daemon in the lease
-	Workers   Discovery
-	Client    fleet.Client
-	Zones     Zones
-	MaxHold   time.Duration // longest lease that a worker accepts
-	StopTime  time.Duration // longest time that a stop takes
-	Keep      time.Duration // how long finished jobs stay known
-	SaveEvery time.Duration // interval at which tasks save progress
-	Follow    table.Follower
-	Log       *zap.Logger
-	Scope     tally.Scope
+	Store    table.Watcher
+	Lease    *lease.Lease
+	Holder   string // name of this daemon in the lease
+	Workers  Discovery
+	Client   fleet.Client
+	Zones    Zones
+	MaxHold  time.Duration // longest lease that a worker accepts
+	StopTime time.Duration // longest time that a stop takes
+	Keep     time.Duration // how long finished jobs stay known
+	Follow   table.Follower
+	Log      *zap.Logger
+	Scope    tally.Scope
 }
 
 // Dispatcher runs terms while this daemon holds the lease.
@@ -111,6 +110,6 @@
 	defer d.leading.Store(false)
 	t := newTerm(ctx, d, epoch)
 	d.log.Info("Term started.", zap.Int64("epoch", epoch))
-	reason := t.run()
+	reason := t.run(ctx)
 	d.log.Info("Term ended.", zap.Int64("epoch", epoch), zap.String("reason", reason))
 }
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -41,8 +41,8 @@
 
 // usable tells whether a worker may get new tasks.
 func (t *term) usable(h *host, now time.Time) bool {
-	return h.present && !h.worker.Draining && h.misses == 0 && !t.cfg.Zones.OutOfService(h.worker.Zone) &&
-		!(h.streak >= excludedAfter && now.Before(h.suspect))
+	excluded := h.streak >= excludedAfter && now.Before(h.suspect)
+	return h.present && !h.worker.Draining && h.misses == 0 && !excluded && !t.cfg.Zones.OutOfService(h.worker.Zone)
 }
 
 // planning is the snapshot of one plan with what its positions stand for.
--- a/internal/dispatch/rig_test.go
+++ b/internal/dispatch/rig_test.go
@@ -130,7 +130,7 @@
 	log := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), zapcore.AddSync(GinkgoWriter), zapcore.InfoLevel))
 	d = dispatch.New(dispatch.Config{
 		Store: r.store, Lease: held, Holder: name, Workers: platform.Discovery(), Client: platform.NewWorkers(), Zones: &r.zones,
-		MaxHold: testMaxHold, Keep: time.Minute, SaveEvery: time.Second,
+		MaxHold: testMaxHold, Keep: time.Minute,
 		Follow: table.Follower{Wait: 200 * time.Millisecond, Grace: 400 * time.Millisecond, Pause: 20 * time.Millisecond},
 		Log:    log.Named(name),
 	})
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -102,7 +102,7 @@
 				return NotDone, attempt, result.Err
 			}
 		}
-		if !wait(ctx, attemptPause) {
+		if !pause(ctx) {
 			if open {
 				return Unknown, attempt, result.Err
 			}
@@ -146,7 +146,7 @@
 			open = open || result.Status == table.Unknown
 			err = result.Err
 		}
-		if !wait(ctx, attemptPause) {
+		if !pause(ctx) {
 			if open {
 				return Unknown, err
 			}
@@ -164,7 +164,7 @@
 			in.log.Info("State answered.", zap.String("job", id), zap.String("state", string(state)), zap.Stringer("outcome", outcome), zap.Int("attempts", attempt))
 			return state, outcome
 		}
-		if cause = err; !wait(ctx, attemptPause) {
+		if cause = err; !pause(ctx) {
 			break
 		}
 	}
@@ -206,7 +206,7 @@
 			}
 			return counts[queue], Done
 		}
-		if !wait(ctx, attemptPause) {
+		if !pause(ctx) {
 			in.log.Warn("Counts of waiting jobs not read.", telemetry.Cause(err))
 			return 0, NotDone
 		}
@@ -217,9 +217,9 @@
 	in.scope.Tagged(map[string]string{"outcome": outcome.String()}).Counter(name).Inc(1)
 }
 
-// wait sleeps and tells whether there is still time.
-func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
+// pause waits between two attempts and tells whether there is still time.
+func pause(ctx context.Context) bool {
+	timer := time.NewTimer(attemptPause)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -105,7 +105,7 @@
 	n := &Node{settings: settings, parts: parts, log: telemetry.Part(parts.Log, "node"), lease: held, zonesOut: map[string]string{}}
 	n.dispatcher = dispatch.New(dispatch.Config{
 		Store: parts.Store, Lease: held, Holder: settings.Name, Workers: parts.Workers, Client: parts.Client, Zones: parts.Current,
-		MaxHold: settings.MaxHold, StopTime: settings.StopTime, Keep: settings.KeepFinished, SaveEvery: settings.SaveEvery, Follow: n.follower(""),
+		MaxHold: settings.MaxHold, StopTime: settings.StopTime, Keep: settings.KeepFinished, Follow: n.follower(""),
 		Log: parts.Log, Scope: parts.Scope,
 	})
 	return n, nil
@@ -158,7 +158,7 @@
 	group.Go(func() error { return n.lease.Run(leading) })
 	group.Go(func() error { return n.dispatcher.Run(leading) })
 	<-ctx.Done()
-	n.stop(front, stopLeading)
+	n.stop(context.WithoutCancel(ctx), front, stopLeading)
 	for _, s := range servers {
 		_ = s.http.Close()
 	}
@@ -194,22 +194,22 @@
 
 // stop hands the lease over at once, turns new connections away and finishes
 // what callers have sent.
-func (n *Node) stop(front *server, stopLeading context.CancelFunc) {
+func (n *Node) stop(ctx context.Context, front *server, stopLeading context.CancelFunc) {
 	n.log.Info("Stop requested.", zap.Bool("leading", n.dispatcher.Leading()))
 	began := time.Now()
 	n.stopping.Store(true)
 	front.http.SetKeepAlivesEnabled(false)
 	stopLeading()
-	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
-	if err := n.lease.Release(ctx); err != nil {
+	release, cancel := context.WithTimeout(ctx, releaseTimeout)
+	if err := n.lease.Release(release); err != nil {
 		n.log.Warn("Lease not released.", telemetry.Cause(err))
 	}
-	n.parts.Store.Withdraw(ctx)
+	n.parts.Store.Withdraw(release)
 	cancel()
 	time.Sleep(turnAway - time.Since(began))
-	ctx, cancel = context.WithTimeout(context.Background(), n.settings.Grace-stopMargin-time.Since(began))
+	finish, cancel := context.WithTimeout(ctx, n.settings.Grace-stopMargin-time.Since(began))
 	defer cancel()
-	if err := front.http.Shutdown(ctx); err != nil {
+	if err := front.http.Shutdown(finish); err != nil {
 		n.log.Error("Stopping with calls in flight.", telemetry.Cause(err))
 	}
 }
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -16,7 +16,6 @@
 	StopTime     time.Duration // longest time that a worker takes to stop a task
 	Grace        time.Duration // time between SIGTERM and SIGKILL
 	KeepFinished time.Duration // how long finished jobs stay known
-	SaveEvery    time.Duration // interval at which tasks save progress
 	Cores        float64       // share of a core that the daemon may use
 	LinkMbps     float64
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -127,10 +127,9 @@
 	free    batch.Need
 	leaving batch.Need
 	// A reservation: until keepFor the worker may only take what ends before or
-	// what leaves kept intact.
+	// what fits into spare.
 	keepFor time.Time
-	kept    batch.Need
-	spare   batch.Need // expected room at keepFor beyond kept
+	spare   batch.Need // expected room at keepFor beyond the reservation
 	steps   map[StepKey]int
 }
 
--- a/internal/relay/peer.go
+++ b/internal/relay/peer.go
@@ -87,15 +87,16 @@
 	}
 	conn.SetReadLimit(maxFrame)
 	p.conn = conn
-	go p.read(conn)
+	// The connection serves later calls too.
+	go p.read(context.WithoutCancel(ctx), conn)
 	return conn, nil
 }
 
 // read hands results to the calls that wait for them.
-func (p *peer) read(conn *websocket.Conn) {
+func (p *peer) read(ctx context.Context, conn *websocket.Conn) {
 	defer p.drop(conn)
 	for {
-		_, data, err := conn.Read(context.Background())
+		_, data, err := conn.Read(ctx)
 		if err != nil {
 			return
 		}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -42,7 +42,7 @@
 func serve(ctx context.Context, conn *websocket.Conn, store table.Watcher) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	defer conn.CloseNow()
+	defer func() { _ = conn.CloseNow() }()
 	slots := make(chan struct{}, maxOperations)
 	for {
 		_, data, err := conn.Read(ctx)
--- a/internal/relay/store.go
+++ b/internal/relay/store.go
@@ -229,7 +229,7 @@
 		}
 	}
 	frame := commitFrame(conditions, writes)
-	var cause error = ErrNoPath
+	cause := ErrNoPath
 	for _, name := range s.candidates() {
 		answer, err := s.through(ctx, name, frame)
 		if err != nil {
@@ -252,7 +252,7 @@
 
 // ask reads through a peer.
 func (s *Store) ask(ctx context.Context, frame *api.RelayFrame) (table.Listing, error) {
-	var cause error = ErrNoPath
+	cause := ErrNoPath
 	for _, name := range s.candidates() {
 		answer, err := s.through(ctx, name, frame)
 		if err != nil {
