Keep the context of a term in the term

Cause: the linter wants the context passed through every result of a call. Ruled out: a parameter on forty functions that all get the same context. Change: one explained exception at the start of a term.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -110,6 +110,6 @@
 	defer d.leading.Store(false)
 	t := newTerm(ctx, d, epoch)
 	d.log.Info("Term started.", zap.Int64("epoch", epoch))
-	reason := t.run(ctx)
+	reason := t.run() //nolint:contextcheck // the term keeps its context: results of calls come back through its queue
 	d.log.Info("Term ended.", zap.Int64("epoch", epoch), zap.String("reason", reason))
 }
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -88,8 +88,8 @@
 }
 
 // run returns why the term has ended.
-func (t *term) run(ctx context.Context) string {
-	progress, err := t.loadProgress(ctx)
+func (t *term) run() string {
+	progress, err := t.loadProgress()
 	if err != nil {
 		t.log.Warn("Progress of jobs not read.", telemetry.Cause(err))
 		return "progress not read"
@@ -100,7 +100,7 @@
 	defer tick.Stop()
 	for t.over == "" {
 		select {
-		case <-ctx.Done():
+		case <-t.ctx.Done():
 			return "stopping"
 		case f := <-t.events:
 			f()
@@ -212,8 +212,8 @@
 }
 
 // loadProgress reads the progress rows of all jobs.
-func (t *term) loadProgress(ctx context.Context) (map[string]table.Row, error) {
-	ctx, cancel := context.WithTimeout(ctx, t.cfg.Follow.Wait+t.cfg.Follow.Grace)
+func (t *term) loadProgress() (map[string]table.Row, error) {
+	ctx, cancel := context.WithTimeout(t.ctx, t.cfg.Follow.Wait+t.cfg.Follow.Grace)
 	defer cancel()
 	listing, err := t.cfg.Store.List(ctx, ProgressPrefix, 0)
 	if err != nil {
