Keep the end of a caller's time for the answer of the store

Cause: a submission is tried every 100 ms until the caller's time ends. When the time ended while one more try was on its way, the outcome was reported as unknown although the store answered a moment later that it was down.

Ruled out: a lost or unreadable answer (the stand-in answers 503 with the not-run mark to each commit while it is down; the client maps it to Unavailable), and the settling of an earlier commit (no submission of the spec begins before the outage).

Change: the last fifth of a caller's time is for answers. A change that was not sent by then is withdrawn as not written; one that was sent is awaited to the end.

Before: the new test (eight callers whose time ends at different points of a try, a store that takes 60 ms to say that it is down) gets unknown, after: not run for all.

--- a/internal/jobs/submit.go
+++ b/internal/jobs/submit.go
@@ -16,6 +16,10 @@
 // retryPause is the pause between two tries of a write within its deadline.
 const retryPause = 100 * time.Millisecond
 
+// answerShare is the last part of a caller's time, in which no write is begun: one
+// that is under way when the time ends leaves its outcome unknown.
+const answerShare = 0.2
+
 // SubmitStatus tells what became of a submission.
 type SubmitStatus int
 
@@ -108,8 +112,9 @@
 func (s *Service) insert(ctx context.Context, job api.Job) SubmitResult {
 	maybe := false
 	var cause error
+	sendBy := lastSend(ctx)
 	for {
-		result := s.cfg.Writer.Apply(ctx, Change{Job: job})[0]
+		result := s.cfg.Writer.Apply(ctx, Change{Job: job, SendBy: sendBy})[0]
 		cause = result.Err
 		switch result.Status {
 		case Done:
@@ -125,7 +130,7 @@
 		case Unsettled:
 			maybe = true
 		}
-		if !pause(ctx, retryPause) {
+		if !pauseBefore(ctx, sendBy) {
 			break
 		}
 	}
@@ -151,12 +156,26 @@
 	}
 }
 
-// pause waits, and returns false when ctx ends first.
-func pause(ctx context.Context, d time.Duration) bool {
+// lastSend returns the latest time to begin a write for a caller whose time ends
+// with ctx; zero when it has no end.
+func lastSend(ctx context.Context) time.Time {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return time.Time{}
+	}
+	return deadline.Add(-time.Duration(answerShare * float64(time.Until(deadline))))
+}
+
+// pauseBefore waits for the pause between two tries. It returns false when ctx or
+// the time to send ends first.
+func pauseBefore(ctx context.Context, sendBy time.Time) bool {
+	if !sendBy.IsZero() && time.Until(sendBy) <= retryPause {
+		return false
+	}
 	select {
 	case <-ctx.Done():
 		return false
-	case <-time.After(d):
+	case <-time.After(retryPause):
 		return true
 	}
 }
@@ -194,6 +213,7 @@
 func (s *Service) Cancel(ctx context.Context, id string, visible func(api.Job) bool) CancelResult {
 	maybe := false
 	row := s.cfg.Follower.Get(id)
+	sendBy := lastSend(ctx)
 	var err error
 	for {
 		if row == nil {
@@ -210,7 +230,7 @@
 			if stateErr != nil || row.Job.CancelRequested {
 				return CancelResult{Status: CancelTaken, Job: row.Job}
 			}
-			result := s.cfg.Writer.Apply(ctx, Change{Job: job, Version: row.Version})[0]
+			result := s.cfg.Writer.Apply(ctx, Change{Job: job, Version: row.Version, SendBy: sendBy})[0]
 			if result.Status == Done {
 				return CancelResult{Status: CancelTaken, Job: job}
 			}
@@ -220,7 +240,7 @@
 			}
 			err = result.Err
 		}
-		if !pause(ctx, retryPause) {
+		if !pauseBefore(ctx, sendBy) {
 			break
 		}
 	}
--- a/internal/jobs/write_test.go
+++ b/internal/jobs/write_test.go
@@ -53,6 +53,28 @@
 )
 
 var _ = Describe("Submit", func() {
+	// Guards against an outcome that is open only because the caller's time ended
+	// while one more try was on its way to a store that refuses all.
+	It("refuses as not run while the store answers slowly that it is down", func() {
+		const answerTime, between, callers = 60 * time.Millisecond, 20 * time.Millisecond, 8
+		statuses := make([]jobs.SubmitStatus, callers)
+		var group sync.WaitGroup
+		for i := range callers {
+			r := newRig(newMemory(), rate.Inf)
+			r.store.set(func(m *memory) {
+				m.before = func(int) (table.CommitStatus, bool) {
+					time.Sleep(answerTime)
+					return table.Unavailable, false
+				}
+			})
+			group.Go(func() {
+				statuses[i] = r.service.Submit(within(600*time.Millisecond+time.Duration(i)*between), "org", spec("k")).Status
+			})
+		}
+		group.Wait()
+		Expect(statuses).To(HaveEach(jobs.NotRun))
+	})
+
 	It("finds the same job by key, on every daemon", func() {
 		store := newMemory()
 		a, b := newRig(store, rate.Inf), newRig(store, rate.Inf)
--- a/internal/jobs/writer.go
+++ b/internal/jobs/writer.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
@@ -27,6 +28,9 @@
 	commitTimeout = 3 * time.Second
 )
 
+// errNotSentInTime is the error of a change that was withdrawn at its SendBy.
+var errNotSentInTime = eris.New("not sent in time")
+
 // ChangeStatus tells what became of a change of a row.
 type ChangeStatus int
 
@@ -50,6 +54,8 @@
 	Version int64 // version the row must have; 0 means that it must not exist
 	Delete  bool
 	Fenced  bool // asserts the fence row of the planner
+	// SendBy withdraws a change that has not been sent by then; zero for never.
+	SendBy time.Time
 }
 
 // ChangeResult is the outcome of a change.
@@ -103,9 +109,9 @@
 	return &Writer{cfg: cfg, wake: make(chan struct{}, 1), slots: make(chan struct{}, parallelCommits)}
 }
 
-// Apply makes changes and waits for their outcomes, in the order given. When ctx
-// ends first, a change that was not sent is not written, and a change that was
-// sent is unsettled.
+// Apply makes changes and waits for their outcomes, in the order given. A change
+// that was not sent when ctx ends, or by its SendBy, is not written. A change that
+// was sent is unsettled when ctx ends before its answer.
 func (w *Writer) Apply(ctx context.Context, changes ...Change) []ChangeResult {
 	waiting := make([]*pending, len(changes))
 	for i, c := range changes {
@@ -126,26 +132,43 @@
 }
 
 func (w *Writer) await(ctx context.Context, p *pending) ChangeResult {
+	if sendBy := p.change.SendBy; !sendBy.IsZero() {
+		sending, cancel := context.WithDeadlineCause(ctx, sendBy, errNotSentInTime)
+		defer cancel()
+		select {
+		case r := <-p.done:
+			return r
+		case <-sending.Done():
+		}
+		if w.withdraw(p) {
+			return ChangeResult{Status: NotWritten, Err: context.Cause(sending)}
+		}
+	}
 	select {
 	case r := <-p.done:
 		return r
 	case <-ctx.Done():
 	}
-	w.mu.Lock()
-	sent := p.sent
-	if !sent {
-		w.removeLocked(p)
+	if w.withdraw(p) {
+		return ChangeResult{Status: NotWritten, Err: ctx.Err()}
 	}
-	w.mu.Unlock()
 	select {
 	case r := <-p.done:
 		return r
 	default:
 	}
-	if sent {
-		return ChangeResult{Status: Unsettled, Err: ctx.Err()}
+	return ChangeResult{Status: Unsettled, Err: ctx.Err()}
+}
+
+// withdraw takes a change out of the queue. It is false when the change was sent.
+func (w *Writer) withdraw(p *pending) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if p.sent {
+		return false
 	}
-	return ChangeResult{Status: NotWritten, Err: ctx.Err()}
+	w.removeLocked(p)
+	return true
 }
 
 func (w *Writer) removeLocked(p *pending) {
