Return from a pause of a test process once its threads have stopped

Pause returned when SIGSTOP was sent; the spec then releases the held answer of the table service, and threads that still ran took it and dispatched the request before they stopped.

Ruled out: an answer that passed the proxy while it was held (the gate asks after each read and before each write), and a dispatch without the claim's answer.

Change: Pause waits until all threads are stopped, as /proc says.

Before: the new spec (a process with eight busy threads, 100 pauses) finds a running thread at the first pause; after: none.

--- a/test/harness/harness_test.go
+++ b/test/harness/harness_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -27,10 +28,24 @@
 // envFakeDaemon makes the test binary play samphirepathd: "ready" or "exit".
 const envFakeDaemon = "HARNESS_TEST_FAKE_DAEMON"
 
+// busyThreads is how many goroutines the busy process keeps running.
+const busyThreads = 8
+
 func TestMain(m *testing.M) {
 	switch os.Getenv(envFakeDaemon) {
 	case "ready":
 		os.Exit(fakeDaemon(os.Args[2]))
+	case "busy":
+		for range busyThreads {
+			go func() {
+				for {
+					_ = os.Getpid()
+				}
+			}()
+		}
+		fmt.Println("busy")
+		time.Sleep(time.Minute)
+		os.Exit(0)
 	case "exit":
 		fmt.Fprintln(os.Stderr, "settings are wrong")
 		os.Exit(2)
@@ -143,6 +158,27 @@
 		gomega.Expect(first.WaitReady(ctx)).To(gomega.Succeed())
 	})
 
+	// Guards against a fault that a test heals while threads of the paused process
+	// still run and see the healed state.
+	ginkgo.It("returns from a pause when no thread runs", func() {
+		self, err := os.Executable()
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		p, err := harness.Start(harness.Command{Name: "busy", Path: self, Env: []string{envFakeDaemon + "=busy"}})
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		ginkgo.DeferCleanup(p.Kill)
+		gomega.Eventually(p.Logs).Should(gomega.ContainSubstring("busy"))
+		for range 100 {
+			gomega.Expect(p.Pause()).To(gomega.Succeed())
+			states, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.PID()))
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			gomega.Expect(len(states)).To(gomega.BeNumerically(">", 1))
+			for _, file := range states {
+				gomega.Expect(os.ReadFile(file)).To(gomega.ContainSubstring(") T "))
+			}
+			gomega.Expect(p.Continue()).To(gomega.Succeed())
+		}
+	})
+
 	ginkgo.It("cuts one daemon off from the platform and not the other", func() {
 		c := startCluster()
 		first, second := c.Daemons[0], c.Daemons[1]
--- a/test/harness/process.go
+++ b/test/harness/process.go
@@ -1,8 +1,13 @@
 package harness
 
 import (
+	"bytes"
 	"context"
+	"errors"
+	"fmt"
+	"os"
 	"os/exec"
+	"path/filepath"
 	"runtime"
 	"sync"
 	"syscall"
@@ -16,6 +21,10 @@
 	stopWait = 5 * time.Second
 	// outputWait bounds the wait for the rest of the output of an ended process.
 	outputWait = 2 * time.Second
+	// pauseWait bounds the wait for the threads of a paused process to stop, and
+	// pausePoll is the time between two looks.
+	pauseWait = 5 * time.Second
+	pausePoll = time.Millisecond
 )
 
 // ErrExited is the cause when a process ends while something is awaited of it.
@@ -103,8 +112,41 @@
 	return nil
 }
 
-// Pause stops the process as SIGSTOP does.
-func (p *Process) Pause() error { return p.signal(syscall.SIGSTOP) }
+// Pause stops the process as SIGSTOP does, and returns when no thread of it runs:
+// on a busy machine a thread runs on for a while after the signal was sent.
+func (p *Process) Pause() error {
+	if err := p.signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	for end := time.Now().Add(pauseWait); ; time.Sleep(pausePoll) {
+		stopped, err := p.stopped()
+		if err != nil || stopped {
+			return err
+		}
+		if time.Now().After(end) {
+			return eris.Errorf("%s still runs %s after SIGSTOP", p.name, pauseWait)
+		}
+	}
+}
+
+// stopped tells whether all threads of the process are stopped.
+func (p *Process) stopped() (bool, error) {
+	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.PID()))
+	if err != nil {
+		return false, eris.Wrap(err, "list threads")
+	}
+	for _, file := range files {
+		stat, err := os.ReadFile(file)
+		if err != nil && !errors.Is(err, os.ErrNotExist) && !errors.Is(err, syscall.ESRCH) { // a thread may end in between
+			return false, eris.Wrap(err, "read the state of a thread")
+		}
+		// The state follows the name in parentheses, which may hold any character.
+		if i := bytes.LastIndexByte(stat, ')'); i >= 0 && !bytes.HasPrefix(stat[i:], []byte(") T")) {
+			return false, nil
+		}
+	}
+	return len(files) > 0, nil
+}
 
 // Continue lets a paused process go on.
 func (p *Process) Continue() error { return p.signal(syscall.SIGCONT) }
