Pace starts where tasks begin to run, not only where they are admitted

Cause: the limit on starts a second was applied when a start is admitted. Starts that are held up afterwards (a worker that answers late, a confirmation that takes 400 ms, a busy machine) are released together, and more tasks begin within a second than the limit allows. At the pace of the limit itself a window of one second already holds 22 tasks, the bound, so any unevenness of 100 ms breaks it.

Ruled out: the limiter's burst (1) and rate (unchanged since the base); two planners at once (one term in each log).

Change: a second limiter paces the releases, and both run at nine tenths of the limit.

--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -33,6 +33,9 @@
 	retryPause = 200 * time.Millisecond
 	// maxStopPause bounds the pause between two stop calls for the same job.
 	maxStopPause = 2 * time.Second
+	// startPaceShare of the limit is what the pace is set to: calls take unequally
+	// long, and the limit holds for the tasks that begin within any second.
+	startPaceShare = 0.9
 	// defaultStartsPerSecond is the default of limits.starts_per_second.
 	defaultStartsPerSecond = 100
 )
@@ -80,7 +83,10 @@
 // Executor carries out placements and stops.
 type Executor struct {
 	cfg     Config
-	limiter *rate.Limiter
+	// admissions and releases pace the starts where they begin and where the tasks
+	// begin to run: starts may be held up in between and would come all at once.
+	admissions *rate.Limiter
+	releases   *rate.Limiter
 
 	mu         sync.Mutex
 	operations map[string]*operation // by job
@@ -119,8 +125,8 @@
 	cfg.Tracer = telemetry.Tracer(cfg.Tracer)
 	// A larger burst would let the zone start more than the limit in the first
 	// second after its return.
-	limiter := rate.NewLimiter(rate.Limit(cfg.StartsPerSecond), 1)
-	return &Executor{cfg: cfg, limiter: limiter, operations: map[string]*operation{}, tried: map[string]time.Time{}, released: map[string]int{}}
+	pace := rate.Limit(startPaceShare * float64(cfg.StartsPerSecond))
+	return &Executor{cfg: cfg, admissions: rate.NewLimiter(pace, 1), releases: rate.NewLimiter(pace, 1), operations: map[string]*operation{}, tried: map[string]time.Time{}, released: map[string]int{}}
 }
 
 // Run carries out rows until ctx ends.
@@ -165,22 +171,26 @@
 	if _, err := e.confirm(ctx); err != nil {
 		return false
 	}
-	if e.limiter.Wait(ctx) != nil {
+	if e.admissions.Wait(ctx) != nil {
 		return false
 	}
 	rows := e.placed()
 	if len(rows) == 0 || !e.cfg.Leading() {
 		return false
 	}
-	// The first task used the token above; the others are charged to the next job,
-	// one by one because the limiter refuses more than its burst at once.
-	for range len(rows[0].Job.Placement) - 1 {
-		e.limiter.Reserve()
-	}
+	chargeRest(e.admissions, rows[0].Job)
 	e.launch(ctx, rows[0], e.start)
 	return true
 }
 
+// chargeRest charges the tasks of a job but the first, which has used a token, to
+// the next job: one by one, because the limiter refuses more than its burst at once.
+func chargeRest(limiter *rate.Limiter, job api.Job) {
+	for range len(job.Placement) - 1 {
+		limiter.Reserve()
+	}
+}
+
 func (e *Executor) placed() []*jobs.Row {
 	var out []*jobs.Row
 	for _, row := range e.cfg.Follower.Rows() {
--- a/internal/executor/parts_test.go
+++ b/internal/executor/parts_test.go
@@ -121,3 +121,48 @@
 	Expect(len(order)).To(BeNumerically("<=", perSecond*8/10+2))
 	Expect(first[last].After(first["j00"])).To(BeTrue())
 })
+
+// slowStarter holds up the starts of its first seconds and notes when each job is
+// first released; it acknowledges no release.
+type slowStarter struct {
+	refplatform.Workers
+	until    time.Time
+	mu       sync.Mutex
+	released map[string]time.Time
+}
+
+func (s *slowStarter) Start(context.Context, string, api.StartTask) (api.StartReply, error) {
+	time.Sleep(time.Until(s.until))
+	return api.StartReply{Accepted: true}, nil
+}
+
+func (s *slowStarter) Act(_ context.Context, _ string, action api.TaskAction) ([]api.TaskReport, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	id, _, _, _ := jobs.ParseTaskID(action.TaskIds[0])
+	if _, again := s.released[id]; !again && action.Action == api.Release {
+		s.released[id] = time.Now()
+	}
+	return nil, nil
+}
+
+func (anywhere) Suspect(string) {}
+
+// Guards against starts that were admitted one by one, were held up on their way,
+// and then begin all at once.
+var _ = It("limits the releases of starts that were held up", func() {
+	const perSecond, count, heldFor, watched = 40, 60, 500 * time.Millisecond, time.Second
+	workers := &slowStarter{until: time.Now().Add(heldFor), released: map[string]time.Time{}}
+	follower := jobs.NewFollower(jobs.FollowerConfig{})
+	for i := range count {
+		follower.Observe(api.Job{ID: jobs.ID("org", fmt.Sprint(i)), Attempt: 1, Zone: "z", State: api.JobStatePlaced, PlacedMs: int64(i),
+			Placement: []api.TaskPlacement{{Worker: "w"}}}, int64(i+1))
+	}
+	e := New(Config{Zone: "z", Follower: follower, Workers: workers, View: inService{}, Places: anywhere{},
+		Leading: func() bool { return true }, StartsPerSecond: perSecond, StartWait: time.Minute})
+	ctx, cancel := context.WithTimeout(context.Background(), heldFor+watched)
+	defer cancel()
+	Expect(e.Run(ctx)).To(Succeed())
+	Expect(len(workers.released)).To(BeNumerically(">", perSecond/2))
+	Expect(len(workers.released)).To(BeNumerically("<=", perSecond+1))
+})
--- a/internal/executor/start.go
+++ b/internal/executor/start.go
@@ -238,6 +238,10 @@
 	ctx, cancel := context.WithTimeout(ctx, e.cfg.StartWait)
 	defer cancel()
 	released, status := make([]bool, len(job.Placement)), releaseUnsent
+	if e.releases.Wait(ctx) != nil {
+		return 0, releaseUnsent
+	}
+	chargeRest(e.releases, job)
 	for {
 		if confirmation, err := e.confirm(ctx); err == nil {
 			reports, sent := e.releaseAll(ctx, job, confirmation)
