--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 LINT := $(GO) run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 OAPI := $(GO) run github.com/oapi-codegen/oapi-codegen/v2/cmd/oapi-codegen@v2.8.2
 
-.PHONY: all build generate check-generated format check-format lint vet unit test demo capacity clean
+.PHONY: all build generate check-generated format check-format lint vet unit test demo capacity soak clean
 
 all: build
 
@@ -39,5 +39,9 @@
 capacity: build
 	@scripts/capacity
 
+# make soak SOAK="--seed 7 --seeds 50 --jobs 6"
+soak:
+	$(GO) run ./test/soak $(SOAK)
+
 clean:
 	rm -rf bin tmp
--- a/internal/standinfleet/worker.go
+++ b/internal/standinfleet/worker.go
@@ -15,15 +15,30 @@
 	Run  int64
 }
 
+// Record is what became of one start.
+type Record struct {
+	RunKey
+	Worker  string
+	Started time.Time
+	Ended   time.Time // zero while it runs
+	How     string
+	Number  int64 // of the end, 0 when the worker crashed
+	// Noted means that the end was acknowledged while the lease had not lapsed since.
+	Noted bool
+}
+
 type activeRun struct {
-	until time.Time // when the work is done
-	ends  string
+	until  time.Time // when the work is done
+	ends   string
+	record *Record
 }
 
 // Worker is a worker in memory. The description of a task tells how long it
 // takes and how it ends, as in {"ms":500,"ends":"failed"}.
 type Worker struct {
 	ID string
+	// ClockRate is how fast the worker's clock runs; 0 is true time.
+	ClockRate float64
 
 	mu      sync.Mutex
 	born    time.Time
@@ -37,6 +52,7 @@
 	fault   func(*http.Request) Fault
 
 	started map[RunKey]int // starts so far
+	records []*Record
 	// Overlaps counts starts of a task while another run of it was active here.
 	Overlaps int
 }
@@ -52,6 +68,13 @@
 func (w *Worker) Restart() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	for key, run := range w.running {
+		w.advanceRun(key, run, time.Now())
+		if run.record.Ended.IsZero() {
+			run.record.Ended, run.record.How = time.Now(), "crashed"
+		}
+	}
+	w.forgetEnds()
 	w.born, w.fence, w.lease, w.ends, w.ended = time.Now(), 0, 0, 0, nil
 	w.running, w.highest = map[RunKey]activeRun{}, map[string]int64{}
 	w.changed = make(chan struct{})
@@ -102,22 +125,68 @@
 	return keys
 }
 
-func (w *Worker) clock() int64 { return time.Since(w.born).Milliseconds() + 1 }
+// Records returns what became of each start so far.
+func (w *Worker) Records() []Record {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+	out := make([]Record, len(w.records))
+	for i, r := range w.records {
+		out[i] = *r
+	}
+	return out
+}
+
+func (w *Worker) rate() float64 {
+	if w.ClockRate > 0 {
+		return w.ClockRate
+	}
+	return 1
+}
+
+func (w *Worker) clock() int64 {
+	return int64(float64(time.Since(w.born).Milliseconds())*w.rate()) + 1
+}
+
+// lapse is when the lease ends, in true time.
+func (w *Worker) lapse() time.Time {
+	return w.born.Add(time.Duration(float64(w.lease)/w.rate()) * time.Millisecond)
+}
 
 // advance ends what is done or has lost its lease.
 func (w *Worker) advance() {
 	now := time.Now()
 	for key, run := range w.running {
-		switch {
-		case w.clock() > w.lease:
-			w.end(key, "lapsed")
-		case !now.Before(run.until):
-			w.end(key, run.ends)
+		w.advanceRun(key, run, now)
+	}
+	if w.lease > 0 && now.After(w.lapse()) {
+		w.forgetEnds()
+	}
+}
+
+func (w *Worker) advanceRun(key RunKey, run activeRun, now time.Time) {
+	lapse := w.lapse()
+	switch {
+	case !now.Before(run.until) && run.until.Before(lapse):
+		w.end(key, run.ends, run.until)
+	case now.After(lapse):
+		w.end(key, "lapsed", lapse)
+	}
+}
+
+// forgetEnds gives up the ends that nobody has acknowledged: their tasks may be
+// started again elsewhere.
+func (w *Worker) forgetEnds() {
+	for _, r := range w.records {
+		if r.Number > 0 && !r.Noted {
+			r.Number = 0
 		}
 	}
 }
 
-func (w *Worker) end(key RunKey, how string) {
+func (w *Worker) end(key RunKey, how string, at time.Time) {
+	record := w.running[key].record
+	record.Ended, record.How, record.Number = at, how, w.ends+1
 	delete(w.running, key)
 	w.highest[key.Task] = max(w.highest[key.Task], key.Run)
 	w.ends++
@@ -229,7 +298,9 @@
 		}
 	}
 	w.started[key]++
-	w.running[key] = activeRun{until: time.Now().Add(time.Duration(spec.Ms) * time.Millisecond), ends: spec.Ends}
+	record := &Record{RunKey: key, Worker: w.ID, Started: time.Now()}
+	w.records = append(w.records, record)
+	w.running[key] = activeRun{until: record.Started.Add(time.Duration(spec.Ms) * time.Millisecond), ends: spec.Ends, record: record}
 	return http.StatusOK, map[string]any{"clock_ms": w.clock()}
 }
 
@@ -237,13 +308,18 @@
 	key := RunKey{order.Task, order.Run}
 	w.highest[order.Task] = max(w.highest[order.Task], order.Run)
 	if _, there := w.running[key]; there {
-		w.end(key, "stopped")
+		w.end(key, "stopped", time.Now())
 	}
 	return http.StatusOK, map[string]any{"clock_ms": w.clock()}
 }
 
 // hold waits for an end when it is asked to. It gives up the lock meanwhile.
 func (w *Worker) hold(r *http.Request, order workerOrder) (int, map[string]any) {
+	for _, r := range w.records {
+		if r.Number > 0 && r.Number <= order.LastSeen {
+			r.Noted = true
+		}
+	}
 	w.extend(order.DeadlineMs)
 	kept := w.ended[:0:0]
 	for _, end := range w.ended {
--- a/test/harness/process.go
+++ b/test/harness/process.go
@@ -154,6 +154,9 @@
 // Terminate asks the process to end with SIGTERM and does not wait.
 func (p *Process) Terminate() error { return p.signal(syscall.SIGTERM) }
 
+// HangUp tells the process with SIGHUP that its settings may have changed.
+func (p *Process) HangUp() error { return p.signal(syscall.SIGHUP) }
+
 func (p *Process) signal(s syscall.Signal) error {
 	if !p.Running() {
 		return eris.Wrapf(ErrExited, "send %s to %s", s, p.name)
--- /dev/null
+++ b/test/soak/main.go
@@ -0,0 +1,97 @@
+// Command soak runs samphirepathd as processes over a store and workers of our own
+// and injects random faults from outside, while callers hand in, follow and cancel
+// jobs. It checks what callers and workers are promised and reports service over
+// time beside the faults. A run is determined by its seed, apart from timing.
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/samphirepath/samphirepath/test/harness"
+)
+
+type options struct {
+	Seed     uint64        `help:"Seed of the first run; 0 takes a fresh one." default:"0"`
+	Seeds    int           `help:"Number of runs with seeds that follow each other." default:"1"`
+	Duration time.Duration `help:"How long faults are injected." default:"20s"`
+	Jobs     int           `help:"Runs at a time." default:"1"`
+	Daemons  int           `help:"Daemons of a run; 0 lets the seed choose." default:"0"`
+	Workers  int           `help:"Workers of a run; 0 lets the seed choose." default:"0"`
+	Out      string        `help:"Directory for the reports and logs of failed runs." default:"target/soak"`
+	All      bool          `help:"Print the report of every run, not only of failed ones."`
+	Repeat   bool          `help:"Run the seeds that failed before instead."`
+}
+
+func main() {
+	var o options
+	kong.Parse(&o, kong.Description("Random faults against real processes; the exit code is 1 when a promise was broken."))
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	failed, err := runAll(ctx, o)
+	_ = harness.RemoveBinaries() // left in the directory for temporary files at worst
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
+	if failed > 0 {
+		os.Exit(1)
+	}
+}
+
+// runAll runs all seeds and returns how many failed.
+func runAll(ctx context.Context, o options) (int, error) {
+	binaries, err := harness.Build()
+	if err != nil {
+		return 0, err
+	}
+	var mu sync.Mutex
+	failed := 0
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(max(o.Jobs, 1))
+	for _, played := range o.seeds() {
+		group.Go(func() error {
+			r, err := run(ctx, binaries.Daemon, scenarioOf(played.Seed, played.Kinds, o))
+			if err != nil {
+				return err
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			fmt.Println(r.summary())
+			if o.All || len(r.broken) > 0 {
+				fmt.Println(r.plot())
+			}
+			if len(r.broken) == 0 {
+				return nil
+			}
+			failed++
+			return r.save(filepath.Join(o.Out, fmt.Sprint(played.Seed)))
+		})
+	}
+	return failed, group.Wait()
+}
+
+func (o options) seeds() []seed {
+	if o.Repeat {
+		return failedBefore()
+	}
+	first := o.Seed
+	if first == 0 {
+		first = rand.Uint64N(1 << 40)
+	}
+	seeds := make([]seed, max(o.Seeds, 1))
+	for i := range seeds {
+		seeds[i] = seed{Seed: first + uint64(i), Kinds: len(faultKinds)}
+	}
+	return seeds
+}
