Tell the state of a job from the dispatcher while the store is away

Cause: callers of jobs that were accepted before an outage of the store and end in it learn that at the store's return, because a state came only from the store.

Ruled out: late starts, evictions and a slow return (plans go on 0.6 s after the store is back).

Change: when the store has not answered for 100 ms, a daemon also asks the dispatcher, through the relay.

--- a/cmd/samphirepathd/platform.go
+++ b/cmd/samphirepathd/platform.go
@@ -55,7 +55,8 @@
 	go reloadOnHangup(ctx, path, own, log)
 	store := relay.NewStore(own, settings.Name, log, metrics.Scope)
 	current := &catalogue.Current{}
-	front := &platform.Front{Current: current, Intake: intake.New(store, log, metrics.Scope)}
+	jobs := intake.New(store, log, metrics.Scope)
+	front := &platform.Front{Current: current, Intake: jobs}
 	n, err := node.New(settings, node.Parts{
 		Store: store, Own: own, Operator: platform.Operator(), Workers: platform.Discovery(), Client: platform.NewWorkers(),
 		Current: current, Front: front.Handler(), Metrics: metrics.Handler, Log: log, Scope: metrics.Scope,
@@ -63,6 +64,7 @@
 	if err != nil {
 		return err
 	}
+	jobs.AskDispatcher(n.JobState)
 	return n.Run(ctx)
 }
 
--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -160,8 +160,29 @@
 	t.log.Info("Progress versions read again.", zap.Strings("rows", result.Conflicts))
 }
 
+// state returns the state of a job. One that has ended by ends that are not stored yet
+// is told only while the workers that hold these ends answer: if this daemon fails, the
+// next dispatcher learns them from there.
+func (t *term) state(id string) batch.State {
+	e := t.jobs[id]
+	if e == nil || !t.loaded {
+		return ""
+	}
+	if e.tracker.State == batch.Queued || e.tracker.State == batch.Running || e.durable == e.edits {
+		return e.tracker.State
+	}
+	for _, holder := range e.holders {
+		if h := holder.host; !h.present || h.misses > 0 || h.worker.Draining || h.worker.Born != holder.born {
+			return ""
+		}
+	}
+	return e.tracker.State
+}
+
 func (t *term) becameDurable(e *entry, edit int64) {
-	e.durable = max(e.durable, edit)
+	if e.durable = max(e.durable, edit); e.durable == e.edits {
+		e.holders = nil
+	}
 	due := e.waiting
 	e.waiting = nil
 	for _, wait := range due {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -12,6 +12,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"github.com/samphirepath/samphirepath/internal/batch"
 	"github.com/samphirepath/samphirepath/internal/fleet"
 	"github.com/samphirepath/samphirepath/internal/telemetry"
 	"github.com/samphirepath/samphirepath/lease"
@@ -74,6 +75,7 @@
 	log     *zap.Logger
 	scope   tally.Scope
 	leading atomic.Bool
+	current atomic.Pointer[term] // nil while this daemon does not dispatch
 	// topFence is the highest fence given out by a term of this process. A lease
 	// may serve two terms, and workers remember the fences of the first.
 	topFence int64
@@ -87,6 +89,30 @@
 // Leading tells whether a term is running.
 func (d *Dispatcher) Leading() bool { return d.leading.Load() }
 
+// State returns the state of a job as the running term knows it, also while the store
+// is away; "" when there is no term or it cannot tell.
+func (d *Dispatcher) State(ctx context.Context, id string) batch.State {
+	t := d.current.Load()
+	if t == nil {
+		return ""
+	}
+	answer := make(chan batch.State, 1)
+	select {
+	case t.events <- func() { answer <- t.state(id) }:
+	case <-ctx.Done():
+		return ""
+	case <-t.ctx.Done():
+		return ""
+	}
+	select {
+	case state := <-answer:
+		return state
+	case <-ctx.Done():
+	case <-t.ctx.Done():
+	}
+	return ""
+}
+
 // Run holds a term whenever the lease is held, until ctx ends.
 func (d *Dispatcher) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -109,6 +135,8 @@
 	d.leading.Store(true)
 	defer d.leading.Store(false)
 	t := newTerm(ctx, d, epoch)
+	d.current.Store(t)
+	defer d.current.Store(nil)
 	d.log.Info("Term started.", zap.Int64("epoch", epoch))
 	reason := t.run() //nolint:contextcheck // the term keeps its context: results of calls come back through its queue
 	d.log.Info("Term ended.", zap.Int64("epoch", epoch), zap.String("reason", reason))
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -132,6 +132,26 @@
 		Expect(r.starts()).To(Equal(map[string]int{"j.0.0.0": 1}))
 	})
 
+	// Guards against callers that learn seconds late that their job is done, because
+	// the store is away, and against an answer that a crash could make untrue.
+	It("tells the state of a job while the store is away, as long as the workers keep its ends", func(ctx SpecContext) {
+		r := newRig(1)
+		d, _ := r.dispatcher("a")
+		r.submit(batch.Job{ID: "j", Spec: `{"ms":400}`, Steps: []batch.Step{task(1)}})
+		Eventually(r.running).WithTimeout(soon).Should(HaveLen(1))
+		told := func() batch.State { return d.State(ctx, "j") }
+		Expect(told()).To(Equal(batch.Running))
+		r.store.setDown(true)
+		Eventually(told).WithTimeout(soon).Should(Equal(batch.Completed))
+		Expect(r.state("j")()).To(Equal(batch.Running))
+		Expect(d.State(ctx, "unknown")).To(BeEmpty())
+		r.workers[0].SetFault(func(*http.Request) standinfleet.Fault { return standinfleet.Silent })
+		Eventually(told).WithTimeout(soon).Should(BeEmpty())
+		r.store.setDown(false)
+		Eventually(r.state("j")).WithTimeout(soon).Should(Equal(batch.Completed))
+		Eventually(told).WithTimeout(soon).Should(Equal(batch.Completed))
+	})
+
 	It("starts the work of a lost worker elsewhere once its lease has run out", func() {
 		r := newRig(2)
 		r.dispatcher("a")
--- a/internal/dispatch/hosts.go
+++ b/internal/dispatch/hosts.go
@@ -237,7 +237,9 @@
 	if now.Before(h.next) || h.probing || h.polling && !probe {
 		return
 	}
-	if len(h.runs) == 0 && h.told == h.seen {
+	// A worker without work is asked only while it holds ends that are not stored: if
+	// it is lost, so are they.
+	if len(h.runs) == 0 && h.told == h.seen && (len(h.acks) == 0 || now.Sub(h.answered) < ackPause) {
 		return
 	}
 	order := fleet.Hold{Fence: h.fence, SeenEnds: h.seen}
@@ -304,6 +306,8 @@
 				t.lost(r, "address belongs to another worker")
 			}
 			h.told = h.seen
+			h.misses++
+			h.next = now.Add(ackPause)
 		}
 		return
 	default:
@@ -396,6 +400,7 @@
 		t.stored(h, a)
 		return
 	}
+	e.holders = append(e.holders, holder{host: h, born: a.born})
 	t.whenDurable(e, func() { t.stored(h, a) })
 }
 
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -60,6 +60,13 @@
 	avoid   map[unitKey]map[string]bool
 	runs    map[batch.RunRef]*run
 	next    time.Time // when the next occurrence is due
+	holders []holder  // of ends that are not stored
+}
+
+// holder is a life of a worker that keeps an end until it is stored.
+type holder struct {
+	host *host
+	born int64
 }
 
 type unitKey struct {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -6,6 +6,7 @@
 	"context"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
@@ -24,6 +25,9 @@
 	// refusalAfter is how long a submission that has certainly not been stored is
 	// tried before it is refused; the caller then tries another daemon.
 	refusalAfter = 50 * time.Millisecond
+	// hedgeAfter is how long the state of a job is awaited from the store before the
+	// dispatcher is asked as well: several times what a read usually takes.
+	hedgeAfter = 100 * time.Millisecond
 	// RetryAfter is when a refused caller should come back.
 	RetryAfter = time.Second
 )
@@ -58,16 +62,25 @@
 
 // Intake serves callers.
 type Intake struct {
-	store table.Store
-	log   *zap.Logger
-	scope tally.Scope
+	store      table.Store
+	dispatcher Dispatcher
+	log        *zap.Logger
+	scope      tally.Scope
 }
 
+// Dispatcher gives the state of a job as the dispatcher knows it, which is newer than
+// the store's; "" when it cannot tell or is not reached.
+type Dispatcher func(ctx context.Context, job string) batch.State
+
 // New returns an intake over a store.
 func New(store table.Store, log *zap.Logger, scope tally.Scope) *Intake {
 	return &Intake{store: store, log: telemetry.Part(log, "intake"), scope: telemetry.Scope(scope)}
 }
 
+// AskDispatcher lets states be told while the store does not answer. It is called
+// before the intake serves.
+func (in *Intake) AskDispatcher(dispatcher Dispatcher) { in.dispatcher = dispatcher }
+
 func jobKey(id string) string { return dispatch.JobsPrefix + id }
 
 // Submit stores a job unless its identifier is known already, which is the same
@@ -155,23 +168,72 @@
 	}
 }
 
-// State returns the state of a job.
+// State returns the state of a job: from the store, or from the dispatcher when the
+// store does not answer soon.
 func (in *Intake) State(ctx context.Context, id string) (batch.State, Outcome) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan stateAnswer, 2)
+	go func() { answers <- in.readState(ctx, id) }()
+	asking := 1
+	var hedge <-chan time.Time
+	if in.dispatcher != nil {
+		hedge = time.After(hedgeAfter)
+	}
 	var cause error
+	for asking > 0 {
+		select {
+		case <-hedge:
+			hedge = nil
+			asking++
+			go func() { answers <- in.askState(ctx, id) }()
+		case got := <-answers:
+			asking--
+			if got.err == nil {
+				in.log.Info("State answered.", zap.String("job", id), zap.String("state", string(got.state)),
+					zap.Stringer("outcome", got.outcome), zap.String("from", got.from), zap.Int("attempts", got.attempts))
+				return got.state, got.outcome
+			}
+			cause = got.err
+		}
+	}
+	in.log.Warn("State not read.", zap.String("job", id), telemetry.Cause(cause))
+	return "", NotDone
+}
+
+type stateAnswer struct {
+	state    batch.State
+	outcome  Outcome
+	from     string
+	attempts int
+	err      error
+}
+
+// readState reads the state until the store answers or ctx ends.
+func (in *Intake) readState(ctx context.Context, id string) stateAnswer {
 	for attempt := 1; ; attempt++ {
 		state, outcome, err := in.state(ctx, id)
-		if err == nil {
-			in.log.Info("State answered.", zap.String("job", id), zap.String("state", string(state)), zap.Stringer("outcome", outcome), zap.Int("attempts", attempt))
-			return state, outcome
+		if err == nil || !pause(ctx) {
+			return stateAnswer{state, outcome, "store", attempt, err}
 		}
-		if cause = err; !pause(ctx) {
-			break
+	}
+}
+
+// askState asks the dispatcher until it can tell or ctx ends.
+func (in *Intake) askState(ctx context.Context, id string) stateAnswer {
+	for attempt := 1; ; attempt++ {
+		if state := in.dispatcher(ctx, id); state != "" {
+			return stateAnswer{state, Done, "dispatcher", attempt, nil}
+		}
+		if !pause(ctx) {
+			return stateAnswer{attempts: attempt, err: errNotTold}
 		}
 	}
-	in.log.Warn("State not read.", zap.String("job", id), telemetry.Cause(cause))
-	return "", NotDone
 }
 
+// errNotTold means that the dispatcher was not reached or could not tell.
+var errNotTold = eris.New("the dispatcher cannot tell the state")
+
 func (in *Intake) state(ctx context.Context, id string) (batch.State, Outcome, error) {
 	row, found, err := in.get(ctx, dispatch.ProgressPrefix+id)
 	if err != nil {
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -96,4 +96,40 @@
 		state, _ = in.State(ctx, job.ID)
 		Expect(state).To(Equal(batch.Cancelled))
 	})
+
+	Describe("with a dispatcher", func() {
+		ask := func(store table.Store, told batch.State) (batch.State, intake.Outcome, time.Duration) {
+			in := intake.New(store, nil, nil)
+			in.AskDispatcher(func(context.Context, string) batch.State { return told })
+			ctx, cancel := context.WithTimeout(context.Background(), 400*time.Millisecond)
+			defer cancel()
+			began := time.Now()
+			state, outcome := in.State(ctx, job.ID)
+			return state, outcome, time.Since(began)
+		}
+
+		It("tells what it knows while the store does not answer", func() {
+			state, outcome, took := ask(unreadable{table.NewMemory()}, batch.Completed)
+			Expect(outcome).To(Equal(intake.Done))
+			Expect(state).To(Equal(batch.Completed))
+			Expect(took).To(BeNumerically("<", 300*time.Millisecond))
+		})
+
+		It("refuses when neither can tell", func() {
+			_, outcome, _ := ask(unreadable{table.NewMemory()}, "")
+			Expect(outcome).To(Equal(intake.NotDone))
+		})
+
+		It("goes by a store that answers", func() {
+			_, outcome, _ := ask(table.NewMemory(), batch.Completed)
+			Expect(outcome).To(Equal(intake.NoSuchJob))
+		})
+	})
 })
+
+// unreadable is a store of which nothing can be read.
+type unreadable struct{ *table.Memory }
+
+func (unreadable) Get(context.Context, string) (table.Row, bool, error) {
+	return table.Row{}, false, errors.New("no answer")
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/samphirepath/samphirepath/api"
+	"github.com/samphirepath/samphirepath/internal/batch"
 	"github.com/samphirepath/samphirepath/internal/catalogue"
 	"github.com/samphirepath/samphirepath/internal/dispatch"
 	"github.com/samphirepath/samphirepath/internal/fleet"
@@ -50,6 +51,8 @@
 	// turnAway is how long a stopping daemon still takes new connections: the load
 	// balancer checks once a second and needs two failed checks.
 	turnAway = 2500 * time.Millisecond
+	// askTimeout bounds a question to the dispatcher; callers wait for a second or two.
+	askTimeout = 500 * time.Millisecond
 	// stopMargin is left of the grace period for the last answers to be sent.
 	stopMargin = 800 * time.Millisecond
 	// releaseTimeout bounds the release of the lease; a slow store takes half a
@@ -126,6 +129,26 @@
 	return table.Follower{Store: n.parts.Store, Prefix: prefix, Wait: followWait, Grace: followGrace, Pause: followPause}
 }
 
+// JobState asks the dispatcher for the state of a job, wherever it runs; "" when it
+// cannot tell or is not reached.
+func (n *Node) JobState(ctx context.Context, job string) batch.State {
+	if n.dispatcher.Leading() {
+		return n.dispatcher.State(ctx, job)
+	}
+	holder := n.lease.Status().Holder
+	if holder == "" || holder == n.settings.Name {
+		return ""
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	state, err := n.parts.Store.JobState(ctx, holder, job)
+	if err != nil {
+		n.log.Warn("Dispatcher not asked.", zap.String("job", job), zap.String("dispatcher", holder), telemetry.Cause(err))
+		return ""
+	}
+	return batch.State(state)
+}
+
 // Run serves until ctx ends and then stops gracefully.
 func (n *Node) Run(ctx context.Context) error {
 	front, err := n.listen(n.settings.FrontAddress, n.parts.Front)
@@ -136,7 +159,7 @@
 	if err != nil {
 		return err
 	}
-	peers, err := n.listen(n.settings.PeerAddress, relay.Handler(n.parts.Own, n.parts.Log))
+	peers, err := n.listen(n.settings.PeerAddress, relay.Handler(n.parts.Own, func(ctx context.Context, job string) string { return string(n.dispatcher.State(ctx, job)) }, n.parts.Log))
 	if err != nil {
 		return err
 	}
--- a/internal/relay/frames.go
+++ b/internal/relay/frames.go
@@ -19,6 +19,8 @@
 	opList   = "list"
 	opWatch  = "watch"
 	opCommit = "commit"
+	// opState asks the dispatcher for the state of a job.
+	opState = "state"
 )
 
 const (
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -22,8 +22,13 @@
 	writeTimeout = time.Second
 )
 
-// Handler serves the operations of peers on this daemon's own path to the store.
-func Handler(store table.Watcher, log *zap.Logger) http.Handler {
+// States gives the state of a job as this daemon's dispatcher knows it, "" when it
+// cannot tell.
+type States func(ctx context.Context, job string) string
+
+// Handler serves the operations of peers on this daemon's own path to the store, and
+// what its dispatcher knows.
+func Handler(store table.Watcher, states States, log *zap.Logger) http.Handler {
 	log = telemetry.Part(log, "relay")
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		conn, err := websocket.Accept(w, r, nil)
@@ -33,13 +38,13 @@
 		}
 		conn.SetReadLimit(maxFrame)
 		log.Info("Peer uses this daemon's path to the store.", zap.String("address", r.RemoteAddr))
-		err = serve(r.Context(), conn, store)
+		err = serve(r.Context(), conn, store, states)
 		log.Info("Peer has left.", zap.String("address", r.RemoteAddr), telemetry.Cause(err))
 	})
 }
 
 // serve runs operations until the connection ends.
-func serve(ctx context.Context, conn *websocket.Conn, store table.Watcher) error {
+func serve(ctx context.Context, conn *websocket.Conn, store table.Watcher, states States) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer func() { _ = conn.CloseNow() }()
@@ -60,7 +65,7 @@
 		}
 		go func() {
 			defer func() { <-slots }()
-			answer := perform(ctx, store, frame)
+			answer := perform(ctx, store, states, frame)
 			// A peer that does not take the result treats it as unknown.
 			_ = write(ctx, conn, answer)
 		}()
@@ -77,8 +82,8 @@
 	return conn.Write(ctx, websocket.MessageBinary, data)
 }
 
-// perform runs one operation on the store.
-func perform(ctx context.Context, store table.Watcher, frame *api.RelayFrame) *api.RelayFrame {
+// perform runs one operation.
+func perform(ctx context.Context, store table.Watcher, states States, frame *api.RelayFrame) *api.RelayFrame {
 	wait := min(milliseconds(frame.WaitMs), longestWait)
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
@@ -99,6 +104,8 @@
 	case opCommit:
 		conditions, writes := toCommit(frame)
 		return fromResult(frame.ID, store.Commit(ctx, conditions, writes))
+	case opState:
+		return fromListing(frame.ID, table.Listing{Rows: []table.Row{{Key: frame.Key, Value: []byte(states(ctx, frame.Key))}}}, nil)
 	}
 	return &api.RelayFrame{ID: frame.ID, Failure: "unknown operation " + frame.Operation, Status: int(table.Unavailable)}
 }
--- a/internal/relay/store.go
+++ b/internal/relay/store.go
@@ -270,6 +270,20 @@
 	return table.Listing{}, cause
 }
 
+// JobState asks a daemon for the state of a job that its dispatcher knows; "" when
+// it cannot tell.
+func (s *Store) JobState(ctx context.Context, daemon, job string) (string, error) {
+	answer, err := s.through(ctx, daemon, &api.RelayFrame{Operation: opState, Key: job})
+	if err != nil {
+		return "", err
+	}
+	listing, err := toListing(answer)
+	if err != nil || len(listing.Rows) == 0 {
+		return "", err
+	}
+	return string(listing.Rows[0].Value), nil
+}
+
 func (s *Store) through(ctx context.Context, name string, frame *api.RelayFrame) (*api.RelayFrame, error) {
 	s.mu.Lock()
 	p := s.peers[name]
