Send commits only through peers that have just reached the store

A daemon whose own path is bad sends the commit to a peer that has no store either, or no link, and a commit that is sent and not answered stays open.

Ruled out: lost answers of the store itself (one case of 60).

Change: before a commit goes through a peer, the peer reads a row for this daemon, unless it has done so within 200 ms. A question without an answer has done nothing, so the next peer is tried, and in the end the refusal is true and comes at once.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -17,6 +17,7 @@
 	"github.com/samphirepath/samphirepath/api"
 	"github.com/samphirepath/samphirepath/internal/relay"
 	"github.com/samphirepath/samphirepath/table"
+	"github.com/samphirepath/samphirepath/test/faultproxy"
 )
 
 func TestRelay(t *testing.T) {
@@ -30,9 +31,26 @@
 	mu     sync.Mutex
 	down   bool
 	silent bool // commits are carried out and not answered
+	hangs  bool // nothing is answered
 	calls  int
 }
 
+func (p *path) hang() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.hangs = true
+}
+
+// await waits until the caller gives up while the path hangs.
+func (p *path) await(ctx context.Context) {
+	p.mu.Lock()
+	hangs := p.hangs
+	p.mu.Unlock()
+	if hangs {
+		<-ctx.Done()
+	}
+}
+
 func (p *path) set(down, silent bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -50,6 +68,7 @@
 }
 
 func (p *path) Get(ctx context.Context, key string) (table.Row, bool, error) {
+	p.await(ctx)
 	if err := p.fail(); err != nil {
 		return table.Row{}, false, err
 	}
@@ -71,6 +90,10 @@
 }
 
 func (p *path) Commit(ctx context.Context, conditions []table.Condition, writes []table.Write) table.CommitResult {
+	p.await(ctx)
+	if err := ctx.Err(); err != nil {
+		return table.CommitResult{Status: table.Unknown, Err: err}
+	}
 	if err := p.fail(); err != nil {
 		return table.CommitResult{Status: table.Unavailable, Err: err}
 	}
@@ -192,4 +215,43 @@
 		_, err := store.JobState(timed(), "nobody", "j")
 		Expect(err).To(HaveOccurred())
 	})
+
+	// Guards against an open outcome for a commit that was entrusted to a peer that
+	// has no store either, or that does not answer.
+	It("entrusts no commit to a peer whose store hangs", func() {
+		own.set(true, false)
+		other.hang()
+		result := store.Commit(timed(), nil, write)
+		Expect(result.Status).To(Equal(table.Unavailable))
+		_, found, _ := shared.Get(context.Background(), "jobs/a")
+		Expect(found).To(BeFalse())
+	})
+
+	It("entrusts no commit to a peer that has fallen silent", func() {
+		server := httptest.NewServer(relay.Handler(&path{Memory: shared}, known, nil))
+		DeferCleanup(server.Close)
+		proxy, err := faultproxy.New(faultproxy.Config{Target: strings.TrimPrefix(server.URL, "http://")})
+		Expect(err).NotTo(HaveOccurred())
+		ctx, cancel := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		running.Go(func() { _ = proxy.Run(ctx) })
+		DeferCleanup(func() {
+			cancel()
+			running.Wait()
+		})
+		value, err := cbor.Marshal(api.RelayPeer{Address: proxy.Address()})
+		Expect(err).NotTo(HaveOccurred())
+		alone := table.NewMemory()
+		alone.Commit(context.Background(), nil, []table.Write{{Key: relay.PeersPrefix + "silent", Value: value}})
+		far := &path{Memory: alone}
+		from := relay.NewStore(far, "c", nil, nil)
+		run(from)
+		Eventually(func() error {
+			_, err := from.JobState(timed(), "silent", "j")
+			return err
+		}).WithTimeout(3 * time.Second).Should(Succeed())
+		far.set(true, false)
+		proxy.Set(faultproxy.Hold())
+		Expect(from.Commit(timed(), nil, write).Status).To(Equal(table.Unavailable))
+	})
 })
--- a/internal/relay/store.go
+++ b/internal/relay/store.go
@@ -23,6 +23,9 @@
 	// known to be bad.
 	probeEvery   = 400 * time.Millisecond
 	probeTimeout = 350 * time.Millisecond
+	// freshFor is how long a peer that has just reached the store is not asked again
+	// before a commit: what may be lost when it falls silent right after an answer.
+	freshFor = 200 * time.Millisecond
 	// listEvery is how often the peers are listed.
 	listEvery = 5 * time.Second
 	// maxPeers bounds the peers that one operation is tried through.
@@ -52,14 +55,16 @@
 	mu     sync.Mutex
 	peers  map[string]*peer // by name
 	failed map[string]time.Time
-	prefer string // peer that worked last
+	// workedAt is when a peer last reached the store for this daemon.
+	workedAt map[string]time.Time
+	prefer   string // peer that worked last
 }
 
 var _ table.Watcher = (*Store)(nil)
 
 // NewStore returns a store for the daemon of a name.
 func NewStore(own table.Watcher, self string, log *zap.Logger, scope tally.Scope) *Store {
-	return &Store{own: own, self: self, log: telemetry.Part(log, "relay"), scope: telemetry.Scope(scope), peers: map[string]*peer{}, failed: map[string]time.Time{}}
+	return &Store{own: own, self: self, log: telemetry.Part(log, "relay"), scope: telemetry.Scope(scope), peers: map[string]*peer{}, failed: map[string]time.Time{}, workedAt: map[string]time.Time{}}
 }
 
 // Run announces this daemon, keeps the list of peers and probes the own path
@@ -134,6 +139,8 @@
 	for name := range s.peers {
 		if !listed[name] {
 			delete(s.peers, name)
+			delete(s.failed, name)
+			delete(s.workedAt, name)
 		}
 	}
 }
@@ -231,6 +238,10 @@
 	frame := commitFrame(conditions, writes)
 	cause := ErrNoPath
 	for _, name := range s.candidates() {
+		if err := s.reaches(ctx, name); err != nil {
+			cause = err
+			continue
+		}
 		answer, err := s.through(ctx, name, frame)
 		if err != nil {
 			cause = err
@@ -250,6 +261,30 @@
 	return table.CommitResult{Status: table.Unavailable, Err: cause}
 }
 
+// reaches finds out whether a peer answers and reaches the store, before a commit is
+// entrusted to it: a commit that is sent and not answered has an unknown outcome, a
+// question that is not answered has done nothing.
+func (s *Store) reaches(ctx context.Context, name string) error {
+	s.mu.Lock()
+	fresh := time.Since(s.workedAt[name]) < freshFor
+	s.mu.Unlock()
+	if fresh {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	answer, err := s.through(ctx, name, &api.RelayFrame{Operation: opGet, Key: PeersPrefix + s.self})
+	if err != nil {
+		return err
+	}
+	if _, err := toListing(answer); err != nil {
+		s.failedPeer(name)
+		return err
+	}
+	s.worked(name)
+	return nil
+}
+
 // ask reads through a peer.
 func (s *Store) ask(ctx context.Context, frame *api.RelayFrame) (table.Listing, error) {
 	cause := ErrNoPath
@@ -330,6 +365,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.prefer = name
+	s.workedAt[name] = time.Now()
 	delete(s.failed, name)
 }
 
@@ -337,4 +373,5 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.failed[name] = time.Now()
+	delete(s.workedAt, name)
 }
