Keep workers suspect after a success between failures

Ruled out: workers that fail everything (excluded after three failures).

Change: a success takes back one failure of the count and leaves the worker suspect; one failure keeps it suspect for 4 s instead of 1.5 s.

--- a/internal/dispatch/hosts.go
+++ b/internal/dispatch/hosts.go
@@ -36,9 +36,10 @@
 	// slowClock is the rate of the slowest clock of a worker.
 	slowClock = 0.98
 	// suspectShort and suspectLong are how long a worker is taken last after one
-	// failure and after several in a row; excludedAfter failures in a row keep it
-	// from getting any work for that time.
-	suspectShort  = 1500 * time.Millisecond
+	// failure and after several; excludedAfter failures that no success has taken
+	// back keep it from getting any work for that time. Tasks also fail by
+	// themselves, about one in 30 on the users' sites, so one failure counts for less.
+	suspectShort  = 4 * time.Second
 	suspectLong   = 8 * time.Second
 	excludedAfter = 3
 )
@@ -69,7 +70,7 @@
 	misses   int       // calls without an answer since
 
 	orders  chan func()
-	streak  int // failures in a row
+	streak  int // failures that no success has taken back
 	suspect time.Time
 }
 
@@ -420,7 +421,8 @@
 	}
 }
 
-// failed and succeeded keep count of failures in a row.
+// failed and succeeded keep count of failures. A success takes one failure back but
+// leaves the worker suspect: many faulty workers do part of their tasks.
 func (h *host) failed(now time.Time) {
 	h.streak++
 	h.suspect = now.Add(suspectShort)
@@ -430,5 +432,5 @@
 }
 
 func (h *host) succeeded() {
-	h.streak, h.suspect = 0, time.Time{}
+	h.streak = max(0, h.streak-1)
 }
