--- a/internal/telemetry/stream.go
+++ b/internal/telemetry/stream.go
@@ -19,6 +19,9 @@
 	sampleThen  = 50
 	// maxWrite is about the size of one write.
 	maxWrite = 32 << 10
+	// closeTimeout bounds the last write to a reader that takes nothing; it is small
+	// beside the seconds that a daemon has to stop.
+	closeTimeout = 500 * time.Millisecond
 )
 
 // NewStreamLogger returns a logger of JSON lines that never blocks: lines that
@@ -92,10 +95,14 @@
 	_, _ = s.out.Write(line)
 }
 
-// close writes what is queued. Later lines are lost.
+// close writes what is queued. Later lines are lost, and so are those that the reader
+// does not take in time.
 func (s *stream) close() {
 	s.once.Do(func() { close(s.stop) })
-	<-s.done
+	select {
+	case <-s.done:
+	case <-time.After(closeTimeout):
+	}
 }
 
 func droppedLine(n int64) string {
