--- a/api/api.gen.go
+++ b/api/api.gen.go
@@ -978,7 +978,7 @@
 	Type         string `json:"type"`
 }
 
-// RelayFrame Store operation that a daemon asks a peer for, or its result: CBOR map with integer keys.
+// RelayFrame Operation that a daemon asks a peer for, on the store or about a job, or its result: CBOR map with integer keys.
 type RelayFrame struct {
 	Conditions []RelayRow `cbor:"6,keyasint,omitempty" json:"conditions,omitempty"`
 
@@ -995,7 +995,7 @@
 	// Keys Deleted keys of a listing, or keys whose condition did not hold.
 	Keys []string `cbor:"9,keyasint,omitempty" json:"keys,omitempty"`
 
-	// Operation get, list, watch or commit; empty in a result.
+	// Operation get, list, watch, commit or state; empty in a result.
 	Operation string     `cbor:"2,keyasint,omitempty" json:"operation,omitempty"`
 	Rows      []RelayRow `cbor:"8,keyasint,omitempty" json:"rows,omitempty"`
 	Since     int64      `cbor:"4,keyasint,omitempty" json:"since,omitempty"`
