Wait for the requests to be in flight in the spec of a draining router

Change: the sends to minions block until all 40 have begun, the drain starts, and only then do they go on. The spec now also fails if Drain returns while requests are in flight, which the old one did not check, so it is stricter.

--- a/internal/router/faults_test.go
+++ b/internal/router/faults_test.go
@@ -218,20 +218,33 @@
 
 	// Guards against a planned stop that interrupts requests in flight.
 	It("finishes requests in flight and refuses new ones while draining", func() {
-		c.eachMinion(func(m *fakeMinion) { m.serviceTime = 100 * time.Millisecond })
 		d := c.daemons[1]
+		const requests = 40 // fewer than the 48 slots of all minions, so all reach one
+		var sent atomic.Int64
+		release := make(chan struct{})
+		for _, each := range c.daemons {
+			each.onSend = func(send func() refplatform.MinionReply) refplatform.MinionReply {
+				sent.Add(1)
+				<-release
+				return send()
+			}
+		}
 		var group sync.WaitGroup
-		for i := range 40 {
+		for i := range requests {
 			group.Go(func() {
 				defer GinkgoRecover()
 				Expect(d.submit(fmt.Sprint(i), fmt.Sprint(i), i%2 == 0, 2*time.Second).Result.Outcome).To(Equal(api.OutcomeRan))
 			})
 		}
-		time.Sleep(20 * time.Millisecond)
+		Eventually(sent.Load).Should(BeEquivalentTo(requests))
 		d.draining.Store(true)
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		defer cancel()
-		Expect(d.router.Drain(ctx)).To(Succeed())
+		drained := make(chan error, 1)
+		go func() { drained <- d.router.Drain(ctx) }()
+		Consistently(drained).WithTimeout(50 * time.Millisecond).ShouldNot(Receive())
+		close(release)
+		Eventually(drained).WithTimeout(5 * time.Second).Should(Receive(Succeed()))
 		group.Wait()
 		refused := d.submit("new", "new", false, submitTimeout)
 		Expect(refused.Result.Outcome).To(Equal(api.OutcomeNotRun))
