Keep workers whose entries lapse while the store is away

Change: after failed reads a missing entry counts as lapsed for 2.2 s, the 2 s that the platform allows for the return and a read. A worker with runs is polled anyway; an idle one gets tasks once it has answered a call. A draining worker is gone at once, and one whose entry has not returned in time too.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -197,6 +197,47 @@
 		Expect(f.starts()).To(Equal(map[string]int{"j.0.0.0": 1}))
 	})
 
+	// Guards against workers that are taken for gone because their entries have lapsed
+	// while the store was away: starts on them were dropped, and new work waited until
+	// they had entered themselves again.
+	It("goes on with live workers whose entries lapse during an outage of the store", func() {
+		f := newFixture(3)
+		f.startDispatcher("a")
+		f.submit(batch.Job{ID: "j", Spec: `{"ms":1500}`, Steps: []batch.Step{task(8)}})
+		Eventually(f.running).WithTimeout(timeout).Should(HaveLen(1))
+		f.store.setDown(true)
+		time.Sleep(testLease)
+		for _, w := range f.workers {
+			f.remove("servers/" + w.ID)
+		}
+		silent := 0
+		for len(f.workers[silent].Running()) > 0 {
+			silent++
+		}
+		f.workers[silent].SetFault(func(*http.Request) standinfleet.Fault { return standinfleet.NoAnswer })
+		f.store.setDown(false)
+		time.Sleep(testLease) // the entries are read, and found missing
+		f.submit(batch.Job{ID: "k", Spec: `{"ms":10}`, Steps: []batch.Step{task(8), task(8)}})
+		Eventually(f.state("k")).WithTimeout(time.Second).Should(Equal(batch.Completed))
+		Expect(f.workers[silent].StartCounts()).To(BeEmpty())
+		Eventually(f.state("j")).WithTimeout(timeout).Should(Equal(batch.Completed))
+		Expect(f.starts()).To(HaveKeyWithValue("j.0.0.0", 1))
+	})
+
+	It("takes a worker for gone whose entry has not returned after an outage of the store", func() {
+		f := newFixture(1)
+		f.startDispatcher("a")
+		f.submit(batch.Job{ID: "j", Spec: `{"ms":10}`, Steps: []batch.Step{task(1)}})
+		Eventually(f.state("j")).WithTimeout(timeout).Should(Equal(batch.Completed))
+		f.store.setDown(true)
+		time.Sleep(testLease)
+		f.remove("servers/" + f.workers[0].ID)
+		f.store.setDown(false)
+		time.Sleep(2500 * time.Millisecond)
+		f.submit(batch.Job{ID: "k", Spec: `{"ms":10}`, Steps: []batch.Step{task(1)}})
+		Consistently(f.state("k")).WithTimeout(300 * time.Millisecond).Should(Equal(batch.Queued))
+	})
+
 	It("starts no tasks on draining workers or in zones that are out of service", func() {
 		f := newFixture(2)
 		f.listWorker(0, "draining")
--- a/internal/dispatch/fixture_test.go
+++ b/internal/dispatch/fixture_test.go
@@ -117,6 +117,10 @@
 	Expect(f.store.Memory.Commit(context.Background(), nil, []table.Write{{Key: key, Value: value}}).Status).To(Equal(table.Committed))
 }
 
+func (f *fixture) remove(key string) {
+	Expect(f.store.Memory.Commit(context.Background(), nil, []table.Write{{Key: key, Delete: true}}).Status).To(Equal(table.Committed))
+}
+
 const (
 	testLease       = 300 * time.Millisecond
 	testWorkerLease = 1200 * time.Millisecond
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -13,8 +13,8 @@
 	"github.com/samphirepath/samphirepath/table"
 )
 
-// eventQueueSize is the capacity of the event queue of a term and of the order queue
-// of each worker. Senders block while a queue is full.
+// eventQueueSize is the capacity of the event queue of a term. Senders block while it
+// is full.
 const eventQueueSize = 1024
 
 // minWorkerReadInterval is the minimum time between two reads of the workers'
@@ -36,6 +36,9 @@
 	workers       map[string]*workerState
 	jobsListed    bool // a full listing of the jobs has been applied
 	workersListed bool // a full listing of the workers has been applied
+	workersUnread bool // the last read of the workers' entries failed
+	// reentryEnd is when workers whose entry is missing count as gone after an outage.
+	reentryEnd time.Time
 
 	changedJobs   map[string]bool // jobs whose progress row is to be written
 	committing    bool
@@ -191,6 +194,7 @@
 			t.openOccurrences(j)
 		}
 	}
+	t.endReentry(now)
 	for _, w := range t.workers {
 		t.checkWorker(w, now)
 	}
@@ -215,17 +219,12 @@
 	return false
 }
 
-// follow posts the changes below a prefix to the event loop. It ignores failed reads:
-// the daemon's own follower logs that the store is unreachable.
+// follow posts the changes below a prefix and the failed reads to the event loop.
 func (t *term) follow(prefix string, minInterval time.Duration, handle func(table.Update)) {
 	follower := t.cfg.Follower
 	follower.Store, follower.Prefix, follower.MinInterval = t.cfg.Store, prefix, minInterval
 	go follower.Run(t.ctx, func(update table.Update) {
-		t.post(func() {
-			if update.Err == nil {
-				handle(update)
-			}
-		})
+		t.post(func() { handle(update) })
 	})
 }
 
@@ -244,8 +243,12 @@
 	return rows, nil
 }
 
-// handleJobUpdate applies new jobs and cancellation requests.
+// handleJobUpdate applies new jobs and cancellation requests. The daemon's own follower
+// logs failed reads.
 func (t *term) handleJobUpdate(update table.Update, progress map[string]table.Row) {
+	if update.Err != nil {
+		return
+	}
 	var cancelled []string
 	for _, row := range update.Rows {
 		id := strings.TrimPrefix(row.Key, JobsPrefix)
--- a/internal/dispatch/workers.go
+++ b/internal/dispatch/workers.go
@@ -36,6 +36,9 @@
 	// unstoredEndsDelay is the delay of the next call after an answer with ends that
 	// are not stored yet; the call would return the same ends.
 	unstoredEndsDelay = 400 * time.Millisecond
+	// reentryTime is how long workers may take to enter themselves again after an outage
+	// of the store: the 2 s that the platform allows, and a read of their entries.
+	reentryTime = 2200 * time.Millisecond
 	// leaseTransitTime covers the network round trip of a lease renewal.
 	leaseTransitTime = 200 * time.Millisecond
 	// minClockRate is the lowest rate of a worker's clock relative to real time.
@@ -53,8 +56,11 @@
 // state of the calls to it.
 type workerState struct {
 	info   fleet.Worker
-	listed bool // discovery currently lists the worker
-	fence  int64
+	listed bool // discovery lists the worker, or may do so again, see missingSince
+	// missingSince is when the entry of a worker that may enter itself again was found
+	// missing after an outage of the store; zero otherwise.
+	missingSince time.Time
+	fence        int64
 
 	clock       int64     // worker's clock in ms at clockReadAt
 	clockReadAt time.Time // zero until the worker or discovery has reported its clock
@@ -107,6 +113,14 @@
 // handleWorkerUpdate applies a change of the discovery rows.
 func (t *term) handleWorkerUpdate(update table.Update) {
 	now := time.Now()
+	if update.Err != nil {
+		t.workersUnread = true
+		return
+	}
+	if t.workersUnread {
+		t.workersUnread = false
+		t.reentryEnd = now.Add(reentryTime)
+	}
 	listed := map[string]bool{}
 	for _, row := range update.Rows {
 		worker, err := t.cfg.Workers.Decode(row)
@@ -118,14 +132,14 @@
 		t.updateWorker(worker, row.Version, now)
 	}
 	for _, key := range update.Deleted {
-		t.markUnlisted(strings.TrimPrefix(key, t.cfg.Workers.Prefix))
+		t.markMissing(strings.TrimPrefix(key, t.cfg.Workers.Prefix), now)
 	}
 	if !update.Full {
 		return
 	}
 	for id := range t.workers {
 		if !listed[id] {
-			t.markUnlisted(id)
+			t.markMissing(id, now)
 		}
 	}
 	t.workersListed = true
@@ -152,23 +166,59 @@
 	if worker.StartedMs == 0 {
 		worker.StartedMs = w.info.StartedMs
 	}
-	w.info, w.listed = worker, true
+	w.info, w.listed, w.missingSince = worker, true, time.Time{}
 	if w.clockReadAt.IsZero() {
 		w.clock, w.clockReadAt = worker.Clock, now
 	}
 	t.planNeeded = true
 }
 
-func (t *term) markUnlisted(id string) {
+// markMissing records that discovery does not list a worker. The entries of live workers
+// lapse during an outage of the store, because they cannot renew them, and return within
+// reentryTime. Until then such a worker gets tasks once it has answered a call.
+func (t *term) markMissing(id string, now time.Time) {
 	w := t.workers[id]
 	if w == nil || !w.listed {
 		return
 	}
-	w.listed = false
-	t.log.Info("Worker no longer listed.", zap.String("worker", id), zap.Int("runs", len(w.runs)))
+	if now.Before(t.reentryEnd) && !w.info.Draining {
+		if w.missingSince.IsZero() {
+			w.missingSince = now
+			w.nextCall = time.Time{}
+			t.pollWorker(w, now)
+		}
+		return
+	}
+	t.markUnlisted(w)
+}
+
+func (t *term) markUnlisted(w *workerState) {
+	w.listed, w.missingSince = false, time.Time{}
+	t.log.Info("Worker no longer listed.", zap.String("worker", w.info.ID), zap.Int("runs", len(w.runs)))
 	t.planNeeded = true
 }
 
+// endReentry takes the workers for gone whose entries have not returned in time after an
+// outage of the store.
+func (t *term) endReentry(now time.Time) {
+	if t.reentryEnd.IsZero() || now.Before(t.reentryEnd) {
+		return
+	}
+	t.reentryEnd = time.Time{}
+	for _, w := range t.workers {
+		if !w.missingSince.IsZero() {
+			t.markUnlisted(w)
+		}
+	}
+}
+
+// unproved reports whether the entry of a worker is missing after an outage and the
+// worker has not answered since. A worker with runs is polled all the time, and its
+// missed answers are counted.
+func (w *workerState) unproved() bool {
+	return !w.missingSince.IsZero() && len(w.runs) == 0 && !w.lastAnswered.After(w.missingSince)
+}
+
 // resetWorker replaces the state of a worker by that of a later incarnation. The
 // runs of the earlier one no longer exist, but an order sent to it may have reached
 // the new one: each run stays unknown until a call with a raised fence is answered.
@@ -247,13 +297,14 @@
 // pollWorker sends the next lease renewal if one is due. Its answer lists the runs
 // of the worker and those that have ended.
 func (t *term) pollWorker(w *workerState, now time.Time) {
-	probe := w.misses > 0 || t.hasUnknownRuns(w)
+	probe := w.misses > 0 || w.unproved() || t.hasUnknownRuns(w)
 	if now.Before(w.nextCall) || w.probing || w.polling && !probe {
 		return
 	}
-	// A worker without runs is polled only to acknowledge stored ends, and while it
-	// keeps ends that are not stored: they are lost if the worker is.
-	if len(w.runs) == 0 && w.ackedEnd == w.storedEnd && (len(w.pendingAcks) == 0 || now.Sub(w.lastAnswered) < unstoredEndsDelay) {
+	// A worker without runs is polled only to acknowledge stored ends, while it keeps
+	// ends that are not stored, which are lost if the worker is, and to see whether it
+	// still exists after an outage of the store.
+	if len(w.runs) == 0 && !w.unproved() && w.ackedEnd == w.storedEnd && (len(w.pendingAcks) == 0 || now.Sub(w.lastAnswered) < unstoredEndsDelay) {
 		return
 	}
 	order := fleet.LeaseRenewal{Fence: w.fence, AckedEnds: w.storedEnd}
@@ -348,7 +399,7 @@
 		}
 		w.info.StartedMs = report.StartedMs
 	}
-	if w.misses > 0 {
+	if w.misses > 0 || w.unproved() {
 		t.planNeeded = true
 	}
 	w.misses = 0
