Send orders to a worker side by side, check the lease when they are sent, and contain errors

Cause, from reading internal/dispatch with the reports of similar systems beside it: orders to a worker ran one after the other in a goroutine of its own, so one without an answer held up the rest for 350 ms each, and the goroutine that owns all state blocked once a queue of 1,024 was full; orders that waited were sent without another look at the lease, so a process that was paused in between acted on a permission that had run out; the lease was measured with the monotonic clock, which stands still while a machine is suspended; a panic in the goroutine of the term, in a client call, in a row decoder or in a peer's operation ended the process, and the next dispatcher would have met the same row.

The default clock of package lease is CLOCK_BOOTTIME. telemetry.LogPanic contains a failure to the row, the answer, the call or the term that met it: a row is ignored, an answer counts as none, an event ends the term, which the next one restores from the store. A condition in updateRun without effect and a field that nobody read are gone.

Race detector clean on dispatch, relay and lease.

--- a/internal/dispatch/fixture_test.go
+++ b/internal/dispatch/fixture_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/samphirepath/samphirepath/internal/batch"
 	"github.com/samphirepath/samphirepath/internal/dispatch"
+	"github.com/samphirepath/samphirepath/internal/fleet"
 	"github.com/samphirepath/samphirepath/internal/standinfleet"
 	"github.com/samphirepath/samphirepath/lease"
 	"github.com/samphirepath/samphirepath/platform"
@@ -27,6 +28,9 @@
 	workers []*standinfleet.Worker
 	servers []*httptest.Server
 	zones   outOfService
+	// client and discovery replace those of the platform if they are set.
+	client    fleet.Client
+	discovery *dispatch.Discovery
 }
 
 // faultyStore is a store that fails all calls while it is down.
@@ -133,8 +137,15 @@
 		LeaseTime: testLease, RenewEvery: testLease / 5, PollEvery: testLease / 5})
 	Expect(err).NotTo(HaveOccurred())
 	log := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), zapcore.AddSync(GinkgoWriter), zapcore.InfoLevel))
+	discovery, client := platform.Discovery(), fleet.Client(platform.NewWorkers())
+	if f.discovery != nil {
+		discovery = *f.discovery
+	}
+	if f.client != nil {
+		client = f.client
+	}
 	d = dispatch.New(dispatch.Config{
-		Store: f.store, Lease: leaderLease, Holder: name, Workers: platform.Discovery(), Client: platform.NewWorkers(), Zones: &f.zones,
+		Store: f.store, Lease: leaderLease, Holder: name, Workers: discovery, Client: client, Zones: &f.zones,
 		MaxWorkerLease: testWorkerLease, FinishedRetention: time.Minute,
 		Follower: table.Follower{Wait: 200 * time.Millisecond, Grace: 400 * time.Millisecond, RetryDelay: 20 * time.Millisecond},
 		Log:      log.Named(name),
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"context"
 	"time"
 
 	"go.uber.org/zap"
@@ -12,11 +11,6 @@
 )
 
 const (
-	// orderTimeout bounds the wait for the answer to a start or stop, which usually
-	// takes a few ms. The outcome of an unanswered start is resolved with a raised
-	// fence and the start sent again; the timeout leaves time for that before the other
-	// members of a gang time out.
-	orderTimeout = 350 * time.Millisecond
 	// maxStartAttempts bounds how often the start of a run is sent before the run is
 	// dropped.
 	maxStartAttempts = 4
@@ -53,7 +47,6 @@
 	stopSentAt    time.Time
 	checkpoint    string
 	checkpointAt  time.Time
-	percent       int64
 }
 
 // assign records a run of a task on a worker and sends the start once the record is
@@ -75,35 +68,6 @@
 	return r
 }
 
-// sendStart sends the start of a recorded run, or drops the run if it may no longer
-// be started.
-func (t *term) sendStart(r *run) {
-	if r.phase != phaseCommitting {
-		return
-	}
-	if reason := t.startObstacle(r); reason != "" {
-		t.dropRun(r, reason)
-		return
-	}
-	now := time.Now()
-	workerDeadlineMs := t.extendLease(r.worker, now)
-	if workerDeadlineMs == 0 {
-		t.dropRun(r, "clock of the worker is not known")
-		return
-	}
-	r.phase, r.fence, r.startedAt, r.checkpointAt = phaseStarting, r.worker.fence, now, now
-	r.startAttempts++
-	task := &r.unit.Tasks[r.ref.Index]
-	order := fleet.Start{Run: r.ref, Spec: r.job.tracker.Job.Spec, Fence: r.fence, Deadline: workerDeadlineMs, Checkpoint: task.Checkpoint}
-	w, worker := r.worker, r.worker.info
-	w.orders <- func() {
-		ctx, cancel := context.WithTimeout(t.ctx, orderTimeout)
-		defer cancel()
-		reply := t.cfg.Client.Start(ctx, worker, order)
-		t.post(func() { t.handleStartReply(r, reply, now) })
-	}
-}
-
 // resendStart repeats the start of a run whose previous start was provably not
 // carried out. The run keeps its number, so the rest of its gang keeps running.
 func (t *term) resendStart(r *run, reason string) {
@@ -167,13 +131,9 @@
 // updateRun applies the status of a run that its worker reports.
 func (t *term) updateRun(r *run, status fleet.RunStatus) {
 	now := time.Now()
-	if r.phase == phaseUnknown || r.phase == phaseStarting && status.Run == r.ref {
-		if r.phase == phaseUnknown {
-			r.confirmedAt = now
-			r.phase = phaseRunning
-		}
+	if r.phase == phaseUnknown {
+		r.phase, r.confirmedAt = phaseRunning, now
 	}
-	r.percent = status.Percent
 	if status.Checkpoint != "" && status.Checkpoint != r.checkpoint {
 		r.checkpoint, r.checkpointAt = status.Checkpoint, now
 	}
@@ -299,19 +259,6 @@
 	t.sendStop(r.worker, r.ref)
 }
 
-func (t *term) sendStop(w *workerState, ref batch.RunRef) {
-	worker, order := w.info, fleet.Stop{Run: ref, Fence: w.fence}
-	w.orders <- func() {
-		ctx, cancel := context.WithTimeout(t.ctx, orderTimeout)
-		defer cancel()
-		reply := t.cfg.Client.Stop(ctx, worker, order)
-		if reply.Outcome != fleet.Accepted {
-			t.log.Warn("Worker did not confirm the stop of a run.", zap.Stringer("task", ref.TaskRef), zap.Int64("run", ref.Run), zap.String("worker", worker.ID),
-				zap.Stringer("outcome", reply.Outcome), telemetry.ErrorField(reply.Err))
-		}
-	}
-}
-
 // adoptRuns takes over the runs recorded by earlier terms, once both the jobs and
 // the workers have been listed.
 func (t *term) adoptRuns() {
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -121,23 +121,37 @@
 		case <-t.ctx.Done():
 			return "stopping"
 		case f := <-t.events:
-			f()
+			t.handle(f)
 			t.drainEvents()
 		case <-tick.C:
-			t.tick()
+			t.handle(t.tick)
 		case <-t.planTimer():
 		}
-		t.runDueWork()
+		t.handle(t.runDueWork)
 	}
 	return t.endReason
 }
 
+// handle runs one step of the event loop. An internal error ends the term, because its
+// state may be inconsistent; the next term restores it from the stored rows.
+func (t *term) handle(step func()) {
+	done := false
+	defer func() {
+		if !done {
+			t.endReason = "internal error"
+		}
+	}()
+	defer telemetry.LogPanic(t.log, "event of the dispatcher")
+	step()
+	done = true
+}
+
 // drainEvents handles the queued events, so that one plan covers all of them.
 func (t *term) drainEvents() {
 	for range eventQueueSize {
 		select {
 		case f := <-t.events:
-			f()
+			t.handle(f)
 		default:
 			return
 		}
@@ -256,7 +270,7 @@
 			cancelled = append(cancelled, job)
 			continue
 		}
-		t.addJob(id, row, progress)
+		t.addJob(id, row, progress[id])
 	}
 	for _, id := range cancelled {
 		t.cancelJob(id)
@@ -268,7 +282,9 @@
 	t.planNeeded = t.planNeeded || len(update.Rows) > 0
 }
 
-func (t *term) addJob(id string, row table.Row, progress map[string]table.Row) {
+// addJob adds a job with its stored progress, if it has any.
+func (t *term) addJob(id string, row, stored table.Row) {
+	defer telemetry.LogPanic(t.log, "decoding of a job", zap.String("job", id), zap.Int64("version", row.Version))
 	if _, known := t.jobs[id]; known {
 		return
 	}
@@ -284,7 +300,7 @@
 		tracker: batch.NewTracker(job), startableSince: map[unitKey]time.Time{},
 		failedWorkers: map[unitKey]map[string]bool{}, runs: map[batch.RunRef]*run{},
 	}
-	if stored, ok := progress[id]; ok && !t.jobsListed {
+	if stored.Version != 0 && !t.jobsListed {
 		j.version = stored.Version
 		if err := j.tracker.Restore(stored.Value); err != nil {
 			t.log.Error("Job ignored because its progress row is invalid.", zap.String("job", id), zap.Int64("version", stored.Version), telemetry.ErrorField(err))
@@ -295,10 +311,10 @@
 			return
 		}
 	}
+	t.openOccurrences(j)
 	t.jobs[id] = j
 	t.log.Info("Job added.", zap.String("job", id), zap.String("queue", job.Queue), zap.String("organisation", job.Organisation),
 		zap.Int64("version", row.Version), zap.String("state", string(j.tracker.State)), zap.Int("priority", job.Priority), zap.Int("steps", len(job.Steps)))
-	t.openOccurrences(j)
 }
 
 // openOccurrences adds the units of the occurrences that are due.
--- a/internal/dispatch/workers.go
+++ b/internal/dispatch/workers.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"github.com/samphirepath/samphirepath/internal/batch"
@@ -82,7 +83,9 @@
 	lastAnswered time.Time // when the last answered call was sent
 	misses       int       // unanswered calls since the last answer
 
-	orders       chan func()
+	orders         []order // orders that wait
+	ordersInFlight int
+
 	failures     int // failed tasks and starts, less one for each successful task
 	suspectUntil time.Time
 }
@@ -96,18 +99,7 @@
 }
 
 func (t *term) newWorkerState(worker fleet.Worker) *workerState {
-	w := &workerState{info: worker, fence: t.maxFence, runs: map[batch.RunRef]*run{}, orders: make(chan func(), eventQueueSize)}
-	go func() {
-		for {
-			select {
-			case order := <-w.orders:
-				order()
-			case <-t.ctx.Done():
-				return
-			}
-		}
-	}()
-	return w
+	return &workerState{info: worker, fence: t.maxFence, runs: map[batch.RunRef]*run{}}
 }
 
 // handleWorkerUpdate applies a change of the discovery rows.
@@ -123,7 +115,7 @@
 	}
 	listed := map[string]bool{}
 	for _, row := range update.Rows {
-		worker, err := t.cfg.Workers.Decode(row)
+		worker, err := t.decodeWorker(row)
 		if err != nil {
 			t.log.Warn("Invalid worker entry ignored.", zap.String("row", row.Key), zap.Int64("version", row.Version), telemetry.ErrorField(err))
 			continue
@@ -146,6 +138,13 @@
 	t.adoptRuns()
 }
 
+// decodeWorker decodes a worker's entry. An entry that makes the decoder fail is invalid.
+func (t *term) decodeWorker(row table.Row) (worker fleet.Worker, err error) {
+	err = eris.Errorf("the decoder failed on row %s", row.Key)
+	defer telemetry.LogPanic(t.log, "decoding of a worker entry", zap.String("row", row.Key), zap.Int64("version", row.Version))
+	return t.cfg.Workers.Decode(row)
+}
+
 func (t *term) updateWorker(worker fleet.Worker, version int64, now time.Time) {
 	w := t.workers[worker.ID]
 	if w == nil {
@@ -327,19 +326,27 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(t.ctx, order.Wait+callTransitTime)
 		defer cancel()
-		report := t.cfg.Client.RenewLease(ctx, worker, order)
+		report := t.callRenewLease(ctx, worker, order)
 		t.post(func() {
 			if probe {
 				w.probing = false
 			} else {
 				w.polling = false
 			}
-			t.handleReport(w, worker, order, now, report)
+			t.applyReport(w, worker, order, now, report)
 			t.pollWorker(w, time.Now())
 		})
 	}()
 }
 
+// callRenewLease sends a lease renewal. A failure of the client itself counts as no
+// answer.
+func (t *term) callRenewLease(ctx context.Context, worker fleet.Worker, renewal fleet.LeaseRenewal) (report fleet.Report) {
+	report.Outcome = fleet.Unanswered
+	defer telemetry.LogPanic(t.log, "lease renewal", zap.String("worker", worker.ID))
+	return t.cfg.Client.RenewLease(ctx, worker, renewal)
+}
+
 // pollWait returns how long a worker may hold a renewal call open while no run ends.
 // It grows with the number of workers to limit the rate of calls.
 func (t *term) pollWait() time.Duration {
@@ -357,6 +364,21 @@
 	return false
 }
 
+// applyReport is handleReport for an answer of any content: one that cannot be applied
+// counts as no answer.
+func (t *term) applyReport(w *workerState, worker fleet.Worker, order fleet.LeaseRenewal, sent time.Time, report fleet.Report) {
+	applied := false
+	defer func() {
+		if !applied {
+			w.misses++
+			w.nextCall = time.Now().Add(probeInterval)
+		}
+	}()
+	defer telemetry.LogPanic(t.log, "answer of a worker", zap.String("worker", w.info.ID))
+	t.handleReport(w, worker, order, sent, report)
+	applied = true
+}
+
 // handleReport applies the answer to a lease renewal. worker is the target of the
 // call as it was known when the call was sent.
 func (t *term) handleReport(w *workerState, worker fleet.Worker, order fleet.LeaseRenewal, sent time.Time, report fleet.Report) {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -58,10 +58,12 @@
 	// Unanswered means that the outcome is unknown: the order may have been carried
 	// out, or may still be.
 	Unanswered
+	// NotSent means that the order was not sent, because it was no longer allowed.
+	NotSent
 )
 
 func (o Outcome) String() string {
-	names := []string{"", "accepted", "fenced", "superseded", "too_late", "no_room", "no_ticket", "invalid", "unhealthy", "other_life", "unanswered"}
+	names := []string{"", "accepted", "fenced", "superseded", "too_late", "no_room", "no_ticket", "invalid", "unhealthy", "other_life", "unanswered", "not_sent"}
 	if int(o) < len(names) {
 		return names[o]
 	}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -213,7 +213,9 @@
 }
 
 // pollStore reads the state of a job until the store answers or ctx ends.
-func (in *Intake) pollStore(ctx context.Context, id string) stateAnswer {
+func (in *Intake) pollStore(ctx context.Context, id string) (answer stateAnswer) {
+	answer.err = errStateUnknown
+	defer telemetry.LogPanic(in.log, "reading of a job's state", zap.String("job", id))
 	for attempt := 1; ; attempt++ {
 		state, outcome, err := in.loadState(ctx, id)
 		if err == nil || !waitForRetry(ctx) {
@@ -224,7 +226,9 @@
 
 // pollDispatcher requests the state of a job until the dispatcher returns it or ctx
 // ends.
-func (in *Intake) pollDispatcher(ctx context.Context, id string) stateAnswer {
+func (in *Intake) pollDispatcher(ctx context.Context, id string) (answer stateAnswer) {
+	answer.err = errStateUnknown
+	defer telemetry.LogPanic(in.log, "request of a job's state", zap.String("job", id))
 	for attempt := 1; ; attempt++ {
 		if state := in.dispatcher(ctx, id); state != "" {
 			return stateAnswer{state, Done, "dispatcher", attempt, nil}
@@ -235,8 +239,8 @@
 	}
 }
 
-// errStateUnknown means that the dispatcher was unreachable or the state not certain.
-var errStateUnknown = eris.New("the dispatcher did not return the state of the job")
+// errStateUnknown means that the source was unreachable or the state not certain.
+var errStateUnknown = eris.New("the state of the job is not known there")
 
 func (in *Intake) loadState(ctx context.Context, id string) (batch.State, Outcome, error) {
 	row, found, err := in.get(ctx, dispatch.ProgressPrefix+id)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -274,6 +274,7 @@
 }
 
 func (n *Node) applyOperatorRow(row table.Row) {
+	defer telemetry.LogPanic(n.log, "decoding of an operator row", zap.String("row", row.Key), zap.Int64("version", row.Version))
 	decoded, err := n.deps.Operator.Decode(row)
 	switch {
 	case err != nil:
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -38,13 +38,13 @@
 		}
 		conn.SetReadLimit(maxFrameBytes)
 		log.Info("Peer connected.", zap.String("address", r.RemoteAddr))
-		err = serve(r.Context(), conn, store, jobState)
+		err = serve(r.Context(), conn, store, jobState, log)
 		log.Info("Peer disconnected.", zap.String("address", r.RemoteAddr), telemetry.ErrorField(err))
 	})
 }
 
 // serve executes the operations of a peer until the connection ends.
-func serve(ctx context.Context, conn *websocket.Conn, store table.Watcher, jobState StateFunc) error {
+func serve(ctx context.Context, conn *websocket.Conn, store table.Watcher, jobState StateFunc, log *zap.Logger) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer func() { _ = conn.CloseNow() }()
@@ -65,6 +65,7 @@
 		}
 		go func() {
 			defer func() { <-slots }()
+			defer telemetry.LogPanic(log, "operation of a peer", zap.String("operation", frame.Operation), zap.String("key", frame.Key))
 			answer := execute(ctx, store, jobState, frame)
 			// A peer that does not receive the result treats it as unknown.
 			_ = write(ctx, conn, answer)
--- a/internal/telemetry/logs.go
+++ b/internal/telemetry/logs.go
@@ -55,3 +55,12 @@
 	}
 	return zap.String("error", err.Error())
 }
+
+// LogPanic recovers from a panic of the function that defers it, and logs the cause with
+// the stack. One malformed message or one unexpected error then costs the work in hand
+// and not the process.
+func LogPanic(log *zap.Logger, during string, fields ...zap.Field) {
+	if cause := recover(); cause != nil {
+		log.Error("Internal error.", append(fields, zap.String("during", during), zap.Any("cause", cause), zap.Stack("stack"))...)
+	}
+}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -49,7 +49,8 @@
 	// TakeoverDelay delays the acquisition of a lease that is free, released or held by
 	// another incarnation, so that machines with more capacity acquire it first.
 	TakeoverDelay time.Duration
-	// Now returns the current time with a monotonic reading. The default is time.Now.
+	// Now returns the current time. Steps of the time of day must not affect it. The
+	// default also counts the time that the machine was suspended.
 	Now func() time.Time
 	Log *zap.Logger
 }
@@ -111,7 +112,7 @@
 		return nil, eris.Errorf("lease: renewal interval %s and margin %s leave nothing of the lease time %s", cfg.RenewEvery, cfg.Margin, cfg.LeaseTime)
 	}
 	if cfg.Now == nil {
-		cfg.Now = time.Now
+		cfg.Now = newClock()
 	}
 	if cfg.Log == nil {
 		cfg.Log = zap.NewNop()
