Complete a gang by an earlier run, ignore answers of earlier incarnations, bound the plan interval

Change: a done end of any run completes its gang, and the runs that replaced it are stopped; answers with an older start time are ignored; two plans start at most 400 ms apart.

--- a/internal/batch/batch_test.go
+++ b/internal/batch/batch_test.go
@@ -71,6 +71,23 @@
 		Expect(t.State).To(Equal(batch.Completed))
 	})
 
+	// Guards against a gang that can never start again because one member is done: a
+	// worker that was given up had completed the earlier run.
+	It("completes a gang when a member of an earlier run is done", func() {
+		t := batch.NewTracker(gangJob(2))
+		t.OpenDue(now)
+		first := startAll(t, t.Units[0])
+		for _, ref := range first {
+			t.Drop(ref, "")
+		}
+		t.AlignGang(t.Units[0], "")
+		startAll(t, t.Units[0])
+		Expect(t.Finish(first[1])).To(BeTrue())
+		t.CompleteOccurrences(now)
+		Expect(t.State).To(Equal(batch.Completed))
+		Expect(t.Idle()).To(BeFalse(), "the later run may still exist")
+	})
+
 	It("opens each occurrence when it is due and completes after the last one", func() {
 		job := batch.Job{ID: "j", Repeats: 2, FirstAtMs: now.UnixMilli(), EveryMs: 1000, Steps: []batch.Step{{Tasks: 1}}}
 		t := batch.NewTracker(job)
--- a/internal/batch/progress.go
+++ b/internal/batch/progress.go
@@ -189,9 +189,10 @@
 	return unit, task
 }
 
-// Finish records that a run has completed its task. It returns false if the
-// task is not known. When one member of a gang is done, all are. Persistent
-// tasks are started again.
+// Finish records that a run has completed its task, also if a later run has
+// replaced it: a worker that was given up may have completed it. It returns
+// false if the task is not known. When one member of a gang is done, all are:
+// the members of a run end together. Persistent tasks are started again.
 func (t *Tracker) Finish(run RunRef) bool {
 	unit := t.Unit(run.Occurrence, run.Step)
 	task := t.Task(run.TaskRef)
@@ -205,7 +206,7 @@
 		return true
 	}
 	task.Done = true
-	if t.Job.Steps[run.Step].Gang && task.Run == run.Run {
+	if t.Job.Steps[run.Step].Gang {
 		for i := range unit.Tasks {
 			unit.Tasks[i].Done = true
 		}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -37,6 +37,8 @@
 	// planIntervalFactor is the minimum time between two plans as a multiple of the
 	// duration of the last one.
 	planIntervalFactor = 4
+	// maxPlanInterval bounds it. Urgent work starts within seconds.
+	maxPlanInterval = 400 * time.Millisecond
 	// tickEvery is the interval of the checks that no event triggers.
 	tickEvery = 100 * time.Millisecond
 	// maxLeaseOutage is how long a holder that cannot renew its lease at the store
--- /dev/null
+++ b/internal/dispatch/reports_test.go
@@ -0,0 +1,40 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"github.com/samphirepath/samphirepath/internal/batch"
+	"github.com/samphirepath/samphirepath/internal/fleet"
+)
+
+func newTestTerm() *term {
+	return &term{Dispatcher: &Dispatcher{log: zap.NewNop()}, ctx: nil, jobs: map[string]*jobState{}}
+}
+
+// Guards against a dispatcher that plans again only after many seconds, because it was
+// paused in the middle of a plan and took the pause for the duration of the plan.
+func TestPauseDuringAPlanDelaysTheNextOneLittle(t *testing.T) {
+	g := gomega.NewWithT(t)
+	term := newTestTerm()
+	term.planDuration = 3 * time.Second
+	g.Expect(term.planInterval()).To(gomega.BeNumerically("<", 500*time.Millisecond))
+	term.planDuration = 20 * time.Millisecond
+	g.Expect(term.planInterval()).To(gomega.Equal(80 * time.Millisecond))
+}
+
+// Guards against ends that are lost after a worker has restarted: an answer of the
+// earlier incarnation, with its higher numbers, would make the dispatcher ignore the
+// first ends of the new one and acknowledge them unread.
+func TestAnswerOfAnEarlierIncarnationIsIgnored(t *testing.T) {
+	g := gomega.NewWithT(t)
+	term := newTestTerm()
+	w := &workerState{info: fleet.Worker{Incarnation: fleet.Incarnation{ID: "w", StartedMs: 200}}, runs: map[batch.RunRef]*run{}}
+	answer := fleet.Report{Reply: fleet.Reply{Outcome: fleet.Accepted}, StartedMs: 100, Ended: []fleet.End{{Number: 40}}}
+	term.handleReport(w, w.info, fleet.LeaseRenewal{}, time.Now(), answer)
+	g.Expect(w.lastEnd).To(gomega.BeZero())
+	g.Expect(w.storedEnd).To(gomega.BeZero())
+}
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -169,8 +169,8 @@
 		}
 		t.handleGangEnd(r, end.Reason == fleet.Done)
 	}
-	if task := tracker.Task(end.Run.TaskRef); task != nil && task.Done && task.Assigned() {
-		t.stopTaskRuns(j, end.Run.TaskRef)
+	if end.Reason == fleet.Done {
+		t.stopReplacements(j, end.Run)
 	}
 	if changed {
 		t.updateJobState(j)
@@ -232,9 +232,11 @@
 	}
 }
 
-func (t *term) stopTaskRuns(j *jobState, ref batch.TaskRef) {
-	for _, r := range j.runs {
-		if r.ref.TaskRef == ref {
+// stopReplacements stops the other runs of a task that is done, and of its gang.
+func (t *term) stopReplacements(j *jobState, done batch.RunRef) {
+	for ref, r := range j.runs {
+		sameUnit := ref.Occurrence == done.Occurrence && ref.Step == done.Step
+		if sameUnit && ref.Run != done.Run && (r.step.Gang || ref.Index == done.Index) && !r.step.Persistent {
 			t.requestStop(r, "task is done")
 		}
 	}
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -168,9 +168,10 @@
 }
 
 // planInterval returns the minimum time between the starts of two plans. It grows with
-// the duration of a plan, so that planning leaves processor time for calls.
+// the duration of a plan, so that planning leaves processor time for calls, up to
+// maxPlanInterval: the duration is seconds if the process was paused during the plan.
 func (t *term) planInterval() time.Duration {
-	return max(minPlanInterval, planIntervalFactor*t.planDuration)
+	return min(max(minPlanInterval, planIntervalFactor*t.planDuration), maxPlanInterval)
 }
 
 // runDueWork plans if a plan is due and commits the changed rows.
--- a/internal/dispatch/workers.go
+++ b/internal/dispatch/workers.go
@@ -415,6 +415,10 @@
 	if w.misses > 0 && len(w.runs) > 0 {
 		t.log.Info("Worker answers again.", zap.String("worker", w.info.ID), zap.Int("misses", w.misses))
 	}
+	if report.StartedMs != 0 && report.StartedMs < w.info.StartedMs {
+		t.log.Info("Answer of an earlier incarnation ignored.", zap.String("worker", w.info.ID), zap.Int64("born", report.StartedMs))
+		return
+	}
 	if report.StartedMs != 0 && report.StartedMs > w.info.StartedMs {
 		if w.info.StartedMs != 0 {
 			t.resetWorker(w, report.StartedMs, report.Clock, now)
