Read the ends that wait at a worker when it is reachable again

A worker that stayed listed while it was unreachable was never called again either, and got no more work.

Change: a worker has unread ends until its first answer in a term and after its runs were dropped because it was unreachable; it is called while it is listed, 50 such workers a tick at most. A done end of the earlier run stops the replacement. Besides: the loss of evicting a task with checkpoints is its restart, since a stop saves its work, and groups whose capacity an urgent task turns out not to need are not evicted.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -167,6 +167,27 @@
 		Eventually(f.state("j")).WithTimeout(5 * time.Second).Should(Equal(batch.Completed))
 	})
 
+	// Guards against work that is done and runs again to its end: the worker completed it
+	// while it was cut off, its lease expired, and nobody asked the worker when it was
+	// reachable again. The worker also stayed without work.
+	It("reads the ends of a worker that was unreachable when it is reachable again", func() {
+		f := newFixture(2)
+		f.startDispatcher("a")
+		f.submit(batch.Job{ID: "j", Spec: `{"ms":1000}`, Steps: []batch.Step{task(8)}})
+		Eventually(f.running).WithTimeout(timeout).Should(HaveLen(1))
+		lost := 0
+		if len(f.workers[1].Running()) > 0 {
+			lost = 1
+		}
+		f.workers[lost].SetFault(func(*http.Request) standinfleet.Fault { return standinfleet.NoAnswer })
+		Eventually(f.workers[1-lost].Running).WithTimeout(5 * time.Second).Should(HaveLen(1))
+		f.workers[lost].SetFault(nil)
+		Eventually(f.state("j")).WithTimeout(800 * time.Millisecond).Should(Equal(batch.Completed))
+		Eventually(f.running).WithTimeout(timeout).Should(BeEmpty())
+		f.submit(batch.Job{ID: "k", Spec: `{"ms":10}`, Steps: []batch.Step{{Tasks: 2, Gang: true, Need: batch.Need{Accelerators: 8}, EstimateMs: 10}}})
+		Eventually(f.state("k")).WithTimeout(timeout).Should(Equal(batch.Completed))
+	})
+
 	It("restarts the tasks of a worker that has restarted", func() {
 		f := newFixture(1)
 		f.startDispatcher("a")
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -223,17 +223,17 @@
 	}
 }
 
-// restartCostMs is the run time that an evicted task loses in addition to its work
-// since the last checkpoint: it waits, starts and restores the checkpoint.
+// restartCostMs is the run time that an evicted task loses in addition to the work that
+// it has not saved: it waits, starts and restores the checkpoint.
 const restartCostMs = 500
 
 // evictionLoss returns the work that is lost if the run is stopped now, in
-// core-milliseconds.
+// core-milliseconds. A task with checkpoints saves its work when it is stopped.
 func (r *run) evictionLoss(now time.Time) float64 {
-	since := r.startedAt
-	if r.step.Checkpoint {
-		since = r.checkpointAt
+	lostMs := float64(restartCostMs)
+	if !r.step.Checkpoint {
+		lostMs += float64(now.Sub(r.startedAt).Milliseconds())
 	}
 	cores := float64(r.need.MilliCPU)/1000 + placement.AcceleratorWeight*float64(r.need.Accelerators)
-	return cores * (float64(now.Sub(since).Milliseconds()) + restartCostMs)
+	return cores * lostMs
 }
--- a/internal/dispatch/reports_test.go
+++ b/internal/dispatch/reports_test.go
@@ -38,3 +38,14 @@
 	g.Expect(w.lastEnd).To(gomega.BeZero())
 	g.Expect(w.storedEnd).To(gomega.BeZero())
 }
+
+// Guards against the eviction of work that cannot be saved while tasks that save theirs
+// when they are stopped run beside it.
+func TestTasksWithCheckpointsAreTheCheapestToEvict(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Now()
+	need := batch.Need{MilliCPU: 4000, Accelerators: 1}
+	saving := &run{step: &batch.Step{Checkpoint: true}, need: need, startedAt: now.Add(-10 * time.Second)}
+	justStarted := &run{step: &batch.Step{}, need: need, startedAt: now.Add(-300 * time.Millisecond)}
+	g.Expect(saving.evictionLoss(now)).To(gomega.BeNumerically("<", justStarted.evictionLoss(now)))
+}
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -46,7 +46,6 @@
 	stopReason    string // why the run is to be stopped; empty while it is not
 	stopSentAt    time.Time
 	checkpoint    string
-	checkpointAt  time.Time
 }
 
 // assign records a run of a task on a worker and sends the start once the record is
@@ -62,7 +61,7 @@
 func (t *term) newRun(j *jobState, unit *batch.Unit, ref batch.RunRef, w *workerState, p phase) *run {
 	step := &j.tracker.Job.Steps[unit.Step]
 	now := time.Now()
-	r := &run{ref: ref, job: j, unit: unit, step: step, need: taskNeed(step), worker: w, phase: p, startedAt: now, checkpointAt: now}
+	r := &run{ref: ref, job: j, unit: unit, step: step, need: taskNeed(step), worker: w, phase: p, startedAt: now}
 	w.runs[ref] = r
 	j.runs[ref] = r
 	return r
@@ -134,8 +133,8 @@
 	if r.phase == phaseUnknown {
 		r.phase, r.confirmedAt = phaseRunning, now
 	}
-	if status.Checkpoint != "" && status.Checkpoint != r.checkpoint {
-		r.checkpoint, r.checkpointAt = status.Checkpoint, now
+	if status.Checkpoint != "" {
+		r.checkpoint = status.Checkpoint
 	}
 	if r.stopReason != "" && now.Sub(r.stopSentAt) > stopRetryDelay {
 		t.stopRunning(r)
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -46,6 +46,8 @@
 	storedCounts  map[string]int64 // last stored counts of waiting jobs
 	countedAt     time.Time
 
+	unreadCalls int // calls in this tick to workers that may keep unread ends
+
 	planNeeded   bool
 	lastPlanAt   time.Time
 	planDuration time.Duration
@@ -210,6 +212,7 @@
 		}
 	}
 	t.endReentry(now)
+	t.unreadCalls = 0
 	for _, w := range t.workers {
 		t.checkWorker(w, now)
 	}
--- a/internal/dispatch/workers.go
+++ b/internal/dispatch/workers.go
@@ -34,6 +34,11 @@
 	// is short so that the lease of a worker that is reachable again is renewed
 	// before it expires.
 	probeInterval = 100 * time.Millisecond
+	// idleProbeInterval is that delay for a worker without runs.
+	idleProbeInterval = 400 * time.Millisecond
+	// maxUnreadCalls bounds the calls in one tick to workers without runs that may keep
+	// unread ends. A new term calls all workers once, 1,100 of them in 2 s.
+	maxUnreadCalls = 50
 	// unstoredEndsDelay is the delay of the next call after an answer with ends that
 	// are not stored yet; the call would return the same ends.
 	unstoredEndsDelay = 400 * time.Millisecond
@@ -75,6 +80,10 @@
 	ackedEnd    int64 // ends up to this number are acknowledged to the worker
 	pendingAcks []*endAck
 
+	// unread is set while ends that this term has not read may wait at the worker: until
+	// its first answer, and after its runs were dropped because it was unreachable.
+	unread bool
+
 	polling bool // a regular renewal is in flight
 	// probing is set while a renewal without a wait is in flight: the first one, or
 	// one to a worker that does not answer or has runs of unknown state.
@@ -99,7 +108,7 @@
 }
 
 func (t *term) newWorkerState(worker fleet.Worker) *workerState {
-	return &workerState{info: worker, fence: t.maxFence, runs: map[batch.RunRef]*run{}}
+	return &workerState{info: worker, fence: t.maxFence, runs: map[batch.RunRef]*run{}, unread: true}
 }
 
 // handleWorkerUpdate applies a change of the discovery rows.
@@ -165,6 +174,9 @@
 	if worker.StartedMs == 0 {
 		worker.StartedMs = w.info.StartedMs
 	}
+	if !w.listed {
+		w.nextCall = time.Time{}
+	}
 	w.info, w.listed, w.missingSince = worker, true, time.Time{}
 	if w.clockReadAt.IsZero() {
 		w.clock, w.clockReadAt = worker.Clock, now
@@ -250,6 +262,7 @@
 		for _, r := range w.runs {
 			t.dropRun(r, "lease of the unreachable worker has expired")
 		}
+		w.unread = true
 	}
 	if !w.listed && len(w.runs) == 0 && w.ackedEnd == w.lastEnd && !w.polling && !w.probing {
 		delete(t.workers, w.info.ID)
@@ -300,10 +313,7 @@
 	if now.Before(w.nextCall) || w.probing || w.polling && !probe {
 		return
 	}
-	// A worker without runs is polled only to acknowledge stored ends, while it keeps
-	// ends that are not stored, which are lost if the worker is, and to see whether it
-	// still exists after an outage of the store.
-	if len(w.runs) == 0 && !w.unproved() && w.ackedEnd == w.storedEnd && (len(w.pendingAcks) == 0 || now.Sub(w.lastAnswered) < unstoredEndsDelay) {
+	if len(w.runs) == 0 && !t.needsCall(w, now) {
 		return
 	}
 	order := fleet.LeaseRenewal{Fence: w.fence, AckedEnds: w.storedEnd}
@@ -339,6 +349,22 @@
 	}()
 }
 
+// needsCall reports whether a worker without runs is called: to acknowledge stored ends,
+// while it keeps ends that are not stored, which are lost if the worker is, to read ends
+// that nobody has read, and to see whether it still exists after an outage of the store.
+func (t *term) needsCall(w *workerState, now time.Time) bool {
+	switch {
+	case w.unproved(), w.ackedEnd != w.storedEnd:
+		return true
+	case len(w.pendingAcks) > 0:
+		return now.Sub(w.lastAnswered) >= unstoredEndsDelay
+	case w.unread && w.listed && t.unreadCalls < maxUnreadCalls:
+		t.unreadCalls++
+		return true
+	}
+	return false
+}
+
 // callRenewLease sends a lease renewal. A failure of the client itself counts as no
 // answer.
 func (t *term) callRenewLease(ctx context.Context, worker fleet.Worker, renewal fleet.LeaseRenewal) (report fleet.Report) {
@@ -407,6 +433,9 @@
 				zap.Int("runs", len(w.runs)), telemetry.ErrorField(report.Err))
 		}
 		w.nextCall = now.Add(probeInterval)
+		if len(w.runs) == 0 {
+			w.nextCall = now.Add(idleProbeInterval)
+		}
 		if len(w.runs) == 0 && !w.listed {
 			w.ackedEnd = w.storedEnd
 		}
@@ -429,6 +458,7 @@
 		t.planNeeded = true
 	}
 	w.misses = 0
+	w.unread = false
 	w.lastAnswered = sent
 	if order.AckedEnds <= w.storedEnd {
 		// Otherwise the call was sent to an earlier incarnation.
--- a/internal/placement/evict.go
+++ b/internal/placement/evict.go
@@ -107,7 +107,8 @@
 }
 
 // cheapestVictims returns the groups on a worker whose eviction lets a task
-// fit. It adds groups in the order of their loss until the task fits.
+// fit. It adds groups in the order of their loss until the task fits, and then
+// leaves out those that turned out not to be needed.
 func (p *planner) cheapestVictims(w int, need batch.Need, priority int, trial *evictionTrial) ([]int, float64, bool) {
 	free := p.expectedFree(w, trial)
 	if Covers(free, need) {
@@ -128,23 +129,44 @@
 		}
 		return 0
 	})
-	var groups []int
-	loss := 0.0
-	for _, g := range candidates {
-		groups = append(groups, g)
-		loss += p.Groups[g].Loss
-		for _, task := range p.Groups[g].Tasks {
-			if task.Worker == w {
-				free = Add(free, task.Need)
-			}
-		}
+	for n, g := range candidates {
+		free = Add(free, p.heldOn(g, w))
 		if Covers(free, need) {
+			groups, loss := p.neededVictims(candidates[:n+1], w, free, need)
 			return groups, loss, true
 		}
 	}
 	return nil, 0, false
 }
 
+// neededVictims returns the groups that have to be evicted for a task to fit, and
+// their loss. free is the capacity of the worker without any of the groups, which
+// are in the order of their loss; the most expensive ones are spared first.
+func (p *planner) neededVictims(groups []int, w int, free, need batch.Need) ([]int, float64) {
+	var needed []int
+	loss := 0.0
+	for _, g := range slices.Backward(groups) {
+		if without := Sub(free, p.heldOn(g, w)); Covers(without, need) {
+			free = without
+			continue
+		}
+		needed = append(needed, g)
+		loss += p.Groups[g].Loss
+	}
+	return needed, loss
+}
+
+// heldOn returns the capacity that the tasks of a group hold on a worker.
+func (p *planner) heldOn(g, w int) batch.Need {
+	var held batch.Need
+	for _, task := range p.Groups[g].Tasks {
+		if task.Worker == w {
+			held = Add(held, task.Need)
+		}
+	}
+	return held
+}
+
 // apply evicts the groups of a trial and keeps the capacity that the demand
 // needs: nothing else in this plan may use it, now or when it becomes free.
 func (p *planner) apply(trial evictionTrial) {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -106,6 +106,21 @@
 		Expect(tasksByWorker(result, 1)).To(Equal(map[int]int{1: 1}))
 	})
 
+	// Guards against small work that is stopped for nothing: the task needed the capacity
+	// of the last and largest victim, which alone was enough.
+	It("evicts no work whose capacity the urgent task does not need", func() {
+		workers := workersInRacks(1, 1)
+		workers[0].Free = batch.Need{MilliCPU: 64000, MemoryMb: 128000, Accelerators: 1}
+		var groups []placement.EvictionGroup
+		for i := range 3 {
+			groups = append(groups, placement.EvictionGroup{ID: i, Priority: 2, Loss: 100, Tasks: []placement.EvictionTask{{Worker: 0, Need: needing(1)}}})
+		}
+		groups = append(groups, placement.EvictionGroup{ID: 3, Priority: 1, Loss: 500, Tasks: []placement.EvictionTask{{Worker: 0, Need: needing(4)}}})
+		urgent := demand(0, 1, batch.Step{Need: needing(5)})
+		result := placement.Plan(placement.Snapshot{Now: now, Workers: workers, Demands: []placement.Demand{urgent}, Groups: groups})
+		Expect(result.Evict).To(Equal([]int{3}))
+	})
+
 	// Guards against starvation of a wide gang: newer urgent work with earlier
 	// objectives took the capacity that was freed for the gang.
 	It("lets urgent work that has waited go ahead of newer urgent work", func() {
