Look at the workers once for all tasks of a demand

Cause: the planner looked at all workers again for each task, and sorted the victims of each worker for each task of an urgent gang. Besides, a gang that was tried on workers with a reservation and did not fit lost the room beside the reservation for the rest of the plan.

Change: fill sorts the workers with room once and takes them in turn; the best fit for one task stays the best for the next as long as it has room, so placements are the same.

--- a/internal/placement/evict.go
+++ b/internal/placement/evict.go
@@ -120,15 +120,6 @@
 			candidates = append(candidates, g)
 		}
 	}
-	slices.SortStableFunc(candidates, func(a, b int) int {
-		switch x, y := p.Groups[a].Loss, p.Groups[b].Loss; {
-		case x < y:
-			return -1
-		case x > y:
-			return 1
-		}
-		return 0
-	})
 	for n, g := range candidates {
 		free = Add(free, p.heldOn(g, w))
 		if Covers(free, need) {
--- a/internal/placement/gang.go
+++ b/internal/placement/gang.go
@@ -97,19 +97,14 @@
 
 // tryGang assigns workers to all tasks or to none.
 func (p *planner) tryGang(demand *Demand, rack string) ([]int, bool) {
-	workers := make([]int, 0, len(demand.Tasks))
-	for range demand.Tasks {
-		w, _ := p.bestFit(demand, rack)
-		if w < 0 {
-			for _, taken := range workers {
-				p.release(taken, demand)
-			}
-			return nil, false
-		}
-		p.take(w, demand)
-		workers = append(workers, w)
+	workers := p.fill(demand, rack, len(demand.Tasks))
+	if len(workers) == len(demand.Tasks) {
+		return workers, true
+	}
+	for _, taken := range workers {
+		p.release(taken, demand)
 	}
-	return workers, true
+	return nil, false
 }
 
 // slot is the time from which a worker can take one task of a blocked gang.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -132,7 +132,7 @@
 	Snapshot
 	workers        []workerState
 	evicted        map[int]bool
-	byWorker       [][]int          // positions of the groups with a run on the worker
+	byWorker       [][]int          // positions of the groups with a run on the worker, by loss
 	byRack         map[string][]int // positions of the workers of each rack; the key "" has all
 	sortedReleases [][]Release      // releases of each worker by time, sorted on first use
 	reservations   int
@@ -153,7 +153,15 @@
 
 // Plan places the demands that fit, the most urgent first.
 func Plan(snapshot Snapshot) Result {
-	p := planner{Snapshot: snapshot, evicted: map[int]bool{}, byRack: map[string][]int{}}
+	p := newPlanner(snapshot)
+	for _, d := range p.order() {
+		p.place(d)
+	}
+	return p.result
+}
+
+func newPlanner(snapshot Snapshot) *planner {
+	p := &planner{Snapshot: snapshot, evicted: map[int]bool{}, byRack: map[string][]int{}}
 	p.workers = make([]workerState, len(snapshot.Workers))
 	p.byWorker = make([][]int, len(snapshot.Workers))
 	p.sortedReleases = make([][]Release, len(snapshot.Workers))
@@ -172,10 +180,10 @@
 			}
 		}
 	}
-	for _, d := range p.order() {
-		p.place(d)
+	for _, groups := range p.byWorker {
+		slices.SortStableFunc(groups, func(a, b int) int { return cmp.Compare(p.Groups[a].Loss, p.Groups[b].Loss) })
 	}
-	return p.result
+	return p
 }
 
 // order returns the positions of the demands by urgency: priority 0 first, then
@@ -231,16 +239,8 @@
 		p.placeGang(d)
 		return
 	}
-	placement := Placement{Demand: d}
-	for _, task := range demand.Tasks {
-		w, ok := p.bestWorker(demand)
-		if !ok {
-			break
-		}
-		p.take(w, demand)
-		placement.Tasks = append(placement.Tasks, task)
-		placement.Workers = append(placement.Workers, w)
-	}
+	workers := p.placeTasks(demand)
+	placement := Placement{Demand: d, Tasks: demand.Tasks[:len(workers)], Workers: workers}
 	if len(placement.Tasks) > 0 {
 		p.result.Placements = append(p.result.Placements, placement)
 	}
@@ -286,50 +286,77 @@
 	return p.Now.Sub(demand.StartableSince) < localityWaitFactor*estimate
 }
 
-// bestWorker returns the worker for one task: the best fit in the rack of its
-// data, otherwise the best fit of all workers, unless the task still waits for a
-// worker in that rack.
-func (p *planner) bestWorker(demand *Demand) (int, bool) {
-	if demand.Step.DataRack != "" {
-		near, eligible := p.bestFit(demand, demand.Step.DataRack)
-		if near >= 0 {
-			return near, true
-		}
-		if eligible && p.waitsForLocality(demand) {
-			return -1, false
-		}
+// placeTasks takes workers for as many tasks as fit: the best fits in the rack of
+// their data, and then the best fits of all workers, unless the tasks still wait
+// for workers in that rack.
+func (p *planner) placeTasks(demand *Demand) []int {
+	missing := len(demand.Tasks)
+	if demand.Step.DataRack == "" {
+		return p.fill(demand, "", missing)
 	}
-	w, _ := p.bestFit(demand, "")
-	return w, w >= 0
-}
-
-// bestFit returns the worker of a rack, or of all workers, that would have the
-// least capacity left, and whether any worker there could take the task when it
-// is free.
-func (p *planner) bestFit(demand *Demand, rack string) (best int, anyEligible bool) {
-	best = -1
-	var bestScore float64
-	for _, i := range p.byRack[rack] {
-		worker := &p.Workers[i]
-		if !eligible(worker, demand) {
-			continue
-		}
-		anyEligible = true
-		if !p.fits(i, demand) {
-			continue
-		}
-		score := leftover(p.workers[i].free, demand.Step.Need)
-		if worker.Suspect {
-			score += suspectPenalty
+	workers := p.fill(demand, demand.Step.DataRack, missing)
+	if missing -= len(workers); missing > 0 && (!p.waitsForLocality(demand) || !p.anyEligible(demand, demand.Step.DataRack)) {
+		workers = append(workers, p.fill(demand, "", missing)...)
+	}
+	return workers
+}
+
+// anyEligible reports whether any worker of a rack could take the tasks when it is
+// free.
+func (p *planner) anyEligible(demand *Demand, rack string) bool {
+	return slices.ContainsFunc(p.byRack[rack], func(w int) bool { return eligible(&p.Workers[w], demand) })
+}
+
+// fill takes workers of a rack, or of all workers, for up to n tasks. Each task goes
+// to the worker that would have the least capacity left. That worker stays the best
+// for the next task as long as it has room, so one pass over the workers is enough
+// for all tasks.
+func (p *planner) fill(demand *Demand, rack string, n int) []int {
+	var taken []int
+	for _, w := range p.byFit(demand, rack) {
+		for len(taken) < n && p.fits(w, demand) {
+			p.take(w, demand)
+			taken = append(taken, w)
 		}
-		if demand.Avoid[worker.ID] {
-			score += 2 * suspectPenalty
+		if len(taken) == n {
+			break
 		}
-		if best < 0 || score < bestScore {
-			best, bestScore = i, score
+	}
+	return taken
+}
+
+// byFit returns the workers of a rack, or of all workers, that have room for a task
+// of the demand, the one that would have the least capacity left first.
+func (p *planner) byFit(demand *Demand, rack string) []int {
+	type candidate struct {
+		worker int
+		score  float64
+	}
+	var candidates []candidate
+	for _, w := range p.byRack[rack] {
+		if eligible(&p.Workers[w], demand) && p.fits(w, demand) {
+			candidates = append(candidates, candidate{w, p.score(w, demand)})
 		}
 	}
-	return best, anyEligible
+	slices.SortStableFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.score, b.score) })
+	workers := make([]int, len(candidates))
+	for i, c := range candidates {
+		workers[i] = c.worker
+	}
+	return workers
+}
+
+// score rates a worker for one task; the lowest is the best.
+func (p *planner) score(w int, demand *Demand) float64 {
+	worker := &p.Workers[w]
+	score := leftover(p.workers[w].free, demand.Step.Need)
+	if worker.Suspect {
+		score += suspectPenalty
+	}
+	if demand.Avoid[worker.ID] {
+		score += 2 * suspectPenalty
+	}
+	return score
 }
 
 // suspectPenalty exceeds the leftover of any worker, so that suspect workers
@@ -359,11 +386,10 @@
 	if !Covers(state.free, need) || !p.withinStepLimit(w, demand) {
 		return false
 	}
-	if state.reservedFrom.IsZero() || demand.Priority == 0 || p.exceedsUnderusedWait(demand) {
+	if demand.Priority == 0 || p.exceedsUnderusedWait(demand) {
 		return true
 	}
-	end := p.Now.Add(time.Duration(demand.Step.EstimateMs) * time.Millisecond)
-	return !end.After(state.reservedFrom) || Covers(state.spare, need)
+	return !p.outlastsReservation(state, demand) || Covers(state.spare, need)
 }
 
 func (p *planner) withinStepLimit(w int, demand *Demand) bool {
@@ -376,17 +402,30 @@
 	state := &p.workers[w]
 	need := ChargedNeed(demand.Step)
 	state.free = Sub(state.free, need)
-	if !state.reservedFrom.IsZero() && p.Now.Add(time.Duration(demand.Step.EstimateMs)*time.Millisecond).After(state.reservedFrom) {
+	if p.outlastsReservation(state, demand) {
 		state.spare = Sub(state.spare, need)
 	}
 	p.countStepTasks(w, demand, 1)
 }
 
+// release takes back take.
 func (p *planner) release(w int, demand *Demand) {
-	p.workers[w].free = Add(p.workers[w].free, ChargedNeed(demand.Step))
+	state := &p.workers[w]
+	need := ChargedNeed(demand.Step)
+	state.free = Add(state.free, need)
+	if p.outlastsReservation(state, demand) {
+		state.spare = Add(state.spare, need)
+	}
 	p.countStepTasks(w, demand, -1)
 }
 
+// outlastsReservation reports whether a task of the demand would still run when the
+// gang that has reserved the worker is expected to start.
+func (p *planner) outlastsReservation(state *workerState, demand *Demand) bool {
+	end := p.Now.Add(time.Duration(demand.Step.EstimateMs) * time.Millisecond)
+	return !state.reservedFrom.IsZero() && end.After(state.reservedFrom)
+}
+
 func (p *planner) countStepTasks(w int, demand *Demand, by int) {
 	if demand.Step.MaxPerWorker <= 0 {
 		return
