Settle faults of an earlier reading: broken answers, failed jobs, limits per worker

Cause, listed by a reader and not proved before: the command line exited 1 (failed) after a 2xx answer with a broken body, although the request may have run; the dispatcher logged no end of a job that failed; a reservation counted room on workers that already ran as many tasks of the step as they may; a server whose second listener failed kept the first, closed one.

Change: such an answer counts as lost (exit 4, unknown); 'Job ended.' with state and age replaces 'Job completed.' and comes for every end; slots count the tasks that run; the listener is dropped.

Tests: 'success with a broken body' and TestSlotsCountRunningTasksOfTheStep fail on the commit before. The listener has no test: nothing listens again after a failure today.

--- a/internal/command/client.go
+++ b/internal/command/client.go
@@ -97,7 +97,7 @@
 		return value, decodeProblem(resp.StatusCode, body)
 	}
 	if err := json.Unmarshal(body, &value); err != nil {
-		return value, eris.Wrap(err, "the answer is not valid JSON")
+		return value, &lostAnswerError{eris.Wrap(err, "the answer is not valid JSON")}
 	}
 	return value, nil
 }
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -47,6 +47,10 @@
 		Entry("wrong token", respondWith(401, api.Problem{Status: 401, Outcome: api.OutcomeNotRun}), exitForbidden),
 		Entry("not found", respondWith(404, api.Problem{Status: 404}), exitNotFound),
 		Entry("error without a problem body", respondWith(500, "x"), exitUnknown),
+		// Guards against a request that ran and is reported as failed.
+		Entry("success with a broken body", func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write([]byte(`{"outcome":"ra`))
+		}, exitUnknown),
 		Entry("connection cut after the request was sent", func(http.ResponseWriter, *http.Request) {
 			panic(http.ErrAbortHandler)
 		}, exitUnknown),
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -68,6 +68,7 @@
 	runs           map[batch.RunRef]*run
 	nextDue        time.Time   // when the next occurrence is due
 	unstoredEnds   []endSource // workers that keep the ends not stored yet
+	endLogged      bool
 }
 
 // endSource is an incarnation of a worker that keeps an end until it is stored.
@@ -343,12 +344,12 @@
 // updateJobState completes the occurrences of a job that are done after a change of its
 // tasks, opens the next ones, and stops its runs if it has failed.
 func (t *term) updateJobState(j *jobState) {
-	before := j.tracker.State
 	t.openOccurrences(j)
 	j.tracker.CompleteOccurrences(time.Now())
 	t.openOccurrences(j)
-	if after := j.tracker.State; after != before {
-		t.log.Info("Job completed.", zap.String("job", j.tracker.Job.ID), zap.String("state", string(after)),
+	if state := j.tracker.State; state.Final() && !j.endLogged {
+		j.endLogged = true
+		t.log.Info("Job ended.", zap.String("job", j.tracker.Job.ID), zap.String("state", string(state)),
 			zap.Int64("age_ms", time.Now().UnixMilli()-j.tracker.Job.AcceptedAtMs))
 	}
 	if state := j.tracker.State; state == batch.Failed || state == batch.Cancelled {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -165,6 +165,7 @@
 	for _, l := range []*httpListener{&s.callers, &s.operators} {
 		if l.listener != nil {
 			_ = l.listener.Close()
+			l.listener = nil
 		}
 	}
 }
--- a/internal/placement/fill_test.go
+++ b/internal/placement/fill_test.go
@@ -102,3 +102,17 @@
 	}
 	g.Expect(p.workers).To(gomega.Equal(before))
 }
+
+// Guards against a reservation on a worker that already runs as many tasks of the step
+// as it may.
+func TestSlotsCountRunningTasksOfTheStep(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(1000, 0)
+	demand := Demand{Key: StepKey{Job: "j"}, Step: &batch.Step{Need: batch.Need{Accelerators: 1}, MaxPerWorker: 2}, Service: "s", Tasks: []int{0, 1, 2}}
+	free := batch.Need{Accelerators: 8}
+	p := newPlanner(Snapshot{Now: now, Workers: []Worker{
+		{ID: "w0", Service: "s", Schedulable: true, Free: free, StepTasks: map[StepKey]int{demand.Key: 2}},
+		{ID: "w1", Service: "s", Schedulable: true, Free: free, StepTasks: map[StepKey]int{demand.Key: 1}},
+	}})
+	g.Expect(p.slots(&demand, "")).To(gomega.Equal([]slot{{at: now, worker: 1}}))
+}
--- a/internal/placement/gang.go
+++ b/internal/placement/gang.go
@@ -155,7 +155,8 @@
 		free := Add(p.workers[i].free, p.workers[i].releasing)
 		releases := p.releases(i)
 		at, limit := p.Now, demand.Step.MaxPerWorker
-		for n, next := 0, 0; ; {
+		running := p.Workers[i].StepTasks[demand.Key] + p.workers[i].stepTasks[demand.Key]
+		for n, next := running, 0; ; {
 			for Covers(free, need) && (limit <= 0 || n < limit) {
 				free = Sub(free, need)
 				slots = append(slots, slot{at: at, worker: i})
