Find out by reads that a commit was applied when its answer is lost

A submission waited 900 ms for each and was answered 'unknown' when the caller's time was up, although the job was stored; a caller cannot repeat such a request safely. The dispatcher waited 1.2 s for each commit and up to 2 s for a renewal, so it lost the lease and started nothing.

Change: table.CommitConfirmed reads a row of the commit every 250 ms while the answer is outstanding and returns Committed once the row shows it. Submissions and cancellations take any row of that key, since its identifier names the same job; the dispatcher and the lease compare the value.

--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"bytes"
 	"context"
 	"maps"
 	"slices"
@@ -98,7 +99,7 @@
 		ctx, cancel := context.WithTimeout(t.ctx, commitTimeout)
 		defer cancel()
 		sent := time.Now()
-		result := t.cfg.Store.Commit(ctx, conditions, writes)
+		result := table.CommitConfirmed(ctx, t.cfg.Store, conditions, writes, confirmationOf(conditions, writes[0]))
 		t.scope.Timer("commit").Record(time.Since(sent))
 		versions := t.readVersions(ctx, result)
 		t.post(func() {
@@ -111,6 +112,20 @@
 	}()
 }
 
+// confirmationOf returns how to see that a commit was applied: the row of its first
+// write, in another version than before, has the written value.
+func confirmationOf(conditions []table.Condition, write table.Write) table.Confirmation {
+	var before int64
+	for _, c := range conditions {
+		if c.Key == write.Key {
+			before = c.Version
+		}
+	}
+	return table.Confirmation{Key: write.Key, Applied: func(row table.Row) bool {
+		return row.Version != before && bytes.Equal(row.Value, write.Value)
+	}}
+}
+
 // readVersions reads the current versions of the rows whose condition did not hold.
 // Unless the fence has changed too, only a commit of this term whose answer was lost
 // can have changed them.
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -127,10 +127,15 @@
 	}
 }
 
-func (in *Intake) commit(ctx context.Context, conditions []table.Condition, writes ...table.Write) table.CommitResult {
+// commit writes a row. While the store does not answer, it also reads the row, because
+// the answer may be lost and the caller should learn that the row is stored, no matter by
+// which call.
+func (in *Intake) commit(ctx context.Context, conditions []table.Condition, write table.Write) table.CommitResult {
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
-	return in.store.Commit(ctx, conditions, writes)
+	return table.CommitConfirmed(ctx, in.store, conditions, []table.Write{write}, table.Confirmation{
+		Key: write.Key, Applied: func(table.Row) bool { return true },
+	})
 }
 
 func (in *Intake) get(ctx context.Context, key string) (table.Row, bool, error) {
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -41,6 +41,15 @@
 	return table.CommitResult{Status: status, Err: errors.New("scripted commit failure")}
 }
 
+// silentStore applies commits and never answers them.
+type silentStore struct{ *table.Memory }
+
+func (s *silentStore) Commit(ctx context.Context, conditions []table.Condition, writes []table.Write) table.CommitResult {
+	s.Memory.Commit(ctx, conditions, writes)
+	<-ctx.Done()
+	return table.CommitResult{Status: table.Unknown, Err: ctx.Err()}
+}
+
 var _ = Describe("the intake", func() {
 	job := batch.Job{ID: "5c0e7a21d94b36f8", Queue: "q", Steps: []batch.Step{{Tasks: 1}}}
 	repeated := func(status table.CommitStatus) []table.CommitStatus {
@@ -73,6 +82,17 @@
 		Entry("answer lost, then refused", append([]table.CommitStatus{table.Unknown}, repeated(table.Unavailable)...), false, intake.Unknown, false),
 	)
 
+	// Guards against callers that are told that the outcome is unknown although the job
+	// is stored, while the store loses the answers to commits and answers reads.
+	It("learns from a read that a job or a cancellation is stored when the answer is lost", func() {
+		store := &silentStore{Memory: table.NewMemory()}
+		in := intake.New(store, nil, nil)
+		ctx, cancel := context.WithTimeout(context.Background(), 800*time.Millisecond)
+		defer cancel()
+		Expect(in.Submit(ctx, job)).To(Equal(intake.Done))
+		Expect(in.Cancel(ctx, job.ID)).To(Equal(intake.Done))
+	})
+
 	It("accepts a job with a known identifier as the same job", func(ctx SpecContext) {
 		in := intake.New(table.NewMemory(), nil, nil)
 		Expect(in.Submit(ctx, job)).To(Equal(intake.Done))
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -210,8 +210,7 @@
 	row := l.row
 	row.Holder = ""
 	row.Renewal++
-	result := l.cfg.Store.Commit(ctx, []table.Condition{{Key: l.leaseKey(), Version: l.observed.version}},
-		[]table.Write{{Key: l.leaseKey(), Value: encode(row)}})
+	result := l.write(ctx, row)
 	if result.Status != table.Committed {
 		return eris.Errorf("lease: release of epoch %d was not confirmed, status %d: %v", row.Epoch, result.Status, result.Err)
 	}
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -72,6 +73,21 @@
 	change(s)
 }
 
+// silentStore applies commits and, while it is silent, does not answer them.
+type silentStore struct {
+	*fakeStore
+	silent atomic.Bool
+}
+
+func (s *silentStore) Commit(ctx context.Context, conditions []table.Condition, writes []table.Write) table.CommitResult {
+	result := s.fakeStore.Commit(ctx, conditions, writes)
+	if s.silent.Load() {
+		<-ctx.Done()
+		return table.CommitResult{Status: table.Unknown, Err: ctx.Err()}
+	}
+	return result
+}
+
 type fakeClock struct{ now time.Time }
 
 func (c *fakeClock) advance(d time.Duration) { c.now = c.now.Add(d) }
@@ -210,6 +226,25 @@
 		store.set(func(s *fakeStore) { s.down = false })
 		Eventually(held).WithTimeout(150 * time.Millisecond).WithPolling(10 * time.Millisecond).Should(BeTrue())
 	})
+
+	// Guards against a holder whose lease expires, because it waits for the answer to a
+	// renewal that was applied.
+	It("keeps the lease while answers to renewals are lost", func() {
+		store := &silentStore{fakeStore: newFakeStore()}
+		l, err := lease.New(lease.Config{Store: store, Holder: "a", Incarnation: "a-1", LeaseTime: 1500 * time.Millisecond, RenewEvery: 100 * time.Millisecond})
+		Expect(err).NotTo(HaveOccurred())
+		ctx, cancel := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		running.Go(func() { _ = l.Run(ctx) })
+		DeferCleanup(func() {
+			cancel()
+			running.Wait()
+		})
+		held := func() bool { return l.Status().Held }
+		Eventually(held).Should(BeTrue())
+		store.silent.Store(true)
+		Consistently(held).WithTimeout(3 * time.Second).Should(BeTrue())
+	})
 })
 
 func ExampleLease() {
--- a/lease/round.go
+++ b/lease/round.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"time"
@@ -18,8 +19,7 @@
 func (l *Lease) renew(ctx context.Context) {
 	row := l.row
 	row.Renewal = l.nextRenewal()
-	result := l.cfg.Store.Commit(ctx, []table.Condition{{Key: l.leaseKey(), Version: l.observed.version}},
-		[]table.Write{{Key: l.leaseKey(), Value: encode(row)}})
+	result := l.write(ctx, row)
 	switch result.Status {
 	case table.Committed:
 		l.observeVersion(result.Version)
@@ -31,6 +31,22 @@
 	}
 }
 
+// write replaces the row that was last observed. If the answer is lost, a read shows
+// that the row was written, before the lease expires.
+func (l *Lease) write(ctx context.Context, row api.PlannerLease) table.CommitResult {
+	return l.commit(ctx, row, nil, nil)
+}
+
+// commit replaces the row that was last observed, under further conditions and with
+// further writes.
+func (l *Lease) commit(ctx context.Context, row api.PlannerLease, conditions []table.Condition, writes []table.Write) table.CommitResult {
+	value := encode(row)
+	conditions = append([]table.Condition{{Key: l.leaseKey(), Version: l.observed.version}}, conditions...)
+	writes = append([]table.Write{{Key: l.leaseKey(), Value: value}}, writes...)
+	return table.CommitConfirmed(ctx, l.cfg.Store, conditions, writes,
+		table.Confirmation{Key: l.leaseKey(), Applied: func(stored table.Row) bool { return bytes.Equal(stored.Value, value) }})
+}
+
 // nextRenewal returns a renewal number that this process has not used, and
 // records its send time.
 func (l *Lease) nextRenewal() int64 {
@@ -104,9 +120,8 @@
 		}
 	}
 	row := api.PlannerLease{Holder: l.cfg.Holder, Incarnation: l.cfg.Incarnation, Epoch: epoch + 1, Renewal: l.nextRenewal()}
-	result := l.cfg.Store.Commit(ctx,
-		[]table.Condition{{Key: l.leaseKey(), Version: l.observed.version}, {Key: l.fenceKey(), Version: fence.Version}},
-		[]table.Write{{Key: l.leaseKey(), Value: encode(row)}, {Key: l.fenceKey(), Value: encode(api.PlannerFence{Epoch: row.Epoch})}})
+	result := l.commit(ctx, row, []table.Condition{{Key: l.fenceKey(), Version: fence.Version}},
+		[]table.Write{{Key: l.fenceKey(), Value: encode(api.PlannerFence{Epoch: row.Epoch})}})
 	version := result.Version
 	if result.Status == table.Unknown {
 		var applied bool
--- /dev/null
+++ b/table/confirm.go
@@ -0,0 +1,84 @@
+package table
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Confirmation says how to find out whether a commit was applied while its answer is
+// outstanding: by reads of one of its rows.
+type Confirmation struct {
+	Key     string         // row that the commit writes
+	Applied func(Row) bool // reports whether the row shows that the commit was applied
+	Every   time.Duration  // interval between the reads; the default is ConfirmEvery
+	Timeout time.Duration  // bound of each read; the default is ConfirmTimeout
+}
+
+// Defaults of Confirmation. A commit usually takes 10 ms, and a read from a slow store
+// 240 ms.
+const (
+	ConfirmEvery   = 250 * time.Millisecond
+	ConfirmTimeout = 450 * time.Millisecond
+)
+
+// CommitConfirmed commits and returns the result, or Committed with the version of the
+// row as soon as a read shows that the commit was applied: its answer may be lost, and
+// it would be missed only after the whole timeout.
+func CommitConfirmed(ctx context.Context, store Store, conditions []Condition, writes []Write, c Confirmation) CommitResult {
+	if c.Every <= 0 {
+		c.Every = ConfirmEvery
+	}
+	if c.Timeout <= 0 {
+		c.Timeout = ConfirmTimeout
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	committed := make(chan CommitResult, 1)
+	go func() { committed <- commitContained(ctx, store, conditions, writes) }()
+	confirmed := make(chan CommitResult)
+	ticker := time.NewTicker(c.Every)
+	defer ticker.Stop()
+	for {
+		select {
+		case result := <-committed:
+			return result
+		case result := <-confirmed:
+			return result
+		case <-ticker.C:
+			go func() {
+				if row, applied := readApplied(ctx, store, c); applied {
+					select {
+					case confirmed <- CommitResult{Status: Committed, Version: row.Version}:
+					case <-ctx.Done():
+					}
+				}
+			}()
+		}
+	}
+}
+
+// commitContained commits. A failure inside the store leaves the outcome unknown.
+func commitContained(ctx context.Context, store Store, conditions []Condition, writes []Write) (result CommitResult) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			result = CommitResult{Status: Unknown, Err: eris.Errorf("internal error of the store: %v", cause)}
+		}
+	}()
+	return store.Commit(ctx, conditions, writes)
+}
+
+// readApplied reads the row and reports whether it shows that the commit was applied.
+// A read that fails shows nothing; the commit reports why the store is unreachable.
+func readApplied(ctx context.Context, store Store, c Confirmation) (row Row, applied bool) {
+	defer func() {
+		if recover() != nil {
+			applied = false
+		}
+	}()
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	defer cancel()
+	row, found, err := store.Get(ctx, c.Key)
+	return row, err == nil && found && c.Applied(row)
+}
--- /dev/null
+++ b/table/confirm_test.go
@@ -0,0 +1,69 @@
+package table_test
+
+import (
+	"bytes"
+	"context"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/samphirepath/samphirepath/table"
+)
+
+// losingStore does not answer commits. It applies them if apply is set.
+type losingStore struct {
+	*table.Memory
+	apply bool
+}
+
+func (s *losingStore) Commit(ctx context.Context, conditions []table.Condition, writes []table.Write) table.CommitResult {
+	if s.apply {
+		s.Memory.Commit(ctx, conditions, writes)
+	}
+	<-ctx.Done()
+	return table.CommitResult{Status: table.Unknown, Err: ctx.Err()}
+}
+
+// panickingStore fails in an unexpected way.
+type panickingStore struct{ *table.Memory }
+
+func (panickingStore) Commit(context.Context, []table.Condition, []table.Write) table.CommitResult {
+	panic("unexpected answer")
+}
+
+var _ = ginkgo.Describe("CommitConfirmed", func() {
+	write := []table.Write{{Key: "a/1", Value: []byte("new")}}
+	confirmation := table.Confirmation{Key: "a/1", Every: 20 * time.Millisecond, Timeout: 50 * time.Millisecond,
+		Applied: func(row table.Row) bool { return bytes.Equal(row.Value, []byte("new")) }}
+	commit := func(store table.Store) table.CommitResult {
+		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+		defer cancel()
+		return table.CommitConfirmed(ctx, store, nil, write, confirmation)
+	}
+
+	// Guards against a commit that waits for its whole timeout when its answer is lost.
+	ginkgo.It("returns the version of a commit whose answer is lost", func() {
+		store := &losingStore{Memory: table.NewMemory(), apply: true}
+		result := commit(store)
+		gomega.Expect(result.Status).To(gomega.Equal(table.Committed))
+		row, _, err := store.Get(context.Background(), "a/1")
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(result.Version).To(gomega.Equal(row.Version))
+	})
+
+	ginkgo.It("leaves the outcome unknown if no read shows the commit", func() {
+		store := &losingStore{Memory: table.NewMemory()}
+		store.Memory.Commit(context.Background(), nil, []table.Write{{Key: "a/1", Value: []byte("old")}})
+		gomega.Expect(commit(store).Status).To(gomega.Equal(table.Unknown))
+	})
+
+	ginkgo.It("returns the answer if there is one", func() {
+		gomega.Expect(commit(table.NewMemory()).Status).To(gomega.Equal(table.Committed))
+	})
+
+	// Guards against one unexpected answer that ends the process.
+	ginkgo.It("leaves the outcome unknown if the store fails in an unexpected way", func() {
+		gomega.Expect(commit(panickingStore{table.NewMemory()}).Status).To(gomega.Equal(table.Unknown))
+	})
+})
