Do not cancel a commit that a read has confirmed, and announce only daemons that are missing

When 88 daemons start at once, their announcements overload the partition of these rows (429), and a daemon that fails to list its peers waits 5 s.

Change: the commit runs on to its own deadline; an operation whose caller has left never shows a failed path. A daemon lists first, and announces itself only if its row is missing or different; a failed listing is repeated after a second.

Tests: 'does not cancel a commit that a read has confirmed', 'keeps the direct path when a caller gives up on a slow operation', 'announces a daemon only if its row is missing or different' fail on the commit before.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -41,6 +41,12 @@
 	s.hanging = true
 }
 
+func (s *directStore) resume() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hanging = false
+}
+
 // waitWhileHanging blocks until ctx ends if the path is hanging.
 func (s *directStore) waitWhileHanging(ctx context.Context) {
 	s.mu.Lock()
@@ -259,6 +265,44 @@
 		Expect(err).NotTo(HaveOccurred())
 	})
 
+	// Guards against a path that is taken for failed because a caller has left.
+	It("keeps the direct path when a caller gives up on a slow operation", func() {
+		direct.hang()
+		ctx, cancel := context.WithCancel(context.Background())
+		time.AfterFunc(700*time.Millisecond, cancel)
+		Expect(store.Commit(ctx, nil, write).Status).To(Equal(table.Unknown))
+		direct.resume()
+		before := direct.calls
+		_, _, err := store.Get(withTimeout(), "jobs/a")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(direct.calls).To(Equal(before + 1))
+		Expect(peerDirect.calls).To(BeZero())
+	})
+
+	// Guards against many daemons that all write when they start at once.
+	It("announces a daemon only if its row is missing or different", func() {
+		announced := table.NewMemory()
+		path := &directStore{Memory: announced}
+		value, err := cbor.Marshal(api.RelayPeer{Address: "10.0.0.1:7000"})
+		Expect(err).NotTo(HaveOccurred())
+		announced.Commit(context.Background(), nil, []table.Write{{Key: relay.PeersPrefix + "d", Value: value}})
+		row, _, err := announced.Get(context.Background(), relay.PeersPrefix+"d")
+		Expect(err).NotTo(HaveOccurred())
+		run := func(address string) {
+			ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+			defer cancel()
+			Expect(relay.NewStore(path, "d", nil, nil).Run(ctx, api.RelayPeer{Address: address})).To(Succeed())
+		}
+		run("10.0.0.1:7000")
+		unchanged, _, err := announced.Get(context.Background(), relay.PeersPrefix+"d")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(unchanged.Version).To(Equal(row.Version))
+		run("10.0.0.2:7000")
+		moved, _, err := announced.Get(context.Background(), relay.PeersPrefix+"d")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(moved.Version).To(BeNumerically(">", row.Version))
+	})
+
 	// Guards against operations of other callers that end without a result when one caller
 	// leaves: for a commit the outcome would be unknown.
 	It("keeps the connection to a peer when one caller gives up", func() {
--- a/internal/relay/store.go
+++ b/internal/relay/store.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bytes"
 	"context"
 	"maps"
 	"slices"
@@ -85,19 +86,26 @@
 	if err != nil {
 		return eris.Wrap(err, "encode the announcement")
 	}
-	listedAt, announced := time.Time{}, false
+	var listedAt time.Time
+	announced := false // the listing contains this daemon
 	for ctx.Err() == nil {
 		now := time.Now()
 		switch {
 		case s.directFailed.Load():
 			s.probeDirect(ctx)
-		case now.Sub(listedAt) >= s.listInterval() || s.listWanted.Load():
+		case now.Sub(listedAt) >= s.listInterval(announced) || s.listWanted.Load():
 			s.listWanted.Store(false)
+			listing, err := s.listPeers(ctx, announcement.Zone)
+			if err != nil {
+				s.log.Warn("Failed to list the peers.", telemetry.ErrorField(err))
+				break // the next round tries again
+			}
 			listedAt = now
-			if !announced {
+			// After a restart the row of before is often there still. Many daemons that
+			// start at once would overload the partition of these rows.
+			if announced = bytes.Equal(listing[s.self], value); !announced {
 				announced = s.announce(ctx, value)
 			}
-			s.listPeers(ctx, announcement.Zone)
 		}
 		s.closeIdlePeers(now)
 		s.waitForProbe(ctx)
@@ -131,7 +139,11 @@
 	}
 }
 
-func (s *Store) listInterval() time.Duration {
+// listInterval returns the time between two listings of the peers.
+func (s *Store) listInterval(announced bool) time.Duration {
+	if !announced {
+		return listEvery
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return listEvery * time.Duration(max(peersAtListEvery, len(s.peers.peers))) / peersAtListEvery
@@ -155,17 +167,20 @@
 	return result.Status == table.Committed
 }
 
-func (s *Store) listPeers(ctx context.Context, zone string) {
+// listPeers reads the announcements and updates the peers. It returns the announcements
+// of all daemons by name.
+func (s *Store) listPeers(ctx context.Context, zone string) (map[string][]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, defaultTimeout)
 	defer cancel()
 	listing, err := s.direct.List(ctx, PeersPrefix, 0)
 	if err != nil {
-		s.log.Warn("Failed to list the peers.", telemetry.ErrorField(err))
-		return
+		return nil, err
 	}
+	values := map[string][]byte{}
 	announced := map[string]api.RelayPeer{}
 	for _, row := range listing.Rows {
 		name := row.Key[len(PeersPrefix):]
+		values[name] = row.Value
 		var announcement api.RelayPeer
 		if err := cbor.Unmarshal(row.Value, &announcement); err != nil {
 			s.log.Warn("Invalid announcement of a peer ignored.", zap.String("peer", name), telemetry.ErrorField(err))
@@ -181,6 +196,7 @@
 	for _, p := range removed {
 		p.close()
 	}
+	return values, nil
 }
 
 // closeIdlePeers closes the unused connections to peers.
@@ -296,12 +312,24 @@
 	if err == nil || eris.Is(err, table.ErrHistoryLost) {
 		return true
 	}
-	if ctx.Err() == nil || time.Since(start) >= unansweredLimit {
+	if showsFailure(ctx, start) {
 		s.markDirectFailed(err)
 	}
 	return ctx.Err() != nil
 }
 
+// showsFailure reports whether an operation that ended without an answer shows that the
+// direct path has failed: not if its caller has left, or allowed too little time.
+func showsFailure(ctx context.Context, start time.Time) bool {
+	switch {
+	case ctx.Err() == nil:
+		return true
+	case eris.Is(ctx.Err(), context.Canceled):
+		return false
+	}
+	return time.Since(start) >= unansweredLimit
+}
+
 // Commit applies all writes if all conditions hold, otherwise none. It does not repeat
 // a commit that may have been applied through the direct path; the caller has to
 // resolve its outcome.
@@ -313,7 +341,7 @@
 		case table.Committed, table.Conflict:
 			return result
 		case table.Unknown:
-			if ctx.Err() == nil || time.Since(start) >= unansweredLimit {
+			if showsFailure(ctx, start) {
 				s.markDirectFailed(result.Err)
 			}
 			return result
--- a/table/confirm.go
+++ b/table/confirm.go
@@ -35,8 +35,14 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	commitCtx, cancelCommit := detach(ctx)
+	// A confirmed commit is not cancelled: that would look like a failed path to the store.
+	stopCancel := context.AfterFunc(ctx, cancelCommit)
 	committed := make(chan CommitResult, 1)
-	go func() { committed <- commitContained(ctx, store, conditions, writes) }()
+	go func() {
+		defer cancelCommit()
+		committed <- commitContained(commitCtx, store, conditions, writes)
+	}()
 	confirmed := make(chan CommitResult)
 	ticker := time.NewTicker(c.Every)
 	defer ticker.Stop()
@@ -45,6 +51,7 @@
 		case result := <-committed:
 			return result
 		case result := <-confirmed:
+			stopCancel()
 			return result
 		case <-ticker.C:
 			go func() {
@@ -59,6 +66,16 @@
 	}
 }
 
+// detach returns a context with the values and the deadline of ctx that does not end
+// when ctx is cancelled.
+func detach(ctx context.Context) (context.Context, context.CancelFunc) {
+	detached := context.WithoutCancel(ctx)
+	if deadline, ok := ctx.Deadline(); ok {
+		return context.WithDeadline(detached, deadline)
+	}
+	return context.WithCancel(detached)
+}
+
 // commitContained commits. A failure inside the store leaves the outcome unknown.
 func commitContained(ctx context.Context, store Store, conditions []Condition, writes []Write) (result CommitResult) {
 	defer func() {
--- a/table/confirm_test.go
+++ b/table/confirm_test.go
@@ -15,6 +15,7 @@
 type losingStore struct {
 	*table.Memory
 	apply bool
+	ended chan error // why the context of the commit ended
 }
 
 func (s *losingStore) Commit(ctx context.Context, conditions []table.Condition, writes []table.Write) table.CommitResult {
@@ -22,6 +23,9 @@
 		s.Memory.Commit(ctx, conditions, writes)
 	}
 	<-ctx.Done()
+	if s.ended != nil {
+		s.ended <- ctx.Err()
+	}
 	return table.CommitResult{Status: table.Unknown, Err: ctx.Err()}
 }
 
@@ -52,6 +56,22 @@
 		gomega.Expect(result.Version).To(gomega.Equal(row.Version))
 	})
 
+	// Guards against a slow but working path to the store that is taken for a failed one,
+	// because each commit that a read confirms ends with an error.
+	ginkgo.It("does not cancel a commit that a read has confirmed", func() {
+		store := &losingStore{Memory: table.NewMemory(), apply: true, ended: make(chan error, 1)}
+		gomega.Expect(commit(store).Status).To(gomega.Equal(table.Committed))
+		gomega.Eventually(store.ended).Should(gomega.Receive(gomega.Equal(context.DeadlineExceeded)))
+	})
+
+	ginkgo.It("cancels the commit of a caller that has left", func() {
+		store := &losingStore{Memory: table.NewMemory(), ended: make(chan error, 1)}
+		ctx, cancel := context.WithCancel(context.Background())
+		time.AfterFunc(30*time.Millisecond, cancel)
+		gomega.Expect(table.CommitConfirmed(ctx, store, nil, write, confirmation).Status).To(gomega.Equal(table.Unknown))
+		gomega.Expect(store.ended).To(gomega.Receive(gomega.Equal(context.Canceled)))
+	})
+
 	ginkgo.It("leaves the outcome unknown if no read shows the commit", func() {
 		store := &losingStore{Memory: table.NewMemory()}
 		store.Memory.Commit(context.Background(), nil, []table.Write{{Key: "a/1", Value: []byte("old")}})
