Give writes to a slow store more time, and spread jobs over 64 partitions

Change: writes have 2.5 s. A commit counts as lost sooner only if three reads were answered within 60 ms and did not show it, since the store is not slow then. Jobs are spread over 64 partitions. Daemons with this change and without it compute other partitions for the same job, so they must not serve one deployment side by side.

Tests: 'gives up early only while reads are answered fast'. The number of partitions has no test beyond the even spread.

--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -23,9 +23,11 @@
 	maxExpiredJobs = 30
 	// maxCommitBytes keeps the values of a commit below 1 MB when encoded in base64.
 	maxCommitBytes = 500 << 10
-	// commitTimeout bounds one commit attempt. The conflict of the next attempt shows
-	// whether an unanswered commit was applied.
-	commitTimeout = 1200 * time.Millisecond
+	// commitTimeout bounds one commit attempt. A slow store needs half a second for each
+	// transaction of the partition, and renewals of the lease wait in it too; lost
+	// answers and lost commits are noticed earlier, by reads. The conflict of the next
+	// attempt shows whether an unanswered commit was applied.
+	commitTimeout = 2500 * time.Millisecond
 	// commitRetryDelay is the delay after a failed commit.
 	commitRetryDelay = 60 * time.Millisecond
 	// countsInterval is the minimum time between two writes of the counts of waiting
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -17,9 +17,11 @@
 )
 
 const (
-	// attemptTimeout bounds one call to the store. It is twenty times the usual time of
-	// a transaction, so that a slow store can still answer.
-	attemptTimeout = 900 * time.Millisecond
+	// readTimeout bounds one read from the store. It is several times that of a slow one.
+	readTimeout = 900 * time.Millisecond
+	// writeTimeout bounds one write, which waits in a slow store behind others of its
+	// partition. Lost answers and lost writes are noticed earlier, by reads.
+	writeTimeout = 2500 * time.Millisecond
 	// retryDelay is the delay between two attempts of an operation on the store.
 	retryDelay = 25 * time.Millisecond
 	// minSubmitTime is how long a submission that has certainly not been stored is
@@ -131,7 +133,7 @@
 // the answer may be lost and the caller should learn that the row is stored, no matter by
 // which call.
 func (in *Intake) commit(ctx context.Context, conditions []table.Condition, write table.Write) table.CommitResult {
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	return table.CommitConfirmed(ctx, in.store, conditions, []table.Write{write}, table.Confirmation{
 		Key: write.Key, Applied: func(table.Row) bool { return true },
@@ -139,7 +141,7 @@
 }
 
 func (in *Intake) get(ctx context.Context, key string) (table.Row, bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	return in.store.Get(ctx, key)
 }
--- a/internal/node/layout.go
+++ b/internal/node/layout.go
@@ -11,9 +11,10 @@
 )
 
 // jobPartitions is the number of partitions of the job rows. A partition executes one
-// transaction at a time, and a slow store takes half a second for each: a few partitions
-// could not take the 11 jobs a second that a deployment of 35 daemons submits.
-const jobPartitions = 16
+// transaction at a time, and a slow store takes half a second for each: the 26 jobs a
+// second that a deployment of 147 daemons submits then keep a fifth of each partition
+// busy. A new term lists all of them, in parallel.
+const jobPartitions = 64
 
 // Layout assigns rows to partitions. The rows that the dispatcher commits together
 // share one partition. Jobs are spread over jobPartitions; a job and its cancellation
--- a/table/confirm.go
+++ b/table/confirm.go
@@ -23,6 +23,17 @@
 	ConfirmTimeout = 450 * time.Millisecond
 )
 
+// maxFastReads is the number of reads that are answered within fastRead and do not show
+// the commit, after which it counts as lost: the store is not slow then, and a commit
+// takes hardly longer than a read. A slow store gets the time until the deadline.
+const (
+	maxFastReads = 3
+	fastRead     = 60 * time.Millisecond
+)
+
+// ErrNoAnswer means that a commit was not answered and reads did not show it.
+var ErrNoAnswer = eris.New("table: the commit was not answered, and reads do not show it")
+
 // CommitConfirmed commits and returns the result, or Committed with the version of the
 // row as soon as a read shows that the commit was applied: its answer may be lost, and
 // it would be missed only after the whole timeout.
@@ -43,23 +54,30 @@
 		defer cancelCommit()
 		committed <- commitContained(commitCtx, store, conditions, writes)
 	}()
-	confirmed := make(chan CommitResult)
+	reads := make(chan confirmationRead)
 	ticker := time.NewTicker(c.Every)
 	defer ticker.Stop()
-	for {
+	for fastReads := 0; ; {
 		select {
 		case result := <-committed:
 			return result
-		case result := <-confirmed:
-			stopCancel()
-			return result
+		case read := <-reads:
+			if read.applied {
+				stopCancel()
+				return CommitResult{Status: Committed, Version: read.row.Version}
+			}
+			if read.answered && read.took <= fastRead {
+				fastReads++
+			}
+			if fastReads >= maxFastReads {
+				return CommitResult{Status: Unknown, Err: ErrNoAnswer}
+			}
 		case <-ticker.C:
 			go func() {
-				if row, applied := readApplied(ctx, store, c); applied {
-					select {
-					case confirmed <- CommitResult{Status: Committed, Version: row.Version}:
-					case <-ctx.Done():
-					}
+				read := readRow(ctx, store, c)
+				select {
+				case reads <- read:
+				case <-ctx.Done():
 				}
 			}()
 		}
@@ -86,16 +104,25 @@
 	return store.Commit(ctx, conditions, writes)
 }
 
-// readApplied reads the row and reports whether it shows that the commit was applied.
-// A read that fails shows nothing; the commit reports why the store is unreachable.
-func readApplied(ctx context.Context, store Store, c Confirmation) (row Row, applied bool) {
+// confirmationRead is a read of the row that a commit writes.
+type confirmationRead struct {
+	row      Row
+	applied  bool // the row shows that the commit was applied
+	answered bool
+	took     time.Duration
+}
+
+// readRow reads the row of a confirmation. A read that fails shows nothing; the commit
+// reports why the store is unreachable.
+func readRow(ctx context.Context, store Store, c Confirmation) (read confirmationRead) {
 	defer func() {
 		if recover() != nil {
-			applied = false
+			read = confirmationRead{}
 		}
 	}()
 	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
 	defer cancel()
+	start := time.Now()
 	row, found, err := store.Get(ctx, c.Key)
-	return row, err == nil && found && c.Applied(row)
+	return confirmationRead{row: row, answered: err == nil, applied: err == nil && found && c.Applied(row), took: time.Since(start)}
 }
--- a/table/confirm_test.go
+++ b/table/confirm_test.go
@@ -14,8 +14,9 @@
 // losingStore does not answer commits. It applies them if apply is set.
 type losingStore struct {
 	*table.Memory
-	apply bool
-	ended chan error // why the context of the commit ended
+	apply     bool
+	readDelay time.Duration
+	ended     chan error // why the context of the commit ended
 }
 
 func (s *losingStore) Commit(ctx context.Context, conditions []table.Condition, writes []table.Write) table.CommitResult {
@@ -29,6 +30,11 @@
 	return table.CommitResult{Status: table.Unknown, Err: ctx.Err()}
 }
 
+func (s *losingStore) Get(ctx context.Context, key string) (table.Row, bool, error) {
+	time.Sleep(s.readDelay)
+	return s.Memory.Get(ctx, key)
+}
+
 // panickingStore fails in an unexpected way.
 type panickingStore struct{ *table.Memory }
 
@@ -78,6 +84,25 @@
 		gomega.Expect(commit(store).Status).To(gomega.Equal(table.Unknown))
 	})
 
+	// Guards against a commit that was lost on a dead connection and waits for its whole
+	// timeout, and against one that a slow store still carries out and is given up.
+	ginkgo.It("gives up early only while reads are answered fast", func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		start := time.Now()
+		result := table.CommitConfirmed(ctx, &losingStore{Memory: table.NewMemory()}, nil, write, confirmation)
+		gomega.Expect(result.Status).To(gomega.Equal(table.Unknown))
+		gomega.Expect(time.Since(start)).To(gomega.BeNumerically("<", 500*time.Millisecond))
+		slow := confirmation
+		slow.Timeout = time.Second
+		start = time.Now()
+		ctx, cancel = context.WithTimeout(context.Background(), 700*time.Millisecond)
+		defer cancel()
+		result = table.CommitConfirmed(ctx, &losingStore{Memory: table.NewMemory(), readDelay: 100 * time.Millisecond}, nil, write, slow)
+		gomega.Expect(result.Status).To(gomega.Equal(table.Unknown))
+		gomega.Expect(time.Since(start)).To(gomega.BeNumerically(">=", 700*time.Millisecond))
+	})
+
 	ginkgo.It("returns the answer if there is one", func() {
 		gomega.Expect(commit(table.NewMemory()).Status).To(gomega.Equal(table.Committed))
 	})
