Count a peer as failed only for what it has done

Cause, from reading the change: an operation whose caller left, or had little time, made its peer count as failed; with at most eight failed peers a few such callers would leave a daemon without a path. A request to a dispatcher that is gone made every daemon list all peers each second. An ignored answer of an earlier incarnation was followed by the next call at once.

Change: a peer has failed if its connection failed, or if it left an operation unanswered for 300 ms; peers are listed on demand only for a daemon that is not known; the next call waits 100 ms.

--- a/internal/dispatch/workers.go
+++ b/internal/dispatch/workers.go
@@ -352,6 +352,7 @@
 // needsCall reports whether a worker without runs is called: to acknowledge stored ends,
 // while it keeps ends that are not stored, which are lost if the worker is, to read ends
 // that nobody has read, and to see whether it still exists after an outage of the store.
+// It counts the calls for unread ends.
 func (t *term) needsCall(w *workerState, now time.Time) bool {
 	switch {
 	case w.unproved(), w.ackedEnd != w.storedEnd:
@@ -446,6 +447,7 @@
 	}
 	if report.StartedMs != 0 && report.StartedMs < w.info.StartedMs {
 		t.log.Info("Answer of an earlier incarnation ignored.", zap.String("worker", w.info.ID), zap.Int64("born", report.StartedMs))
+		w.nextCall = now.Add(probeInterval)
 		return
 	}
 	if report.StartedMs != 0 && report.StartedMs > w.info.StartedMs {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -317,9 +317,32 @@
 		time.AfterFunc(100*time.Millisecond, abandon)
 		_, err := store.Watch(abandoned, "jobs/", 1<<30, time.Second)
 		Expect(err).To(HaveOccurred())
+		By("the peer does not count as failed")
+		_, _, err = store.Get(withTimeout(), "jobs/a")
+		Expect(err).NotTo(HaveOccurred())
 		Eventually(results).WithTimeout(2 * time.Second).Should(Receive(BeNil()))
 	})
 
+	// Guards against a listing of all peers a second by every daemon while the dispatcher,
+	// which callers' daemons ask for states, is gone.
+	It("lists the peers on demand only for a daemon that it does not know", func() {
+		listings := func() int {
+			direct.mu.Lock()
+			defer direct.mu.Unlock()
+			return direct.calls
+		}
+		before := listings()
+		for range 12 {
+			_, err := store.JobState(withTimeout(), "b", "j")
+			Expect(err).NotTo(HaveOccurred())
+			time.Sleep(100 * time.Millisecond)
+		}
+		Expect(listings()).To(Equal(before))
+		_, err := store.JobState(withTimeout(), "nobody", "j")
+		Expect(err).To(HaveOccurred())
+		Eventually(listings).WithTimeout(2 * time.Second).Should(BeNumerically(">", before))
+	})
+
 	It("sends no commit to a peer that no longer answers", func() {
 		server := httptest.NewServer(relay.Handler(&directStore{Memory: shared}, dispatcherState, nil))
 		DeferCleanup(server.Close)
--- a/internal/relay/store.go
+++ b/internal/relay/store.go
@@ -41,6 +41,9 @@
 	// unansweredLimit is how long an operation must have been unanswered for the direct
 	// path to count as failed. A slow store takes up to half a second to answer.
 	unansweredLimit = 600 * time.Millisecond
+	// minPeerTime is how long a peer must have left an operation unanswered to count as
+	// failed. A peer reads from a slow store in 240 ms.
+	minPeerTime = 300 * time.Millisecond
 	// defaultTimeout bounds operations of callers that set no deadline.
 	defaultTimeout = time.Second
 )
@@ -448,11 +451,11 @@
 // JobState returns the state of a job as the dispatcher of another daemon knows it, or
 // "" if it is not certain.
 func (s *Store) JobState(ctx context.Context, daemon, job string) (string, error) {
-	answer, err := s.callPeer(ctx, daemon, &api.RelayFrame{Operation: opState, Key: job})
-	if eris.Is(err, errNotSent) {
+	if !s.knowsPeer(daemon) {
 		// The dispatcher may be a daemon that has joined since the last listing.
 		s.listWanted.Store(true)
 	}
+	answer, err := s.callPeer(ctx, daemon, &api.RelayFrame{Operation: opState, Key: job})
 	if err != nil {
 		return "", err
 	}
@@ -463,6 +466,12 @@
 	return string(listing.Rows[0].Value), nil
 }
 
+func (s *Store) knowsPeer(name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.peers.peers[name] != nil
+}
+
 func (s *Store) callPeer(ctx context.Context, name string, frame *api.RelayFrame) (*api.RelayFrame, error) {
 	s.mu.Lock()
 	p := s.peers.peers[name]
@@ -476,8 +485,10 @@
 	}
 	sent := *frame
 	sent.WaitMs = timeout.Milliseconds()
+	start := time.Now()
 	answer, err := p.call(ctx, &sent)
-	if err != nil {
+	// A caller that has left, or had little time, says nothing about the peer.
+	if err != nil && (ctx.Err() == nil || !eris.Is(ctx.Err(), context.Canceled) && time.Since(start) >= minPeerTime) {
 		s.recordFailure(name)
 	}
 	s.scope.Counter("relayed").Inc(1)
