Read no ends before the jobs are known

Before, a worker was called only for runs of jobs that were known.

Change: ends are read, and workers called for them, only once the jobs have been listed.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -188,6 +188,22 @@
 		Eventually(f.state("k")).WithTimeout(timeout).Should(Equal(batch.Completed))
 	})
 
+	// Guards against work that runs again after a hand-over: the new dispatcher listed the
+	// workers before the jobs, read the end of a run whose job it did not know yet, and
+	// acknowledged it.
+	It("acknowledges no end before it knows the jobs", func() {
+		f := newFixture(2)
+		_, kill := f.startDispatcher("a")
+		f.submit(batch.Job{ID: "j", Spec: `{"ms":300}`, Steps: []batch.Step{task(1), task(1)}})
+		Eventually(f.running).WithTimeout(timeout).Should(HaveLen(2))
+		kill()
+		Eventually(f.running).WithTimeout(timeout).Should(BeEmpty())
+		f.store.jobsListDelay = 500 * time.Millisecond
+		f.startDispatcher("b")
+		Eventually(f.state("j")).WithTimeout(timeout).Should(Equal(batch.Completed))
+		Expect(f.starts()).To(Equal(map[string]int{"j.0.0.0": 1, "j.0.1.0": 1}))
+	})
+
 	It("restarts the tasks of a worker that has restarted", func() {
 		f := newFixture(1)
 		f.startDispatcher("a")
--- a/internal/dispatch/fixture_test.go
+++ b/internal/dispatch/fixture_test.go
@@ -38,8 +38,9 @@
 	*table.Memory
 	mu   sync.Mutex
 	down bool
-	// listDelay is added to each listing.
-	listDelay time.Duration
+	// listDelay is added to each listing, jobsListDelay to those of the jobs.
+	listDelay     time.Duration
+	jobsListDelay time.Duration
 }
 
 func (s *faultyStore) setDown(down bool) {
@@ -69,6 +70,9 @@
 		return table.Listing{}, err
 	}
 	time.Sleep(s.listDelay)
+	if prefix == dispatch.JobsPrefix {
+		time.Sleep(s.jobsListDelay)
+	}
 	return s.Memory.List(ctx, prefix, since)
 }
 
--- a/internal/dispatch/workers.go
+++ b/internal/dispatch/workers.go
@@ -359,13 +359,17 @@
 		return true
 	case len(w.pendingAcks) > 0:
 		return now.Sub(w.lastAnswered) >= unstoredEndsDelay
-	case w.unread && w.listed && t.unreadCalls < maxUnreadCalls:
+	case w.unread && w.listed && t.canReadEnds() && t.unreadCalls < maxUnreadCalls:
 		t.unreadCalls++
 		return true
 	}
 	return false
 }
 
+// canReadEnds reports whether the term knows the jobs that ends can belong to. An end
+// of a job that is not known is acknowledged, and the worker forgets it.
+func (t *term) canReadEnds() bool { return t.jobsListed }
+
 // callRenewLease sends a lease renewal. A failure of the client itself counts as no
 // answer.
 func (t *term) callRenewLease(ctx context.Context, worker fleet.Worker, renewal fleet.LeaseRenewal) (report fleet.Report) {
@@ -460,15 +464,17 @@
 		t.planNeeded = true
 	}
 	w.misses = 0
-	w.unread = false
+	w.unread = !t.canReadEnds()
 	w.lastAnswered = sent
 	if order.AckedEnds <= w.storedEnd {
 		// Otherwise the call was sent to an earlier incarnation.
 		w.ackedEnd = max(w.ackedEnd, order.AckedEnds)
 	}
 	t.updateClock(w, report.Clock, now)
-	for _, end := range report.Ended {
-		t.handleEnd(w, end)
+	if t.canReadEnds() {
+		for _, end := range report.Ended {
+			t.handleEnd(w, end)
+		}
 	}
 	t.reconcileRuns(w, order, sent, report.Running)
 	if order.Deadline == 0 && len(w.runs) > 0 {
