--- /dev/null
+++ b/internal/dispatch/reports.go
@@ -0,0 +1,261 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/samphirepath/samphirepath/internal/batch"
+	"github.com/samphirepath/samphirepath/internal/fleet"
+	"github.com/samphirepath/samphirepath/internal/telemetry"
+)
+
+// pollWorker sends the next lease renewal if one is due. Its answer lists the runs
+// of the worker and those that have ended.
+func (t *term) pollWorker(w *workerState, now time.Time) {
+	probe := w.misses > 0 || w.unproved() || t.hasUnknownRuns(w)
+	if now.Before(w.nextCall) || w.probing || w.polling && !probe {
+		return
+	}
+	if len(w.runs) == 0 && !t.needsCall(w, now) {
+		return
+	}
+	order := fleet.LeaseRenewal{Fence: w.fence, AckedEnds: w.storedEnd}
+	probe = probe || w.lastAnswered.IsZero()
+	if w.misses == 0 && !w.lastAnswered.IsZero() {
+		order.Deadline = t.extendLease(w, now)
+	}
+	switch {
+	case probe:
+		w.probing = true
+		w.nextCall = now.Add(probeInterval)
+	case len(w.runs) > 0 && w.lastEnd == w.storedEnd:
+		w.polling = true
+		order.Wait = t.pollWait()
+	default:
+		w.polling = true
+		w.nextCall = now.Add(unstoredEndsDelay)
+	}
+	worker := w.info
+	go func() {
+		ctx, cancel := context.WithTimeout(t.ctx, order.Wait+callTransitTime)
+		defer cancel()
+		report := t.callRenewLease(ctx, worker, order)
+		t.post(func() {
+			if probe {
+				w.probing = false
+			} else {
+				w.polling = false
+			}
+			t.applyReport(w, worker, order, now, report)
+			t.pollWorker(w, time.Now())
+		})
+	}()
+}
+
+// needsCall reports whether a worker without runs is called: to acknowledge stored ends,
+// while it keeps ends that are not stored, which are lost if the worker is, to read ends
+// that nobody has read, and to see whether it still exists after an outage of the store.
+// It counts the calls for unread ends.
+func (t *term) needsCall(w *workerState, now time.Time) bool {
+	switch {
+	case w.unproved(), w.ackedEnd != w.storedEnd:
+		return true
+	case len(w.pendingAcks) > 0:
+		return now.Sub(w.lastAnswered) >= unstoredEndsDelay
+	case w.unread && w.listed && t.canReadEnds() && t.unreadCalls < maxUnreadCalls:
+		t.unreadCalls++
+		return true
+	}
+	return false
+}
+
+// canReadEnds reports whether the term knows the jobs that ends can belong to. An end
+// of a job that is not known is acknowledged, and the worker forgets it.
+func (t *term) canReadEnds() bool { return t.jobsListed }
+
+// callRenewLease sends a lease renewal. A failure of the client itself counts as no
+// answer.
+func (t *term) callRenewLease(ctx context.Context, worker fleet.Worker, renewal fleet.LeaseRenewal) (report fleet.Report) {
+	report.Outcome = fleet.Unanswered
+	defer telemetry.LogPanic(t.log, "lease renewal", zap.String("worker", worker.ID))
+	return t.cfg.Client.RenewLease(ctx, worker, renewal)
+}
+
+// pollWait returns how long a worker may hold a renewal call open while no run ends.
+// It grows with the number of workers to limit the rate of calls.
+func (t *term) pollWait() time.Duration {
+	return min(maxPollWait, minPollWait*time.Duration(max(workersAtMinWait, len(t.workers)))/workersAtMinWait)
+}
+
+// hasUnknownRuns reports whether an order to the worker has an unknown outcome, which
+// a call with a raised fence has to resolve.
+func (t *term) hasUnknownRuns(w *workerState) bool {
+	for _, r := range w.runs {
+		if r.phase == phaseUnknown {
+			return true
+		}
+	}
+	return false
+}
+
+// applyReport is handleReport for an answer of any content: one that cannot be applied
+// counts as no answer.
+func (t *term) applyReport(w *workerState, worker fleet.Worker, order fleet.LeaseRenewal, sent time.Time, report fleet.Report) {
+	applied := false
+	defer func() {
+		if !applied {
+			w.misses++
+			w.nextCall = time.Now().Add(probeInterval)
+		}
+	}()
+	defer telemetry.LogPanic(t.log, "answer of a worker", zap.String("worker", w.info.ID))
+	t.handleReport(w, worker, order, sent, report)
+	applied = true
+}
+
+// handleReport applies the answer to a lease renewal. worker is the target of the
+// call as it was known when the call was sent.
+func (t *term) handleReport(w *workerState, worker fleet.Worker, order fleet.LeaseRenewal, sent time.Time, report fleet.Report) {
+	now := time.Now()
+	switch report.Outcome {
+	case fleet.Accepted:
+	case fleet.Fenced:
+		if order.Fence == w.fence {
+			t.endReason = "fenced by worker " + w.info.ID
+		}
+		return
+	case fleet.OtherIncarnation:
+		if worker.Address == w.info.Address {
+			for _, r := range w.runs {
+				t.dropRun(r, "address belongs to another worker")
+			}
+			w.ackedEnd = w.storedEnd
+			w.misses++
+			w.nextCall = now.Add(unstoredEndsDelay)
+		}
+		return
+	default:
+		w.misses++
+		if w.misses == 1 && len(w.runs) > 0 {
+			t.log.Warn("Worker does not answer.", zap.String("worker", w.info.ID), zap.Stringer("outcome", report.Outcome),
+				zap.Int("runs", len(w.runs)), telemetry.ErrorField(report.Err))
+		}
+		w.nextCall = now.Add(probeInterval)
+		if len(w.runs) == 0 {
+			w.nextCall = now.Add(idleProbeInterval)
+		}
+		if len(w.runs) == 0 && !w.listed {
+			w.ackedEnd = w.storedEnd
+		}
+		return
+	}
+	if w.misses > 0 && len(w.runs) > 0 {
+		t.log.Info("Worker answers again.", zap.String("worker", w.info.ID), zap.Int("misses", w.misses))
+	}
+	if report.StartedMs != 0 && report.StartedMs < w.info.StartedMs {
+		t.log.Info("Answer of an earlier incarnation ignored.", zap.String("worker", w.info.ID), zap.Int64("born", report.StartedMs))
+		w.nextCall = now.Add(probeInterval)
+		return
+	}
+	if report.StartedMs != 0 && report.StartedMs > w.info.StartedMs {
+		if w.info.StartedMs != 0 {
+			t.resetWorker(w, report.StartedMs, report.Clock, now)
+		}
+		w.info.StartedMs = report.StartedMs
+	}
+	if w.misses > 0 || w.unproved() {
+		t.planNeeded = true
+	}
+	w.misses = 0
+	w.unread = !t.canReadEnds()
+	w.lastAnswered = sent
+	if order.AckedEnds <= w.storedEnd {
+		// Otherwise the call was sent to an earlier incarnation.
+		w.ackedEnd = max(w.ackedEnd, order.AckedEnds)
+	}
+	t.updateClock(w, report.Clock, now)
+	if t.canReadEnds() {
+		for _, end := range report.Ended {
+			t.handleEnd(w, end)
+		}
+	}
+	t.reconcileRuns(w, order, sent, report.Running)
+	if order.Deadline == 0 && len(w.runs) > 0 {
+		w.nextCall = time.Time{}
+	}
+}
+
+func (t *term) updateClock(w *workerState, clock int64, now time.Time) {
+	if clock > 0 {
+		w.clock, w.clockReadAt = clock, now
+	}
+}
+
+// reconcileRuns compares the runs that a worker reports with those assigned to it:
+// it stops runs that no job records, drops runs that no longer exist and repeats
+// starts that were not carried out.
+func (t *term) reconcileRuns(w *workerState, order fleet.LeaseRenewal, sent time.Time, reported []fleet.RunStatus) {
+	listed := make(map[batch.RunRef]fleet.RunStatus, len(reported))
+	for _, r := range reported {
+		listed[r.Run] = r
+		if known := w.runs[r.Run]; known != nil {
+			t.updateRun(known, r)
+			continue
+		}
+		t.log.Warn("Stopping a run that no job records.", zap.String("worker", w.info.ID), zap.Stringer("task", r.Run.TaskRef), zap.Int64("run", r.Run.Run))
+		t.sendStop(w, r.Run)
+	}
+	for ref, r := range w.runs {
+		if _, ok := listed[ref]; ok {
+			continue
+		}
+		switch {
+		case (r.phase == phaseRunning || r.phase == phaseStopping) && r.confirmedAt.Before(sent):
+			t.dropRun(r, "worker no longer reports the run")
+		case r.phase == phaseUnknown && order.Fence > r.fence:
+			t.resendStart(r, "start was not carried out")
+		}
+	}
+}
+
+// handleEnd applies an end that a worker reports and acknowledges it once it is
+// stored.
+func (t *term) handleEnd(w *workerState, end fleet.End) {
+	if end.Number <= w.lastEnd {
+		return
+	}
+	w.lastEnd = end.Number
+	a := &endAck{endNumber: end.Number, startedMs: w.info.StartedMs}
+	w.pendingAcks = append(w.pendingAcks, a)
+	j := t.jobs[end.Run.Job]
+	if j == nil {
+		t.ackStored(w, a)
+		return
+	}
+	t.applyEnd(w, j, end)
+	if j.storedRevision == j.revision {
+		t.ackStored(w, a)
+		return
+	}
+	j.unstoredEnds = append(j.unstoredEnds, endSource{worker: w, startedMs: a.startedMs})
+	t.whenDurable(j, func() { t.ackStored(w, a) })
+}
+
+// ackStored marks an end as stored. The next call acknowledges all ends up to the
+// first one that is not stored.
+func (t *term) ackStored(w *workerState, a *endAck) {
+	a.stored = true
+	if a.startedMs != w.info.StartedMs {
+		return // ends are numbered anew in each incarnation
+	}
+	for len(w.pendingAcks) > 0 && w.pendingAcks[0].stored {
+		w.storedEnd = w.pendingAcks[0].endNumber
+		w.pendingAcks = w.pendingAcks[1:]
+	}
+	if len(w.pendingAcks) == 0 {
+		w.nextCall = time.Time{}
+		t.pollWorker(w, time.Now())
+	}
+}
--- a/internal/relay/store.go
+++ b/internal/relay/store.go
@@ -3,8 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"maps"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -142,76 +140,6 @@
 	}
 }
 
-// listInterval returns the time between two listings of the peers.
-func (s *Store) listInterval(announced bool) time.Duration {
-	if !announced {
-		return listEvery
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return listEvery * time.Duration(max(peersAtListEvery, len(s.peers.peers))) / peersAtListEvery
-}
-
-// Withdraw removes the announcement of this daemon before it stops.
-func (s *Store) Withdraw(ctx context.Context) {
-	result := s.direct.Commit(ctx, nil, []table.Write{{Key: PeersPrefix + s.self, Delete: true}})
-	if result.Status != table.Committed {
-		s.log.Warn("Failed to withdraw the announcement of this daemon.", telemetry.ErrorField(result.Err))
-	}
-}
-
-func (s *Store) announce(ctx context.Context, value []byte) bool {
-	ctx, cancel := context.WithTimeout(ctx, defaultTimeout)
-	defer cancel()
-	result := s.direct.Commit(ctx, nil, []table.Write{{Key: PeersPrefix + s.self, Value: value}})
-	if result.Status != table.Committed {
-		s.log.Warn("Failed to announce this daemon to its peers.", telemetry.ErrorField(result.Err))
-	}
-	return result.Status == table.Committed
-}
-
-// listPeers reads the announcements and updates the peers. It returns the announcements
-// of all daemons by name.
-func (s *Store) listPeers(ctx context.Context, zone string) (map[string][]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, defaultTimeout)
-	defer cancel()
-	listing, err := s.direct.List(ctx, PeersPrefix, 0)
-	if err != nil {
-		return nil, err
-	}
-	values := map[string][]byte{}
-	announced := map[string]api.RelayPeer{}
-	for _, row := range listing.Rows {
-		name := row.Key[len(PeersPrefix):]
-		values[name] = row.Value
-		var announcement api.RelayPeer
-		if err := cbor.Unmarshal(row.Value, &announcement); err != nil {
-			s.log.Warn("Invalid announcement of a peer ignored.", zap.String("peer", name), telemetry.ErrorField(err))
-			continue
-		}
-		if name != s.self {
-			announced[name] = announcement
-		}
-	}
-	s.mu.Lock()
-	removed := s.peers.update(s.self, zone, announced)
-	s.mu.Unlock()
-	for _, p := range removed {
-		p.close()
-	}
-	return values, nil
-}
-
-// closeIdlePeers closes the unused connections to peers.
-func (s *Store) closeIdlePeers(now time.Time) {
-	s.mu.Lock()
-	peers := slices.Collect(maps.Values(s.peers.peers))
-	s.mu.Unlock()
-	for _, p := range peers {
-		p.closeIdle(now)
-	}
-}
-
 // probeDirect checks whether the direct path works again.
 func (s *Store) probeDirect(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
