Log and count the loss of workers with their runs

Cause: after workers were lost the log did not say how old their runs were, which run was the youngest and how the loss was noticed, so the hypotheses of docs/incidents/budget.md could not be told apart.

No decision changes.

--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -128,6 +128,7 @@
 		return
 	case fleet.OtherIncarnation:
 		if worker.Address == w.info.Address {
+			t.reportLoss(w, lossAddressReused)
 			for _, r := range w.runs {
 				t.dropRun(r, "address belongs to another worker")
 			}
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -42,6 +42,7 @@
 	fence         int64     // fence of the start order
 	startAttempts int       // number of start orders sent; 0 for adopted runs
 	confirmedAt   time.Time // when the worker confirmed the start
+	seenAt        time.Time // when the worker last confirmed that the run exists
 	startedAt     time.Time
 	stopReason    string // why the run is to be stopped; empty while it is not
 	stopSentAt    time.Time
@@ -103,7 +104,7 @@
 	t.updateClock(r.worker, reply.Clock, now)
 	switch reply.Outcome {
 	case fleet.Accepted:
-		r.phase, r.confirmedAt = phaseRunning, now
+		r.phase, r.confirmedAt, r.seenAt = phaseRunning, now, now
 		if r.stopReason != "" {
 			t.stopRunning(r)
 		}
@@ -133,6 +134,7 @@
 	if r.phase == phaseUnknown {
 		r.phase, r.confirmedAt = phaseRunning, now
 	}
+	r.seenAt = now
 	if status.Checkpoint != "" {
 		r.checkpoint = status.Checkpoint
 	}
@@ -188,7 +190,8 @@
 
 // dropRun removes a run that was never started or no longer exists.
 func (t *term) dropRun(r *run, reason string) {
-	t.log.Info("Run dropped.", zap.Stringer("task", r.ref.TaskRef), zap.Int64("run", r.ref.Run), zap.String("worker", r.worker.info.ID), zap.String("reason", reason))
+	t.log.Info("Run dropped.", zap.Stringer("task", r.ref.TaskRef), zap.Int64("run", r.ref.Run), zap.String("worker", r.worker.info.ID), zap.String("reason", reason),
+		zap.Int64("lifetime_ms", r.lifetime().Milliseconds()))
 	t.scope.Counter("runs_given_up").Inc(1)
 	t.removeRun(r)
 	if r.job.tracker.Drop(r.ref, r.checkpoint) {
