Show in tests that a task can crash worker after worker

The stand-in worker could not be crashed by a task, so no test had such a task.

Change: the spec of a task on the stand-in can crash its worker, before or some time after the start is answered; the capacity of a worker can be changed, and starts beyond it are counted. Specs: workers that come back with other or the same identifiers or never, a start without an answer, a slow crash, a gang, a task that lasts, a new dispatcher or an outage of the store between crashes, several at once beside other work, and workers that are lost for other causes.

--- /dev/null
+++ b/internal/dispatch/losses_test.go
@@ -0,0 +1,234 @@
+package dispatch_test
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/samphirepath/samphirepath/internal/batch"
+	"github.com/samphirepath/samphirepath/internal/standinfleet"
+	"github.com/samphirepath/samphirepath/table"
+)
+
+const (
+	// maxStartsOfACrashingTask is the platform's limit: three workers may crash under a
+	// task, and after that it may be started twice more.
+	maxStartsOfACrashingTask = 5
+	// crashDowntime is how long a worker is down after a crash.
+	crashDowntime = 150 * time.Millisecond
+	// crashingTask crashes its worker soon after the start, crashingAnswer before the
+	// start is answered.
+	crashingTask   = `{"ms":60000,"crash_ms":20}`
+	crashingAnswer = `{"ms":60000,"crash_ms":0}`
+	// crashesTimeout bounds the wait until a task that crashes its workers is given up:
+	// a few rounds of a crash, its detection and a wait for an empty worker.
+	crashesTimeout = 20 * time.Second
+)
+
+// restartAfterCrash makes each worker come back some time after a task has crashed it,
+// with its identifier or with a new one.
+func (f *fixture) restartAfterCrash(keepIdentifier bool) {
+	for i, w := range f.workers {
+		crashes, first := 0, w.ID
+		w.AfterCrash = func() {
+			time.Sleep(crashDowntime)
+			if keepIdentifier {
+				w.Restart()
+			} else {
+				crashes++
+				f.store.Memory.Commit(context.Background(), nil, []table.Write{{Key: "servers/" + w.ID, Delete: true}})
+				w.RestartAs(fmt.Sprintf("%s-%d", first, crashes))
+			}
+			f.store.Memory.Commit(context.Background(), nil, []table.Write{{Key: "servers/" + w.ID, Value: f.entry(i, "ready")}})
+		}
+	}
+}
+
+// crashes returns the number of workers that were lost under each task.
+func (f *fixture) crashes() map[string]int {
+	crashes := map[string]int{}
+	for _, w := range f.workers {
+		for _, r := range w.Records() {
+			if r.EndReason == "crashed" {
+				crashes[r.Task]++
+			}
+		}
+	}
+	return crashes
+}
+
+func (f *fixture) expectGivenUp(job, task string) {
+	GinkgoHelper()
+	Eventually(f.state(job)).WithTimeout(crashesTimeout).Should(Equal(batch.Failed))
+	Expect(f.starts()[task]).To(BeNumerically("<=", maxStartsOfACrashingTask))
+	Expect(f.crashes()[task]).To(BeNumerically(">=", 2), "a job fails only after two workers were lost under a task")
+	starts := f.starts()[task]
+	Consistently(func() int { return f.starts()[task] }).WithTimeout(time.Second).Should(Equal(starts))
+}
+
+var _ = Describe("a task that crashes the workers that start it", func() {
+	// Guards against a task that takes down one worker after another, because the loss of
+	// a worker does not count as an outcome of the runs on it.
+	DescribeTable("is given up", func(spec string, keepIdentifier bool) {
+		f := newFixture(8)
+		f.restartAfterCrash(keepIdentifier)
+		f.startDispatcher("a")
+		f.submit(batch.Job{ID: "j", Spec: spec, MaxAttempts: 4, Steps: []batch.Step{task(1)}})
+		f.expectGivenUp("j", "j.0.0.0")
+	},
+		Entry("when they come back with other identifiers", crashingTask, false),
+		Entry("when they come back with their identifiers", crashingTask, true),
+		Entry("when the start is not answered and they come back with other identifiers", crashingAnswer, false),
+		Entry("when the start is not answered and they come back with their identifiers", crashingAnswer, true),
+	)
+
+	// Guards against workers that are taken for cut off, because they do not come back.
+	It("is given up when they never come back", func() {
+		f := newFixture(8)
+		f.startDispatcher("a")
+		f.submit(batch.Job{ID: "j", Spec: crashingTask, Steps: []batch.Step{task(1)}})
+		f.expectGivenUp("j", "j.0.0.0")
+	})
+
+	// Guards against a slow crash: the run is confirmed many times before.
+	It("is given up when it crashes them only after some time", func() {
+		f := newFixture(8)
+		f.restartAfterCrash(false)
+		f.startDispatcher("a")
+		f.submit(batch.Job{ID: "j", Spec: `{"ms":60000,"crash_ms":2500}`, Steps: []batch.Step{task(1)}})
+		f.expectGivenUp("j", "j.0.0.0")
+	})
+
+	// Guards against a gang that starts again and again because one member crashes its
+	// worker.
+	It("is given up as a member of a gang", func() {
+		f := newFixture(8)
+		f.restartAfterCrash(false)
+		f.startDispatcher("a")
+		gang := task(8)
+		gang.Tasks, gang.Gang = 3, true
+		f.submit(batch.Job{ID: "j", Spec: `{"ms":60000,"crash_ms":20,"crash_index":1}`, Steps: []batch.Step{gang}})
+		f.expectGivenUp("j", "j.0.0.1")
+		Eventually(f.running).WithTimeout(timeout).Should(BeEmpty())
+	})
+
+	// Guards against tasks that last, which have no limit of failed runs.
+	It("is given up as a task that lasts", func() {
+		f := newFixture(8)
+		f.restartAfterCrash(false)
+		f.startDispatcher("a")
+		lasting := task(1)
+		lasting.Persistent = true
+		f.submit(batch.Job{ID: "j", Spec: crashingTask, Steps: []batch.Step{lasting}})
+		f.expectGivenUp("j", "j.0.0.0")
+	})
+
+	// Guards against a count of losses that ends with the term of a dispatcher.
+	It("is given up although a new dispatcher takes over after each crash", func() {
+		f := newFixture(8)
+		f.restartAfterCrash(false)
+		_, kill := f.startDispatcher("d0")
+		f.submit(batch.Job{ID: "j", Spec: crashingTask, Steps: []batch.Step{task(1)}})
+		for n := 1; n <= 6 && f.state("j")() != batch.Failed; n++ {
+			Eventually(func() bool { return f.crashes()["j.0.0.0"] >= n || f.state("j")() == batch.Failed }).WithTimeout(crashesTimeout).Should(BeTrue())
+			kill()
+			_, kill = f.startDispatcher(fmt.Sprintf("d%d", n))
+		}
+		f.expectGivenUp("j", "j.0.0.0")
+	})
+
+	// Guards against losses that are forgotten because they cannot be stored at once.
+	It("is given up although the store is away after each crash", func() {
+		f := newFixture(8)
+		f.restartAfterCrash(false)
+		f.startDispatcher("a")
+		f.submit(batch.Job{ID: "j", Spec: crashingTask, Steps: []batch.Step{task(1)}})
+		for n := 1; n <= 6 && f.state("j")() != batch.Failed; n++ {
+			Eventually(func() bool { return f.crashes()["j.0.0.0"] >= n || f.state("j")() == batch.Failed }).WithTimeout(crashesTimeout).Should(BeTrue())
+			f.store.setDown(true)
+			time.Sleep(600 * time.Millisecond)
+			f.store.setDown(false)
+		}
+		f.expectGivenUp("j", "j.0.0.0")
+	})
+
+	// Guards against other work that is taken down again and again, or blamed, because
+	// tasks under suspicion start beside it.
+	It("does not take down the same other work twice, nor fail it", func() {
+		f := newFixture(8)
+		f.restartAfterCrash(false)
+		f.startDispatcher("a")
+		others := task(1)
+		others.Tasks = 30
+		f.submit(batch.Job{ID: "others", Spec: `{"ms":4000}`, Steps: []batch.Step{others}})
+		Eventually(f.running).WithTimeout(timeout).Should(HaveLen(30))
+		for i := range 3 {
+			f.submit(batch.Job{ID: fmt.Sprintf("j%d", i), Spec: crashingTask, Steps: []batch.Step{task(1)}})
+		}
+		for i := range 3 {
+			f.expectGivenUp(fmt.Sprintf("j%d", i), fmt.Sprintf("j%d.0.0.0", i))
+		}
+		Eventually(f.state("others")).WithTimeout(crashesTimeout).Should(Equal(batch.Completed))
+		for task, n := range f.crashes() {
+			if task[0] == 'o' {
+				Expect(n).To(BeNumerically("<=", 1), task)
+			}
+		}
+	})
+})
+
+var _ = Describe("a task whose workers are lost for other causes", func() {
+	// crashWorkerOf crashes the worker of a task and brings it back as another one.
+	crashWorkerOf := func(f *fixture, task string) {
+		GinkgoHelper()
+		for i, w := range f.workers {
+			for _, key := range w.Running() {
+				if key.Task == task {
+					f.remove("servers/" + w.ID)
+					w.RestartAs(w.ID + "x")
+					f.listWorker(i, "ready")
+					return
+				}
+			}
+		}
+		Fail("the task does not run")
+	}
+
+	// Guards against jobs that fail because their workers crash a few times.
+	It("is not given up after three crashes", func() {
+		f := newFixture(3)
+		f.startDispatcher("a")
+		f.submit(batch.Job{ID: "j", Spec: `{"ms":3500}`, Steps: []batch.Step{task(1)}})
+		for n := 1; n <= 3; n++ {
+			Eventually(f.starts).WithTimeout(crashesTimeout).Should(HaveKeyWithValue("j.0.0.0", n))
+			time.Sleep(2500 * time.Millisecond)
+			crashWorkerOf(f, "j.0.0.0")
+		}
+		Eventually(f.state("j")).WithTimeout(crashesTimeout).Should(Equal(batch.Completed))
+	})
+
+	// Guards against losses that stay on the account of a worker that was only silent:
+	// each time the task is started elsewhere, and the worker comes back.
+	It("is not given up when they were only silent for a while", func() {
+		f := newFixture(2)
+		f.startDispatcher("a")
+		f.submit(batch.Job{ID: "j", Spec: `{"ms":4000}`, Steps: []batch.Step{task(1)}})
+		for n := 1; n <= 6; n++ {
+			Eventually(f.running).WithTimeout(crashesTimeout).Should(HaveKey("j.0.0.0"))
+			var silent *standinfleet.Worker
+			for _, w := range f.workers {
+				if len(w.Running()) > 0 {
+					silent = w
+				}
+			}
+			silent.SetFault(faultOnPath("", standinfleet.NoAnswer, 1<<30))
+			Eventually(f.starts).WithTimeout(crashesTimeout).Should(HaveKeyWithValue("j.0.0.0", n+1))
+			silent.SetFault(nil)
+			time.Sleep(600 * time.Millisecond)
+		}
+		Eventually(f.state("j")).WithTimeout(crashesTimeout).Should(Equal(batch.Completed))
+	})
+})
--- a/internal/standinfleet/worker.go
+++ b/internal/standinfleet/worker.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net/http"
 	"sort"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -33,17 +35,47 @@
 type activeRun struct {
 	doneAt    time.Time // when the task completes
 	endReason string
+	need      Capacity
 	record    *RunRecord
 }
 
-// Worker simulates a worker. The spec of a task sets how long it runs and how it ends,
-// as in {"ms":500,"ends":"failed"}.
+// Capacity is the capacity of a worker, or what a task takes of it.
+type Capacity struct {
+	MilliCPU     int64 `json:"cpu"`
+	MemoryMB     int64 `json:"mem_mb"`
+	Accelerators int64 `json:"gpu"`
+}
+
+// taskSpec is the behaviour of a task, in its spec: how long it runs and how it ends, as
+// in {"ms":500,"ends":"failed"}, or that it crashes its worker, as in {"crash_ms":20}.
+type taskSpec struct {
+	DurationMs int64  `json:"ms"`
+	EndReason  string `json:"ends"`
+	// CrashMs is the time after the start at which the task crashes the worker; 0 crashes
+	// it before it answers the start.
+	CrashMs *int64 `json:"crash_ms"`
+	// CrashIndex limits the crash to the task with this index in its step.
+	CrashIndex *int `json:"crash_index"`
+	// Need is counted against the capacity of the worker.
+	Need Capacity `json:"need"`
+}
+
+func (s taskSpec) crashes(task string) bool {
+	return s.CrashMs != nil && (s.CrashIndex == nil || strings.HasSuffix(task, "."+strconv.Itoa(*s.CrashIndex)))
+}
+
+// Worker simulates a worker. The spec of a task sets its behaviour.
 type Worker struct {
 	ID string
 	// ClockRate is the speed of the worker's clock relative to real time; 0 means 1.
 	ClockRate float64
+	// AfterCrash is called in a goroutine of its own when a task has crashed the worker,
+	// which is then down until Restart or RestartAs.
+	AfterCrash func()
 
 	mu          sync.Mutex
+	down        bool
+	capacity    Capacity
 	startedAt   time.Time
 	fence       int64
 	leaseEndMs  int64 // lease end on the worker's clock in ms
@@ -58,19 +90,33 @@
 	records     []*RunRecord
 	// Overlaps counts starts of a task while another run of it was active on the worker.
 	Overlaps int
+	// Overcommitted counts starts that needed more capacity than the worker had left.
+	Overcommitted int
 }
 
 // NewWorker returns an idle worker.
 func NewWorker(id string) *Worker {
-	w := &Worker{ID: id, startCounts: map[RunKey]int{}}
+	w := &Worker{ID: id, startCounts: map[RunKey]int{}, capacity: Capacity{MilliCPU: 64000, MemoryMB: 131072, Accelerators: 8}}
 	w.Restart()
 	return w
 }
 
 // Restart simulates a crash: all runs end and a new incarnation starts.
-func (w *Worker) Restart() {
+func (w *Worker) Restart() { w.RestartAs(w.ID) }
+
+// RestartAs is Restart with another identifier for the new incarnation.
+func (w *Worker) RestartAs(id string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.endAllRuns()
+	w.ID, w.down = id, false
+	w.startedAt, w.fence, w.leaseEndMs, w.endCount, w.unackedEnds = time.Now(), 0, 0, 0, nil
+	w.running, w.highestRuns = map[RunKey]activeRun{}, map[string]int64{}
+	w.changed = make(chan struct{})
+}
+
+// endAllRuns ends all runs by a crash. Ends that were not acknowledged are lost.
+func (w *Worker) endAllRuns() {
 	for key, run := range w.running {
 		w.endRunIfDue(key, run, time.Now())
 		if run.record.Ended.IsZero() {
@@ -78,9 +124,28 @@
 		}
 	}
 	w.dropUnackedEnds()
-	w.startedAt, w.fence, w.leaseEndMs, w.endCount, w.unackedEnds = time.Now(), 0, 0, 0, nil
-	w.running, w.highestRuns = map[RunKey]activeRun{}, map[string]int64{}
+}
+
+// crash ends all runs and takes the worker down, unless it has crashed since the run
+// started.
+func (w *Worker) crash(record *RunRecord) {
+	if !record.Ended.IsZero() {
+		return
+	}
+	w.endAllRuns()
+	w.down, w.running = true, map[RunKey]activeRun{}
+	close(w.changed)
 	w.changed = make(chan struct{})
+	if w.AfterCrash != nil {
+		go w.AfterCrash()
+	}
+}
+
+// SetCapacity changes the capacity of the worker while it runs.
+func (w *Worker) SetCapacity(capacity Capacity) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.capacity = capacity
 }
 
 // SetFault sets a function that returns the fault for each call; nil injects none.
@@ -96,7 +161,7 @@
 	defer w.mu.Unlock()
 	entry, err := json.Marshal(map[string]any{
 		"backend": service, "address": address, "zone": zone, "version": "v1", "slots": 8, "state": state, "cold_ms": 0,
-		"capacity": map[string]int{"cpu": 64000, "mem_mb": 131072, "gpu": 8}, "labels": []string{"a", rack},
+		"capacity": w.capacity, "labels": []string{"a", rack},
 		"clock_ms": w.clockMs(), "born": w.startedAt.UnixMilli(), "seq": 1,
 	})
 	if err != nil {
@@ -215,11 +280,14 @@
 // ServeHTTP handles one order.
 func (w *Worker) ServeHTTP(response http.ResponseWriter, r *http.Request) {
 	w.mu.Lock()
-	fault := NoFault
+	fault, down, id := NoFault, w.down, w.ID
 	if w.fault != nil {
 		fault = w.fault(r)
 	}
 	w.mu.Unlock()
+	if down {
+		panic(http.ErrAbortHandler)
+	}
 	var order workerOrder
 	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
 		response.WriteHeader(http.StatusBadRequest)
@@ -236,17 +304,20 @@
 		time.Sleep(applyDelay)
 	case NoFault, LoseAnswer:
 	}
-	if r.Header.Get("Samphirepath-Expected-Instance") != w.ID {
+	if r.Header.Get("Samphirepath-Expected-Instance") != id {
 		response.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	status, answer := w.execute(r, order)
-	if fault == LoseAnswer || fault == ApplyLate {
+	if fault == LoseAnswer || fault == ApplyLate || status == noAnswer {
 		panic(http.ErrAbortHandler)
 	}
 	writeAnswer(response, status, answer)
 }
 
+// noAnswer is the status of a call during which the worker has crashed.
+const noAnswer = 0
+
 func (w *Worker) execute(r *http.Request, order workerOrder) (int, map[string]any) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -286,10 +357,7 @@
 	if order.Run <= w.highestRuns[order.Task] {
 		return w.refuse("old")
 	}
-	var spec struct {
-		DurationMs int64  `json:"ms"`
-		EndReason  string `json:"ends"`
-	}
+	var spec taskSpec
 	if err := json.Unmarshal([]byte(order.Spec), &spec); err != nil {
 		return http.StatusBadRequest, map[string]any{"clock_ms": w.clockMs()}
 	}
@@ -304,10 +372,35 @@
 	w.startCounts[key]++
 	record := &RunRecord{RunKey: key, Worker: w.ID, Started: time.Now()}
 	w.records = append(w.records, record)
-	w.running[key] = activeRun{doneAt: record.Started.Add(time.Duration(spec.DurationMs) * time.Millisecond), endReason: spec.EndReason, record: record}
+	w.running[key] = activeRun{doneAt: record.Started.Add(time.Duration(spec.DurationMs) * time.Millisecond), endReason: spec.EndReason, need: spec.Need, record: record}
+	if w.overcommitted() {
+		w.Overcommitted++
+	}
+	if spec.crashes(order.Task) {
+		if *spec.CrashMs == 0 {
+			w.crash(record)
+			return noAnswer, nil
+		}
+		time.AfterFunc(time.Duration(*spec.CrashMs)*time.Millisecond, func() {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.crash(record)
+		})
+	}
 	return http.StatusOK, map[string]any{"clock_ms": w.clockMs()}
 }
 
+// overcommitted reports whether the active runs need more than the capacity.
+func (w *Worker) overcommitted() bool {
+	var used Capacity
+	for _, run := range w.running {
+		used.MilliCPU += run.need.MilliCPU
+		used.MemoryMB += run.need.MemoryMB
+		used.Accelerators += run.need.Accelerators
+	}
+	return used.MilliCPU > w.capacity.MilliCPU || used.MemoryMB > w.capacity.MemoryMB || used.Accelerators > w.capacity.Accelerators
+}
+
 func (w *Worker) stop(order workerOrder) (int, map[string]any) {
 	key := RunKey{order.Task, order.Run}
 	w.highestRuns[order.Task] = max(w.highestRuns[order.Task], order.Run)
@@ -333,7 +426,7 @@
 		}
 	}
 	w.unackedEnds = unacked
-	for deadline := time.Now().Add(time.Duration(order.WaitMs) * time.Millisecond); len(w.unackedEnds) == 0 && time.Now().Before(deadline); w.endDueRuns() {
+	for deadline := time.Now().Add(time.Duration(order.WaitMs) * time.Millisecond); len(w.unackedEnds) == 0 && !w.down && time.Now().Before(deadline); w.endDueRuns() {
 		changed := w.changed
 		w.mu.Unlock()
 		select {
@@ -346,6 +439,9 @@
 			break
 		}
 	}
+	if w.down {
+		return noAnswer, nil
+	}
 	running := [][]any{}
 	for key := range w.running {
 		running = append(running, []any{key.Task, key.Run, "", 50})
