Give up tasks under which workers are lost again and again

What callers saw: a task that crashes each worker that starts it was started without end; every 3.4 s another worker with up to 8 runs of other jobs went down, and the job stayed running.

Cause: the loss of a worker was not an outcome of the runs on it. They were dropped like runs that were never started, and a restarted worker with the same identifier got the same run again, because 'not listed' was taken for 'not carried out'. Class: a retry that does not count what the work itself may have caused.

Change: a loss counts for the tasks whose runs were on the worker, in the progress row, so that it outlives the term. A loss within 2 s of the start makes a task suspect: its next run gets an empty worker to itself for 2 s, or any after 1 s in a full fleet. Two early losses alone on a worker fail the job, four of any kind, or five with widespread ones. A loss is widespread if three other workers fell silent within a second that had neither a run of the job nor an isolated one. Losses of unreachable workers are taken back when the same incarnation answers again; a run that outlives 2 s clears its early losses, one that outlives 5 minutes all. Starts that an earlier incarnation may have carried out are not repeated.

Why it works: every loss is counted before the next start is stored, so no mix of evidence allows more than five starts (property test).

--- a/api/api.gen.go
+++ b/api/api.gen.go
@@ -394,8 +394,20 @@
 
 // BatchTask State of one task of a batch job.
 type BatchTask struct {
-	Done     bool `cbor:"3,keyasint,omitempty" json:"done,omitempty"`
-	Failures int  `cbor:"2,keyasint,omitempty" json:"failures,omitempty"`
+	Done bool `cbor:"3,keyasint,omitempty" json:"done,omitempty"`
+
+	// EarlyLosses Those of the losses that came soon after the start of the run.
+	EarlyLosses int `cbor:"7,keyasint,omitempty" json:"early_losses,omitempty"`
+	Failures    int `cbor:"2,keyasint,omitempty" json:"failures,omitempty"`
+
+	// Isolated The newest run has its worker to itself and has not outlived the time of an early loss.
+	Isolated bool `cbor:"9,keyasint,omitempty" json:"isolated,omitempty"`
+
+	// IsolatedLosses Those of the early losses under a run that had its worker to itself.
+	IsolatedLosses int `cbor:"8,keyasint,omitempty" json:"isolated_losses,omitempty"`
+
+	// Losses Workers that were lost under runs of the task.
+	Losses int `cbor:"6,keyasint,omitempty" json:"losses,omitempty"`
 
 	// Run Number of the newest run of the task.
 	Run int64 `cbor:"1,keyasint,omitempty" json:"run,omitempty"`
@@ -403,6 +415,9 @@
 	// Saved Key of the newest checkpoint.
 	Saved string `cbor:"5,keyasint,omitempty" json:"saved,omitempty"`
 
+	// WidespreadLosses Those of the losses that came with those of several other workers.
+	WidespreadLosses int `cbor:"10,keyasint,omitempty" json:"widespread_losses,omitempty"`
+
 	// Worker Position in the list of workers, counted from 1, while a run of the task may exist; else 0.
 	Worker int `cbor:"4,keyasint,omitempty" json:"worker,omitempty"`
 }
--- /dev/null
+++ b/internal/batch/losses.go
@@ -0,0 +1,127 @@
+package batch
+
+import "time"
+
+// A worker that is lost takes down all runs on it, and its loss does not tell which of
+// them was the cause, or whether any was. Two kinds of evidence make a task the cause:
+// workers were lost soon after its start while it had them to itself, or more workers
+// were lost under it than happens to other tasks. A widespread loss is weaker evidence.
+const (
+	// EarlyLossTime is the lifetime of a run up to which the loss of its worker is early.
+	// Most work that takes down its worker does so while it starts.
+	EarlyLossTime = 2 * time.Second
+	// maxBlameTime is the lifetime from which a run is not blamed for the loss of its
+	// worker, and from which earlier losses are forgotten.
+	maxBlameTime = 5 * time.Minute
+	// maxIsolatedLosses, maxLosses and maxWithWidespread are the numbers of losses at
+	// which a task is given up. The platform allows five starts of a task that crashes
+	// its workers; maxLosses leaves one for a loss that nobody noticed.
+	maxIsolatedLosses = 2
+	maxLosses         = 4
+	maxWithWidespread = 5
+)
+
+// Losses counts the workers that were lost under runs of a task.
+type Losses struct {
+	All      int
+	Early    int // within EarlyLossTime of the start of the run
+	Isolated int // early, of a run that had the worker to itself, and not widespread
+	// Widespread losses came with those of several other workers.
+	Widespread int
+}
+
+// Loss describes the loss of a worker under a run.
+type Loss struct {
+	// Lifetime is how long the run is known to have existed.
+	Lifetime time.Duration
+	// Presumed means that the worker may still live: it was unreachable until its lease
+	// had expired.
+	Presumed bool
+	// Widespread means that several other workers fell silent at the same time, which
+	// points at a cause outside of the work.
+	Widespread bool
+}
+
+// counted returns what a loss adds to the account of a task.
+func (l Loss) counted(isolated bool) Losses {
+	if l.Lifetime >= maxBlameTime {
+		return Losses{}
+	}
+	counted := Losses{All: 1}
+	if l.Widespread {
+		counted.Widespread = 1
+	}
+	if l.Lifetime < EarlyLossTime {
+		counted.Early = 1
+		if isolated && !l.Presumed && !l.Widespread {
+			counted.Isolated = 1
+		}
+	}
+	return counted
+}
+
+func (l Losses) add(other Losses) Losses {
+	return Losses{All: l.All + other.All, Early: l.Early + other.Early, Isolated: l.Isolated + other.Isolated, Widespread: l.Widespread + other.Widespread}
+}
+
+// giveUp reports whether the task is taken for the cause of the losses.
+func (l Losses) giveUp() bool {
+	return l.Isolated >= maxIsolatedLosses || l.All-l.Widespread >= maxLosses || l.All >= maxWithWidespread
+}
+
+// Suspect reports whether the next run of the task gets a worker to itself, so that its
+// early loss shows the cause and takes down no other work.
+func (t Task) Suspect() bool { return t.Losses.Early > 0 && !t.Done }
+
+// Lose records that a run has ended with its worker, and fails the job if the task is
+// taken for the cause. If checkpoint is not empty, it becomes the checkpoint of the task.
+// Lose returns false if the run is not the current one.
+func (t *Tracker) Lose(run RunRef, loss Loss, checkpoint string, now time.Time) bool {
+	_, task := t.current(run)
+	if task == nil || !task.Assigned() {
+		return false
+	}
+	counted := loss.counted(task.Isolated)
+	task.Worker, task.Isolated = WorkerIncarnation{}, false
+	if checkpoint != "" {
+		task.Checkpoint = checkpoint
+	}
+	if task.Done {
+		return true
+	}
+	task.Losses = task.Losses.add(counted)
+	if task.Losses.giveUp() && !t.State.Final() {
+		t.end(Failed, now)
+	}
+	return true
+}
+
+// Retract takes back a presumed loss: the worker was not lost. It reports whether it
+// changed the account of the task.
+func (t *Tracker) Retract(ref TaskRef, loss Loss) bool {
+	task := t.Task(ref)
+	counted := loss.counted(false)
+	if task == nil || task.Losses.All < counted.All || counted.All == 0 {
+		return false
+	}
+	task.Losses.All -= counted.All
+	task.Losses.Early = max(0, task.Losses.Early-counted.Early)
+	task.Losses.Widespread = max(0, task.Losses.Widespread-counted.Widespread)
+	return true
+}
+
+// Outlive records how long a run is known to have existed. A run that has outlived
+// EarlyLossTime clears its task of the early losses, one that has outlived maxBlameTime
+// of all. Outlive reports whether it changed the task.
+func (t *Tracker) Outlive(run RunRef, lifetime time.Duration) bool {
+	_, task := t.current(run)
+	if task == nil || lifetime < EarlyLossTime {
+		return false
+	}
+	before := *task
+	task.Isolated, task.Losses.Early, task.Losses.Isolated = false, 0, 0
+	if lifetime >= maxBlameTime {
+		task.Losses = Losses{}
+	}
+	return *task != before
+}
--- /dev/null
+++ b/internal/batch/losses_test.go
@@ -0,0 +1,124 @@
+package batch_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/samphirepath/samphirepath/internal/batch"
+)
+
+// maxStarts is the platform's limit of starts for a task that crashes its workers.
+const maxStarts = 5
+
+// oneTask returns the tracker of a job with a single task.
+func oneTask() *batch.Tracker {
+	t := batch.NewTracker(batch.Job{ID: "j", MaxAttempts: 3, Steps: []batch.Step{{Tasks: 1}}})
+	t.OpenDue(time.Unix(1000, 0))
+	return t
+}
+
+// lose starts the task and loses its worker.
+func lose(t *batch.Tracker, isolated bool, loss batch.Loss) {
+	ref := t.Assign(t.Units[0], 0, worker)
+	t.Units[0].Tasks[0].Isolated = isolated
+	t.Lose(ref, loss, "", time.Unix(1001, 0))
+}
+
+var _ = Describe("the loss of workers under a task", func() {
+	early, late := batch.Loss{Lifetime: 10 * time.Millisecond}, batch.Loss{Lifetime: 3 * time.Second}
+	widespread := batch.Loss{Lifetime: 10 * time.Millisecond, Widespread: true}
+
+	// Guards against tasks that are blamed for the loss of workers beside which they
+	// merely ran, and against tasks that are never blamed.
+	DescribeTable("fails its job", func(expected batch.State, isolated []bool, losses ...batch.Loss) {
+		t := oneTask()
+		for i, loss := range losses {
+			Expect(t.State).NotTo(Equal(batch.Failed), "after %d losses", i)
+			lose(t, isolated[i], loss)
+		}
+		Expect(t.State).To(Equal(expected))
+	},
+		Entry("not after one", batch.Running, []bool{false}, early),
+		Entry("not after an isolated one", batch.Running, []bool{true}, early),
+		Entry("after two early ones with a worker to itself", batch.Failed, []bool{false, true, true}, early, early, early),
+		Entry("not after three beside other work", batch.Running, []bool{false, false, false}, early, late, late),
+		Entry("after four beside other work", batch.Failed, []bool{false, false, false, false}, late, late, late, late),
+		Entry("not after four widespread ones", batch.Running, []bool{false, true, true, true}, widespread, widespread, widespread, widespread),
+		Entry("after five widespread ones", batch.Failed, []bool{false, true, true, true, true}, widespread, widespread, widespread, widespread, widespread),
+	)
+
+	It("counts no loss of a run that had lived for long", func() {
+		t := oneTask()
+		for range 10 {
+			lose(t, false, batch.Loss{Lifetime: 10 * time.Minute})
+		}
+		Expect(t.State).To(Equal(batch.Running))
+	})
+
+	// Guards against a task that lasts and that is blamed for losses of long ago.
+	It("is forgotten when a run outlives it", func() {
+		t := oneTask()
+		lose(t, false, early)
+		Expect(t.Units[0].Tasks[0].Suspect()).To(BeTrue())
+		ref := t.Assign(t.Units[0], 0, worker)
+		Expect(t.Outlive(ref, time.Second)).To(BeFalse())
+		Expect(t.Outlive(ref, 2*time.Second)).To(BeTrue())
+		Expect(t.Units[0].Tasks[0].Suspect()).To(BeFalse())
+		Expect(t.Units[0].Tasks[0].Losses.All).To(Equal(1))
+		Expect(t.Outlive(ref, 10*time.Minute)).To(BeTrue())
+		Expect(t.Units[0].Tasks[0].Losses).To(Equal(batch.Losses{}))
+	})
+
+	It("is taken back when the worker was only silent", func() {
+		t := oneTask()
+		presumed := batch.Loss{Lifetime: time.Second, Presumed: true}
+		for range 10 {
+			lose(t, true, presumed)
+			Expect(t.Retract(batch.TaskRef{Job: "j"}, presumed)).To(BeTrue())
+		}
+		Expect(t.State).To(Equal(batch.Running))
+		Expect(t.Units[0].Tasks[0].Losses).To(Equal(batch.Losses{}))
+	})
+
+	// Guards against a count that ends with the term of a dispatcher.
+	It("is stored with the progress", func() {
+		t := oneTask()
+		lose(t, false, widespread)
+		lose(t, true, early)
+		t.Assign(t.Units[0], 0, worker)
+		t.Units[0].Tasks[0].Isolated = true
+		value, err := t.Encode()
+		Expect(err).NotTo(HaveOccurred())
+		restored := batch.NewTracker(t.Job)
+		Expect(restored.Restore(value)).To(Succeed())
+		Expect(restored.Units).To(Equal(t.Units))
+		Expect(restored.Units[0].Tasks[0].Losses).To(Equal(batch.Losses{All: 2, Early: 2, Isolated: 1, Widespread: 1}))
+	})
+})
+
+// Guards against a mix of evidence under which a task that crashes every worker is started
+// more often than the platform allows.
+func TestTaskThatCrashesEveryWorkerIsStartedAtMostFiveTimes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tracker := oneTask()
+		starts := 0
+		for tracker.State != batch.Failed {
+			loss := batch.Loss{
+				Lifetime:   time.Duration(rapid.IntRange(0, 60_000).Draw(t, "lifetime_ms")) * time.Millisecond,
+				Presumed:   rapid.Bool().Draw(t, "presumed"),
+				Widespread: rapid.Bool().Draw(t, "widespread"),
+			}
+			ref := tracker.Assign(tracker.Units[0], 0, worker)
+			tracker.Units[0].Tasks[0].Isolated = rapid.Bool().Draw(t, "isolated")
+			tracker.Outlive(ref, loss.Lifetime)
+			tracker.Lose(ref, loss, "", time.Unix(1001, 0))
+			if starts++; starts > maxStarts {
+				t.Fatalf("started %d times, account %+v", starts, tracker.Units[0].Tasks[0].Losses)
+			}
+		}
+	})
+}
--- a/internal/batch/progress.go
+++ b/internal/batch/progress.go
@@ -39,6 +39,10 @@
 	Done       bool
 	Worker     WorkerIncarnation
 	Checkpoint string
+	Losses     Losses
+	// Isolated means that the newest run has its worker to itself and is not known to
+	// have outlived EarlyLossTime.
+	Isolated bool
 }
 
 // Assigned reports whether a run of the task may exist.
@@ -156,7 +160,7 @@
 func (t *Tracker) Assign(unit *Unit, index int, worker WorkerIncarnation) RunRef {
 	task := &unit.Tasks[index]
 	task.Run++
-	task.Worker = worker
+	task.Worker, task.Isolated = worker, false
 	t.Started = true
 	if t.State == Queued {
 		t.State = Running
@@ -326,7 +330,9 @@
 func encodeUnit(unit *Unit, workers map[WorkerIncarnation]int, row *api.BatchProgress) api.BatchUnit {
 	encoded := api.BatchUnit{Occurrence: unit.Occurrence, Step: unit.Step, FailedRun: unit.FailedRun, Tasks: make([]api.BatchTask, len(unit.Tasks))}
 	for i, task := range unit.Tasks {
-		encoded.Tasks[i] = api.BatchTask{Run: task.Run, Failures: task.Failures, Done: task.Done, Saved: task.Checkpoint}
+		encoded.Tasks[i] = api.BatchTask{Run: task.Run, Failures: task.Failures, Done: task.Done, Saved: task.Checkpoint,
+			Losses: task.Losses.All, EarlyLosses: task.Losses.Early, IsolatedLosses: task.Losses.Isolated,
+			WidespreadLosses: task.Losses.Widespread, Isolated: task.Isolated}
 		if !task.Assigned() {
 			continue
 		}
@@ -367,7 +373,8 @@
 		unit := &Unit{Occurrence: encoded.Occurrence, Step: encoded.Step, FailedRun: encoded.FailedRun, Tasks: make([]Task, t.Job.Steps[encoded.Step].Tasks)}
 		for i := range min(len(encoded.Tasks), len(unit.Tasks)) {
 			stored := encoded.Tasks[i]
-			unit.Tasks[i] = Task{Run: stored.Run, Failures: stored.Failures, Done: stored.Done, Checkpoint: stored.Saved}
+			unit.Tasks[i] = Task{Run: stored.Run, Failures: stored.Failures, Done: stored.Done, Checkpoint: stored.Saved,
+				Losses: Losses{All: stored.Losses, Early: stored.EarlyLosses, Isolated: stored.IsolatedLosses, Widespread: stored.WidespreadLosses}, Isolated: stored.Isolated}
 			if stored.Worker > 0 && stored.Worker <= len(row.Workers) {
 				worker := row.Workers[stored.Worker-1]
 				unit.Tasks[i].Worker = WorkerIncarnation{ID: worker.ID, StartedMs: worker.Born, Address: worker.Address}
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -89,7 +89,7 @@
 		t.dropRun(r, "clock of the worker is not known")
 		return nil
 	}
-	r.phase, r.fence, r.startedAt = phaseStarting, r.worker.fence, now
+	r.phase, r.fence, r.startedAt, r.incarnation = phaseStarting, r.worker.fence, now, r.worker.info.StartedMs
 	r.startAttempts++
 	task := &r.unit.Tasks[r.ref.Index]
 	start := fleet.Start{Run: r.ref, Spec: r.job.tracker.Job.Spec, Fence: r.fence, Deadline: workerDeadlineMs, Checkpoint: task.Checkpoint}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -30,6 +30,10 @@
 	startOverhead = 150 * time.Millisecond
 )
 
+// isolationWait is how long a task under suspicion waits for a worker to itself. After
+// that it starts beside other work: in a full fleet no worker may become empty.
+const isolationWait = time.Second
+
 // earliestEviction returns the time from which other runs may be evicted for an
 // urgent unit that has been startable since the given time.
 func (t *term) earliestEviction(job *batch.Job, objective, since time.Time) time.Time {
@@ -67,8 +71,9 @@
 	started := 0
 	for _, placed := range result.Placements {
 		started += len(placed.Tasks)
+		isolated := p.Demands[placed.Demand].Isolated
 		for i, task := range placed.Tasks {
-			t.assign(p.jobs[placed.Demand], p.units[placed.Demand], task, p.workers[placed.Workers[i]])
+			t.assign(p.jobs[placed.Demand], p.units[placed.Demand], task, p.workers[placed.Workers[i]], isolated)
 		}
 	}
 	for _, g := range result.Evict {
@@ -113,7 +118,7 @@
 			continue
 		}
 		for _, unit := range j.tracker.Units {
-			if d, ok := t.demand(j, unit, now); ok {
+			for _, d := range t.unitDemands(j, unit, now) {
 				p.Demands = append(p.Demands, d)
 				p.units = append(p.units, unit)
 				p.jobs = append(p.jobs, j)
@@ -124,6 +129,37 @@
 	return urgent
 }
 
+// unitDemands returns the demands for the startable tasks of a unit: one for those under
+// suspicion, which are isolated for isolationWait, and one for the others. A gang is one
+// demand.
+func (t *term) unitDemands(j *jobState, unit *batch.Unit, now time.Time) []placement.Demand {
+	d, ok := t.demand(j, unit, now)
+	if !ok {
+		return nil
+	}
+	key := unitKey{unit.Occurrence, unit.Step}
+	suspect := func(task int) bool { return unit.Tasks[task].Suspect() }
+	if !slices.ContainsFunc(d.Tasks, suspect) {
+		return []placement.Demand{d}
+	}
+	if _, known := j.suspectSince[key]; !known {
+		j.suspectSince[key] = now
+	}
+	if now.Sub(j.suspectSince[key]) >= isolationWait {
+		return []placement.Demand{d}
+	}
+	isolated := d
+	isolated.Isolated = true
+	if d.Step.Gang {
+		return []placement.Demand{isolated}
+	}
+	isolated.Tasks = slices.DeleteFunc(slices.Clone(d.Tasks), func(task int) bool { return !suspect(task) })
+	if d.Tasks = slices.DeleteFunc(d.Tasks, suspect); len(d.Tasks) == 0 {
+		return []placement.Demand{isolated}
+	}
+	return []placement.Demand{isolated, d}
+}
+
 func (t *term) demand(j *jobState, unit *batch.Unit, now time.Time) (placement.Demand, bool) {
 	if !j.tracker.Startable(unit) {
 		return placement.Demand{}, false
@@ -171,9 +207,10 @@
 	out := placement.Worker{
 		ID: w.info.ID, Service: w.info.Service, Zone: w.info.Zone, Rack: w.info.Rack, Labels: w.info.Labels,
 		Schedulable: t.schedulable(w, now), Suspect: now.Before(w.suspectUntil),
-		Free: w.info.Capacity,
+		Free: w.info.Capacity, Occupied: len(w.runs) > 0,
 	}
 	for _, r := range w.runs {
+		out.Isolated = out.Isolated || r.isolated
 		out.Free = placement.Sub(out.Free, r.need)
 		if r.stopReason != "" {
 			out.Releasing = placement.Add(out.Releasing, r.need)
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -128,10 +128,7 @@
 		return
 	case fleet.OtherIncarnation:
 		if worker.Address == w.info.Address {
-			t.reportLoss(w, lossAddressReused)
-			for _, r := range w.runs {
-				t.dropRun(r, "address belongs to another worker")
-			}
+			t.loseRuns(w, lossAddressReused)
 			w.ackedEnd = w.storedEnd
 			w.misses++
 			w.nextCall = now.Add(unstoredEndsDelay)
@@ -139,6 +136,9 @@
 		return
 	default:
 		w.misses++
+		if w.misses == 1 {
+			t.noteSilence(w, now)
+		}
 		if w.misses == 1 && len(w.runs) > 0 {
 			t.log.Warn("Worker does not answer.", zap.String("worker", w.info.ID), zap.Stringer("outcome", report.Outcome),
 				zap.Int("runs", len(w.runs)), telemetry.ErrorField(report.Err))
@@ -169,6 +169,7 @@
 	if w.misses > 0 || w.unproved() {
 		t.planNeeded = true
 	}
+	t.retractLosses(w)
 	w.misses = 0
 	w.unread = !t.canReadEnds()
 	w.lastAnswered = sent
@@ -195,8 +196,8 @@
 }
 
 // reconcileRuns compares the runs that a worker reports with those assigned to it:
-// it stops runs that no job records, drops runs that no longer exist and repeats
-// starts that were not carried out.
+// it stops runs that no job records, drops runs that no longer exist, and repeats
+// starts that were not carried out, unless they may have been by an earlier incarnation.
 func (t *term) reconcileRuns(w *workerState, order fleet.LeaseRenewal, sent time.Time, reported []fleet.RunStatus) {
 	listed := make(map[batch.RunRef]fleet.RunStatus, len(reported))
 	for _, r := range reported {
@@ -215,6 +216,8 @@
 		switch {
 		case (r.phase == phaseRunning || r.phase == phaseStopping) && r.confirmedAt.Before(sent):
 			t.dropRun(r, "worker no longer reports the run")
+		case r.phase == phaseUnknown && order.Fence > r.fence && r.incarnation < w.info.StartedMs:
+			t.loseRun(r, lossRestarted)
 		case r.phase == phaseUnknown && order.Fence > r.fence:
 			t.resendStart(r, "start was not carried out")
 		}
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -44,17 +44,24 @@
 	confirmedAt   time.Time // when the worker confirmed the start
 	seenAt        time.Time // when the worker last confirmed that the run exists
 	startedAt     time.Time
-	stopReason    string // why the run is to be stopped; empty while it is not
-	stopSentAt    time.Time
-	checkpoint    string
+	// incarnation is the start time of the worker to which the start was sent.
+	incarnation int64
+	// isolated means that the run has its worker to itself and is not known to have
+	// outlived batch.EarlyLossTime.
+	isolated   bool
+	stopReason string // why the run is to be stopped; empty while it is not
+	stopSentAt time.Time
+	checkpoint string
 }
 
 // assign records a run of a task on a worker and sends the start once the record is
-// stored.
-func (t *term) assign(j *jobState, unit *batch.Unit, index int, w *workerState) {
+// stored. isolated means that the run has the worker to itself.
+func (t *term) assign(j *jobState, unit *batch.Unit, index int, w *workerState, isolated bool) {
 	incarnation := batch.WorkerIncarnation{ID: w.info.ID, StartedMs: w.info.StartedMs, Address: w.info.Address}
 	ref := j.tracker.Assign(unit, index, incarnation)
+	unit.Tasks[index].Isolated = isolated
 	r := t.newRun(j, unit, ref, w, phaseCommitting)
+	r.isolated = isolated
 	t.markChanged(j)
 	t.whenDurable(j, func() { t.sendStart(r) })
 }
@@ -138,6 +145,7 @@
 	if status.Checkpoint != "" {
 		r.checkpoint = status.Checkpoint
 	}
+	t.noteLifetime(r)
 	if r.stopReason != "" && now.Sub(r.stopSentAt) > stopRetryDelay {
 		t.stopRunning(r)
 	}
@@ -292,7 +300,7 @@
 	}
 	ref := batch.RunRef{TaskRef: batch.TaskRef{Job: j.tracker.Job.ID, Occurrence: unit.Occurrence, Step: unit.Step, Index: index}, Run: unit.Tasks[index].Run}
 	r := t.newRun(j, unit, ref, w, phaseUnknown)
-	r.checkpoint = unit.Tasks[index].Checkpoint
+	r.checkpoint, r.isolated, r.incarnation = unit.Tasks[index].Checkpoint, unit.Tasks[index].Isolated, incarnation.StartedMs
 	// The start was sent with a lower fence than any call of this term.
 	r.fence = w.fence - 1
 	if incarnation.StartedMs != 0 && w.info.StartedMs > incarnation.StartedMs {
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/samphirepath/samphirepath/internal/batch"
+	"github.com/samphirepath/samphirepath/internal/fleet"
 	"github.com/samphirepath/samphirepath/internal/telemetry"
 	"github.com/samphirepath/samphirepath/lease"
 	"github.com/samphirepath/samphirepath/table"
@@ -33,6 +34,8 @@
 
 	jobs          map[string]*jobState
 	finished      map[string]time.Time // end times of the jobs that need no more work
+	presumed      map[fleet.Incarnation][]presumedLoss
+	silences      map[string]silence // when workers last fell silent or restarted, by ID
 	workers       map[string]*workerState
 	jobsListed    bool // a full listing of the jobs has been applied
 	workersListed bool // a full listing of the workers has been applied
@@ -65,6 +68,7 @@
 	callbacks      []commitCallback
 	startableSince map[unitKey]time.Time
 	failedWorkers  map[unitKey]map[string]bool // IDs of the workers on which a task of the unit has failed
+	suspectSince   map[unitKey]time.Time       // when tasks under suspicion became startable again
 	runs           map[batch.RunRef]*run
 	nextDue        time.Time   // when the next occurrence is due
 	unstoredEnds   []endSource // workers that keep the ends not stored yet
@@ -96,6 +100,7 @@
 		Dispatcher: d, ctx: ctx, epoch: epoch, startedAt: now, lastHeldAt: now,
 		events: make(chan func(), eventQueueSize),
 		jobs:   map[string]*jobState{}, finished: map[string]time.Time{}, workers: map[string]*workerState{},
+		presumed: map[fleet.Incarnation][]presumedLoss{}, silences: map[string]silence{},
 		changedJobs: map[string]bool{},
 	}
 }
@@ -218,6 +223,7 @@
 		t.checkWorker(w, now)
 	}
 	t.forgetFinished(now)
+	t.forgetLosses(now)
 	t.planNeeded = t.planNeeded || len(t.jobs) > 0
 }
 
@@ -303,7 +309,7 @@
 	}
 	j := &jobState{
 		tracker: batch.NewTracker(job), startableSince: map[unitKey]time.Time{},
-		failedWorkers: map[unitKey]map[string]bool{}, runs: map[batch.RunRef]*run{},
+		failedWorkers: map[unitKey]map[string]bool{}, suspectSince: map[unitKey]time.Time{}, runs: map[batch.RunRef]*run{},
 	}
 	if stored.Version != 0 && !t.jobsListed {
 		j.version = stored.Version
--- a/internal/dispatch/workers.go
+++ b/internal/dispatch/workers.go
@@ -234,6 +234,9 @@
 // the new one: each run stays unknown until a call with a raised fence is answered.
 func (t *term) resetWorker(w *workerState, startedMs, clock int64, now time.Time) {
 	t.log.Info("Worker has restarted.", zap.String("worker", w.info.ID), zap.Int64("born", startedMs), zap.Int("runs", len(w.runs)))
+	if w.misses == 0 {
+		t.noteSilence(w, now)
+	}
 	t.reportLoss(w, lossRestarted)
 	w.info.StartedMs = startedMs
 	w.lastEnd, w.storedEnd, w.ackedEnd, w.pendingAcks = 0, 0, 0, nil
@@ -259,10 +262,7 @@
 // has certainly expired.
 func (t *term) checkWorker(w *workerState, now time.Time) {
 	if len(w.runs) > 0 && w.misses > 0 && now.After(t.workerLeaseExpiry(w)) {
-		t.reportLoss(w, lossLeaseExpired)
-		for _, r := range w.runs {
-			t.dropRun(r, "lease of the unreachable worker has expired")
-		}
+		t.loseRuns(w, lossLeaseExpired)
 		w.unread = true
 	}
 	if !w.listed && len(w.runs) == 0 && w.ackedEnd == w.lastEnd && !w.polling && !w.probing {
--- a/internal/placement/evict.go
+++ b/internal/placement/evict.go
@@ -65,7 +65,7 @@
 	need := ChargedNeed(demand.Step)
 	for _, w := range p.byRack[rack] {
 		worker := &p.Workers[w]
-		if worker.Suspect || !eligible(worker, demand) || !p.withinTrialLimit(w, demand, trial) {
+		if worker.Suspect || !eligible(worker, demand) || !p.sharable(w, demand) || !p.withinTrialLimit(w, demand, trial) {
 			continue
 		}
 		groups, loss, ok := p.cheapestVictims(w, need, demand.Priority, trial)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -43,6 +43,10 @@
 	Schedulable bool
 	// Suspect workers have recently failed tasks and are chosen last.
 	Suspect bool
+	// Occupied workers have runs, also such that are being stopped.
+	Occupied bool
+	// Isolated workers are for the time being left to the task that runs there.
+	Isolated bool
 	// Free is unused capacity, Releasing what runs that are being stopped still
 	// hold.
 	Free      batch.Need
@@ -86,6 +90,8 @@
 	// Avoid holds the IDs of workers on which a task of this demand has failed;
 	// they are chosen last.
 	Avoid map[string]bool
+	// Isolated demands take only workers without other work, and keep them to themselves.
+	Isolated bool
 }
 
 // EvictionGroup is running work that is evicted together: one task, or all tasks
@@ -149,6 +155,8 @@
 	reservedFrom time.Time
 	spare        batch.Need // expected free capacity at reservedFrom beyond the reservation
 	stepTasks    map[StepKey]int
+	taken        int     // tasks that this plan has placed here
+	isolatedFor  *Demand // isolated demand that has taken the worker in this plan
 }
 
 // Plan places the demands that fit, the most urgent first.
@@ -251,7 +259,7 @@
 
 // mayEvict reports whether other work may be evicted for a demand.
 func (p *planner) mayEvict(demand *Demand) bool {
-	return demand.Priority == 0 && !p.Now.Before(demand.EvictFrom)
+	return demand.Priority == 0 && !demand.Isolated && !p.Now.Before(demand.EvictFrom)
 }
 
 // exceedsUnderusedWait reports whether a demand has waited longer than it may
@@ -383,7 +391,7 @@
 func (p *planner) fits(w int, demand *Demand) bool {
 	state := &p.workers[w]
 	need := ChargedNeed(demand.Step)
-	if !Covers(state.free, need) || !p.withinStepLimit(w, demand) {
+	if !Covers(state.free, need) || !p.withinStepLimit(w, demand) || !p.sharable(w, demand) {
 		return false
 	}
 	if demand.Priority == 0 || p.exceedsUnderusedWait(demand) {
@@ -392,6 +400,20 @@
 	return !p.outlastsReservation(state, demand) || Covers(state.spare, need)
 }
 
+// sharable reports whether a demand may use a worker beside what is there already.
+func (p *planner) sharable(w int, demand *Demand) bool {
+	state := &p.workers[w]
+	switch {
+	case state.isolatedFor != nil:
+		return state.isolatedFor == demand
+	case p.Workers[w].Isolated:
+		return false
+	case demand.Isolated:
+		return !p.Workers[w].Occupied && state.taken == 0
+	}
+	return true
+}
+
 func (p *planner) withinStepLimit(w int, demand *Demand) bool {
 	limit := demand.Step.MaxPerWorker
 	return limit <= 0 || p.Workers[w].StepTasks[demand.Key]+p.workers[w].stepTasks[demand.Key] < limit
@@ -402,6 +424,9 @@
 	state := &p.workers[w]
 	need := ChargedNeed(demand.Step)
 	state.free = Sub(state.free, need)
+	if state.taken++; demand.Isolated {
+		state.isolatedFor = demand
+	}
 	if p.outlastsReservation(state, demand) {
 		state.spare = Sub(state.spare, need)
 	}
@@ -413,6 +438,9 @@
 	state := &p.workers[w]
 	need := ChargedNeed(demand.Step)
 	state.free = Add(state.free, need)
+	if state.taken--; state.taken == 0 {
+		state.isolatedFor = nil
+	}
 	if p.outlastsReservation(state, demand) {
 		state.spare = Add(state.spare, need)
 	}
