Do not isolate a task for a single widespread loss

Cause: when many workers crash for a cause of their own, each young run made its task suspect and had it wait for an empty worker.

--- a/internal/batch/losses.go
+++ b/internal/batch/losses.go
@@ -70,8 +70,9 @@
 }
 
 // Suspect reports whether the next run of the task gets a worker to itself, so that its
-// early loss shows the cause and takes down no other work.
-func (t Task) Suspect() bool { return t.Losses.Early > 0 && !t.Done }
+// early loss shows the cause and takes down no other work. A first widespread loss does
+// not make it suspect.
+func (t Task) Suspect() bool { return t.Losses.Early > min(1, t.Losses.Widespread) && !t.Done }
 
 // Lose records that a run has ended with its worker, and fails the job if the task is
 // taken for the cause. If checkpoint is not empty, it becomes the checkpoint of the task.
