Check the capacity of a worker again when a start is sent

Cause: a start checked the lease, the zone and the worker again when it was sent, but not the capacity.

Change: a start is dropped if the worker has no room for it beside all runs whose starts were sent.

--- a/internal/dispatch/fixture_test.go
+++ b/internal/dispatch/fixture_test.go
@@ -41,6 +41,14 @@
 	// listDelay is added to each listing, jobsListDelay to those of the jobs.
 	listDelay     time.Duration
 	jobsListDelay time.Duration
+	// commitDelay passes before a commit of progress is applied.
+	commitDelay time.Duration
+}
+
+func (s *faultyStore) setCommitDelay(delay time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.commitDelay = delay
 }
 
 func (s *faultyStore) setDown(down bool) {
@@ -87,6 +95,12 @@
 	if err := s.fail(); err != nil {
 		return table.CommitResult{Status: table.Unavailable, Err: err}
 	}
+	s.mu.Lock()
+	delay := s.commitDelay
+	s.mu.Unlock()
+	if len(writes) > 0 && strings.HasPrefix(writes[0].Key, dispatch.ProgressPrefix) {
+		time.Sleep(delay)
+	}
 	return s.Memory.Commit(ctx, conditions, writes)
 }
 
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -7,6 +7,7 @@
 
 	"github.com/samphirepath/samphirepath/internal/batch"
 	"github.com/samphirepath/samphirepath/internal/fleet"
+	"github.com/samphirepath/samphirepath/internal/placement"
 	"github.com/samphirepath/samphirepath/internal/telemetry"
 )
 
@@ -96,10 +97,23 @@
 		return r.stopReason
 	case !t.schedulable(r.worker, time.Now()):
 		return "worker may no longer get tasks"
+	case !r.fitsNow():
+		return "worker no longer has the capacity"
 	}
 	return ""
 }
 
+// fitsNow reports whether the worker has room for a run beside all whose starts were sent.
+func (r *run) fitsNow() bool {
+	free := r.worker.info.Capacity
+	for _, other := range r.worker.runs {
+		if other != r && other.phase != phaseCommitting {
+			free = placement.Sub(free, other.need)
+		}
+	}
+	return placement.Covers(free, r.need)
+}
+
 func (t *term) handleStartReply(r *run, reply fleet.Reply, sent time.Time) {
 	if r.worker.runs[r.ref] != r || r.phase != phaseStarting {
 		return
--- a/internal/standinfleet/worker.go
+++ b/internal/standinfleet/worker.go
@@ -90,8 +90,8 @@
 	records     []*RunRecord
 	// Overlaps counts starts of a task while another run of it was active on the worker.
 	Overlaps int
-	// Overcommitted counts starts that needed more capacity than the worker had left.
-	Overcommitted int
+	// overcommitments counts starts that needed more capacity than the worker had left.
+	overcommitments int
 }
 
 // NewWorker returns an idle worker.
@@ -170,6 +170,14 @@
 	return entry
 }
 
+// Overcommitments returns the number of starts that needed more capacity than the worker
+// had left.
+func (w *Worker) Overcommitments() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.overcommitments
+}
+
 // StartCounts returns the number of starts of each run.
 func (w *Worker) StartCounts() map[RunKey]int {
 	w.mu.Lock()
@@ -374,7 +382,7 @@
 	w.records = append(w.records, record)
 	w.running[key] = activeRun{doneAt: record.Started.Add(time.Duration(spec.DurationMs) * time.Millisecond), endReason: spec.EndReason, need: spec.Need, record: record}
 	if w.overcommitted() {
-		w.Overcommitted++
+		w.overcommitments++
 	}
 	if spec.crashes(order.Task) {
 		if *spec.CrashMs == 0 {
