Start nothing on a restarted worker before its new entry is read

What could happen: a worker that came back smaller got its runs again by the capacity of the incarnation before, when its answer was read before its entry (LIMIT).

Cause: an answer that shows a new incarnation reset the runs and the clock of a worker, but not its capacity and labels, which only the entry has.

Change: a worker is schedulable only if its entry is of the incarnation that answers.

Measured: the spec 'gets no tasks after a restart before its new entry is read' fails without the check (one start beyond the capacity) and passes with it.

--- a/internal/dispatch/capacity_test.go
+++ b/internal/dispatch/capacity_test.go
@@ -96,6 +96,23 @@
 		Eventually(f.state("second")).WithTimeout(timeout).Should(Equal(batch.Completed))
 	})
 
+	// Guards against a new incarnation, known from its answer, that gets tasks by the
+	// entry of the earlier one.
+	It("gets no tasks after a restart before its new entry is read", func() {
+		f := newFixture(1)
+		f.startDispatcher("a")
+		step, spec := taking(1, 6, 60000)
+		f.submit(batch.Job{ID: "j", Spec: spec, Steps: []batch.Step{step}})
+		Eventually(f.running).WithTimeout(timeout).Should(HaveLen(1))
+		f.workers[0].SetCapacity(halfWorker)
+		f.workers[0].Restart()
+		time.Sleep(time.Second) // longer than the wait of a call
+		Expect(f.overcommitted()).To(BeZero())
+		Expect(f.running()).To(BeEmpty())
+		f.resize(0, wholeWorker)
+		Eventually(f.running).WithTimeout(timeout).Should(HaveLen(1))
+	})
+
 	// Guards against a race of changes of the capacity and starts.
 	It("is never overcommitted while several shrink and grow", func() {
 		f := newFixture(3)
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -48,7 +48,8 @@
 // schedulable reports whether a worker may get new tasks now.
 func (t *term) schedulable(w *workerState, now time.Time) bool {
 	excluded := w.failures >= excludeThreshold && now.Before(w.suspectUntil)
-	return w.listed && !w.unproved() && !w.info.Draining && w.misses == 0 && !excluded && !t.cfg.Zones.OutOfService(w.info.Zone)
+	described := w.describedMs == w.info.StartedMs
+	return w.listed && described && !w.unproved() && !w.info.Draining && w.misses == 0 && !excluded && !t.cfg.Zones.OutOfService(w.info.Zone)
 }
 
 // planInput is the snapshot for one plan, with the objects that its indices refer to.
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -163,6 +163,8 @@
 	if report.StartedMs != 0 && report.StartedMs > w.info.StartedMs {
 		if w.info.StartedMs != 0 {
 			t.resetWorker(w, report.StartedMs, report.Clock, now)
+		} else {
+			w.describedMs = report.StartedMs
 		}
 		w.info.StartedMs = report.StartedMs
 	}
--- a/internal/dispatch/workers.go
+++ b/internal/dispatch/workers.go
@@ -62,6 +62,9 @@
 type workerState struct {
 	info   fleet.Worker
 	listed bool // discovery lists the worker, or may do so again, see missingSince
+	// describedMs is the start time of the incarnation whose entry was read last. The
+	// capacity and the labels of a later one are not known.
+	describedMs int64
 	// missingSince is when the entry of a worker that may enter itself again was found
 	// missing after an outage of the store; zero otherwise.
 	missingSince time.Time
@@ -176,7 +179,7 @@
 	if !w.listed {
 		w.nextCall = time.Time{}
 	}
-	w.info, w.listed, w.missingSince = worker, true, time.Time{}
+	w.info, w.listed, w.missingSince, w.describedMs = worker, true, time.Time{}, worker.StartedMs
 	if w.clockReadAt.IsZero() {
 		w.clock, w.clockReadAt = worker.Clock, now
 	}
