Confirm a commit of progress by a mark of its own

Cause: when the answer to a commit is outstanding, a read decides whether it was applied, by the value of its first row. If an earlier commit whose answer was lost had stored that row with the same value, the repeated commit was refused, but counted as stored. The ends in its other rows were acknowledged to the workers and forgotten.

Change: each commit of progress also writes a row with an identifier of its own, in the same partition and call; only that row confirms it. Renewals of the lease carry a renewal number, and a submission may be confirmed by any row of its key, so both are right as they are.

--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/google/uuid"
 	"go.uber.org/zap"
 
 	"github.com/samphirepath/samphirepath/internal/batch"
@@ -96,12 +97,14 @@
 	if len(writes) == 0 {
 		return
 	}
+	mark := table.Write{Key: CommitMarkKey, Value: []byte(uuid.NewString())}
+	writes = append(writes, mark)
 	t.committing = true
 	go func() {
 		ctx, cancel := context.WithTimeout(t.ctx, commitTimeout)
 		defer cancel()
 		sent := time.Now()
-		result := table.CommitConfirmed(ctx, t.cfg.Store, conditions, writes, confirmationOf(conditions, writes[0]))
+		result := table.CommitConfirmed(ctx, t.cfg.Store, conditions, writes, confirmationOf(mark))
 		t.scope.Timer("commit").Record(time.Since(sent))
 		versions := t.readVersions(ctx, result)
 		t.post(func() {
@@ -114,18 +117,11 @@
 	}()
 }
 
-// confirmationOf returns how to see that a commit was applied: the row of its first
-// write, in another version than before, has the written value.
-func confirmationOf(conditions []table.Condition, write table.Write) table.Confirmation {
-	var before int64
-	for _, c := range conditions {
-		if c.Key == write.Key {
-			before = c.Version
-		}
-	}
-	return table.Confirmation{Key: write.Key, Applied: func(row table.Row) bool {
-		return row.Version != before && bytes.Equal(row.Value, write.Value)
-	}}
+// confirmationOf returns how to see that a commit was applied: its mark is stored. The
+// other rows do not show it, because an earlier commit whose answer was lost may have
+// stored the same values.
+func confirmationOf(mark table.Write) table.Confirmation {
+	return table.Confirmation{Key: mark.Key, Applied: func(row table.Row) bool { return bytes.Equal(row.Value, mark.Value) }}
 }
 
 // readVersions reads the current versions of the rows whose condition did not hold.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -19,14 +19,16 @@
 	"github.com/samphirepath/samphirepath/table"
 )
 
-// Keys of the rows. Progress, counts and the lease must be in one partition of the
-// store, because they are committed together.
+// Keys of the rows. Progress, counts, the commit mark and the lease must be in one
+// partition of the store, because they are committed together.
 const (
 	JobsPrefix     = "jobs/"
 	CancelSuffix   = "/cancel"
 	ProgressPrefix = "progress/"
 	CountsPrefix   = "counts/"
 	PendingKey     = CountsPrefix + "pending" // number of waiting jobs of each queue
+	MarkPrefix     = "marks/"
+	CommitMarkKey  = MarkPrefix + "commit" // identifier of the last commit of progress
 	LeasePrefix    = "leader/"
 )
 
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"time"
@@ -100,6 +101,29 @@
 		Entry("carried out late", standinfleet.ApplyLate),
 	)
 
+	// Guards against a commit that counts as stored because a row of it had been stored by
+	// an earlier one: the ends in its other rows would be lost, and their tasks run again.
+	It("stores all ends although the answers of the store are lost for a while", func() {
+		f := newFixture(3)
+		f.startDispatcher("a")
+		const jobs = 16
+		for n := range jobs {
+			spec := `{"ms":600}`
+			if n == 0 {
+				spec = `{"ms":640}` // ends before the commit of the others is repeated
+			}
+			f.submit(batch.Job{ID: fmt.Sprintf("j%d", n), Spec: spec, Steps: []batch.Step{task(1)}})
+		}
+		Eventually(f.running).WithTimeout(timeout).Should(HaveLen(jobs))
+		time.Sleep(300 * time.Millisecond) // the starts are stored
+		f.store.setLoseAnswers(true)
+		time.Sleep(1500 * time.Millisecond)
+		f.store.setLoseAnswers(false)
+		for n := range jobs {
+			Eventually(f.state(fmt.Sprintf("j%d", n))).WithTimeout(timeout).Should(Equal(batch.Completed), "job %d", n)
+		}
+	})
+
 	It("keeps tasks running when another dispatcher takes over", func() {
 		f := newFixture(2)
 		first, kill := f.startDispatcher("a")
--- a/internal/dispatch/fixture_test.go
+++ b/internal/dispatch/fixture_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -43,6 +44,16 @@
 	jobsListDelay time.Duration
 	// commitDelay passes before a commit of progress is applied.
 	commitDelay time.Duration
+	// loseAnswers loses the answers to commits of progress, which are applied or refused:
+	// the first one breaks off at once, the others hang.
+	loseAnswers bool
+	brokenOff   bool
+}
+
+func (s *faultyStore) setLoseAnswers(lose bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.loseAnswers, s.brokenOff = lose, false
 }
 
 func (s *faultyStore) setCommitDelay(delay time.Duration) {
@@ -98,10 +109,22 @@
 	s.mu.Lock()
 	delay := s.commitDelay
 	s.mu.Unlock()
-	if len(writes) > 0 && strings.HasPrefix(writes[0].Key, dispatch.ProgressPrefix) {
-		time.Sleep(delay)
+	if !slices.ContainsFunc(writes, func(w table.Write) bool { return strings.HasPrefix(w.Key, dispatch.ProgressPrefix) }) {
+		return s.Memory.Commit(ctx, conditions, writes)
+	}
+	time.Sleep(delay)
+	result := s.Memory.Commit(ctx, conditions, writes)
+	s.mu.Lock()
+	lose, hang := s.loseAnswers, s.brokenOff
+	s.brokenOff = lose
+	s.mu.Unlock()
+	if !lose {
+		return result
+	}
+	if hang {
+		<-ctx.Done()
 	}
-	return s.Memory.Commit(ctx, conditions, writes)
+	return table.CommitResult{Status: table.Unknown, Err: fmt.Errorf("the answer is lost")}
 }
 
 type outOfService struct{ zone string }
--- a/internal/node/layout.go
+++ b/internal/node/layout.go
@@ -27,7 +27,7 @@
 	case dispatch.JobsPrefix:
 		id := strings.TrimSuffix(key, dispatch.CancelSuffix)
 		return jobPartition(xxhash.Sum64String(id) % jobPartitions)
-	case dispatch.ProgressPrefix, dispatch.LeasePrefix, dispatch.CountsPrefix:
+	case dispatch.ProgressPrefix, dispatch.LeasePrefix, dispatch.CountsPrefix, dispatch.MarkPrefix:
 		return "control"
 	case relay.PeersPrefix:
 		return "peers"
--- a/internal/node/layout_test.go
+++ b/internal/node/layout_test.go
@@ -26,6 +26,7 @@
 	g.Expect(partitionOf(dispatch.LeasePrefix, "lease")).To(gomega.Equal(control))
 	g.Expect(partitionOf(dispatch.LeasePrefix, "fence")).To(gomega.Equal(control))
 	g.Expect(partitionOf(dispatch.CountsPrefix, "pending")).To(gomega.Equal(control))
+	g.Expect(partitionOf(dispatch.MarkPrefix, "commit")).To(gomega.Equal(control))
 	g.Expect(partitionOf(relay.PeersPrefix, "edge-1")).NotTo(gomega.Equal(control))
 	for i := range 100 {
 		id := fmt.Sprintf("%016x", i)
