Give up a request when three attempts ended without a whole answer

What could happen: an idempotent request that takes down the minion that gets it was sent to one minion after another until its deadline; only the retry budget of the daemon bounded it. Class: as for tasks, a retry that does not count what the work itself may have caused.

Change: the third attempt without a whole answer is the last, and the outcome is unknown. Busy minions and attempts that were not sent stay outside of the count. The planner of the own interface already refuses a job after failures, losses included, on three workers.

--- a/internal/router/faults_test.go
+++ b/internal/router/faults_test.go
@@ -155,6 +155,15 @@
 		Entry("all unreachable, claimed", "unreachable", 6, true, api.OutcomeNotRun, api.OutcomeNotRun, 0),
 	)
 
+	// Guards against a request that takes down one minion after another: each breaks off its
+	// answer, and another one would get the request.
+	It("gives up a request that broke off at several minions", func() {
+		c.eachMinion(func(m *fakeMinion) { m.mode = "broken" })
+		reply := c.daemons[1].submit("k", "body", false, 3*time.Second)
+		Expect(reply.Result.Outcome).To(Equal(api.OutcomeUnknown))
+		Expect(c.runs("body")).To(BeNumerically("<=", 3))
+	})
+
 	// Guards against running requests whose callers no longer wait.
 	It("cancels a queued forwarded request when its caller cancels", func() {
 		c.eachMinion(func(m *fakeMinion) { m.serviceTime = 100 * time.Millisecond })
--- a/internal/router/submit.go
+++ b/internal/router/submit.go
@@ -18,6 +18,10 @@
 // no claim.
 const maxFreeRetries = 3
 
+// maxUnansweredAttempts is the number of attempts without a whole answer after which a
+// request is given up: it may be what takes down the minions that get it.
+const maxUnansweredAttempts = 3
+
 // activeRequest holds the state of a request while this daemon routes it.
 type activeRequest struct {
 	Request
@@ -26,6 +30,7 @@
 	failedMinions      map[string]bool // minions to avoid in further attempts
 	triedPeers         map[string]bool // peers that got the request
 	attempts           int             // known dispatches to minions
+	unansweredAttempts int             // attempts that ended without a whole answer
 	freeRetries        int             // retries not charged to the budget, except those after a busy minion
 	maybeClaimedByPeer bool            // a peer may have claimed the request
 	claim              *claim.Handle   // acquired claim under which nothing has run: not sent yet, or not run by the minion
@@ -137,6 +142,12 @@
 		req.freeRetries++
 		return req.freeRetries <= maxFreeRetries
 	}
+	if result.reply.Result.Outcome == api.OutcomeUnknown {
+		if req.unansweredAttempts++; req.unansweredAttempts >= maxUnansweredAttempts {
+			r.log.Warn("Request given up: several minions broke off its answer.", zap.String("request", req.ID), zap.String("entry", req.Submission.Entry), zap.Int("attempts", req.attempts))
+			return false
+		}
+	}
 	if !r.budget.TryWithdraw() {
 		r.scope.Counter("retries_refused").Inc(1)
 		return false
