Let the soak crash workers by jobs and shrink workers

Change: two kinds of faults at the end of the list: a tenth of the jobs crash the workers that start their first task, and a worker has half of its capacity for a while. Checks: at most five starts of such a task; no start beyond the capacity, with the time that the platform allows after a change; a job may fail without failing tasks only after two workers were lost under one of them.

--- a/internal/standinfleet/worker.go
+++ b/internal/standinfleet/worker.go
@@ -72,10 +72,15 @@
 	// AfterCrash is called in a goroutine of its own when a task has crashed the worker,
 	// which is then down until Restart or RestartAs.
 	AfterCrash func()
+	// ShrinkGrace is how long after a change of the capacity starts may still fill the
+	// earlier one.
+	ShrinkGrace time.Duration
 
 	mu          sync.Mutex
 	down        bool
 	capacity    Capacity
+	earlier     Capacity // capacity before the last change
+	resizedAt   time.Time
 	startedAt   time.Time
 	fence       int64
 	leaseEndMs  int64 // lease end on the worker's clock in ms
@@ -145,7 +150,7 @@
 func (w *Worker) SetCapacity(capacity Capacity) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.capacity = capacity
+	w.earlier, w.capacity, w.resizedAt = w.capacity, capacity, time.Now()
 }
 
 // SetFault sets a function that returns the fault for each call; nil injects none.
@@ -406,7 +411,11 @@
 		used.MemoryMB += run.need.MemoryMB
 		used.Accelerators += run.need.Accelerators
 	}
-	return used.MilliCPU > w.capacity.MilliCPU || used.MemoryMB > w.capacity.MemoryMB || used.Accelerators > w.capacity.Accelerators
+	return !used.within(w.capacity) && (time.Since(w.resizedAt) > w.ShrinkGrace || !used.within(w.earlier))
+}
+
+func (c Capacity) within(limit Capacity) bool {
+	return c.MilliCPU <= limit.MilliCPU && c.MemoryMB <= limit.MemoryMB && c.Accelerators <= limit.Accelerators
 }
 
 func (w *Worker) stop(order workerOrder) (int, map[string]any) {
--- a/test/soak/callers.go
+++ b/test/soak/callers.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/samphirepath/samphirepath/internal/standinfleet"
 )
 
 const (
@@ -25,6 +27,7 @@
 
 	cancelShare  = 0.1  // share of the accepted jobs that are cancelled
 	failShare    = 0.05 // share of the jobs whose tasks always fail
+	crashShare   = 0.1  // share of the jobs that crash workers, while such jobs come
 	repeatShare  = 0.1  // share of the accepted jobs that are submitted once more
 	abandonShare = 0.5  // share of the refused submissions that are not retried
 )
@@ -36,6 +39,7 @@
 	body       []byte
 	tasks      []string
 	fails      bool
+	crashes    bool // its first task crashes the workers that start it
 
 	mu         sync.Mutex
 	acceptedAt time.Time // zero until a submission was accepted
@@ -82,7 +86,7 @@
 	defer client.CloseIdleConnections()
 	daemonIndex := random.IntN(len(c.cluster.daemons))
 	for ctx.Err() == nil {
-		j := newJob(random)
+		j := newJob(random, c.cluster.crashingJobs.Load() > 0 && random.Float64() < crashShare)
 		c.mu.Lock()
 		c.jobs = append(c.jobs, j)
 		c.mu.Unlock()
@@ -199,16 +203,15 @@
 }
 
 // newJob returns a random job. The tasks of failShare of the jobs always fail.
-func newJob(random *rand.Rand) *job {
-	j := &job{id: fmt.Sprintf("%016x", random.Uint64()), pathPrefix: queues[random.IntN(len(queues))].pathPrefix, fails: random.Float64() < failShare}
+func newJob(random *rand.Rand, crashes bool) *job {
+	j := &job{crashes: crashes, id: fmt.Sprintf("%016x", random.Uint64()), pathPrefix: queues[random.IntN(len(queues))].pathPrefix, fails: random.Float64() < failShare}
 	ms := 50 + random.IntN(1500)
 	spec := map[string]any{"ms": ms}
 	if j.fails {
 		spec["ends"] = "failed"
 	}
-	text, err := json.Marshal(spec)
-	if err != nil {
-		panic(err) // cannot happen: the map holds only numbers and strings
+	if crashes {
+		spec["crash_ms"], spec["crash_index"] = ms/10, 0
 	}
 	var steps []step
 	for n := range 1 + random.IntN(2) {
@@ -221,6 +224,15 @@
 			j.tasks = append(j.tasks, fmt.Sprintf("%s.0.%d.%d", j.id, n, i))
 		}
 	}
+	// The workers count what the tasks of the first step take of their capacity.
+	spec["need"] = standinfleet.Capacity{MilliCPU: int64(steps[0].CPU), MemoryMB: int64(steps[0].MemMB), Accelerators: int64(steps[0].GPU)}
+	if len(steps) > 1 {
+		delete(spec, "need")
+	}
+	text, err := json.Marshal(spec)
+	if err != nil {
+		panic(err) // cannot happen: the map holds only numbers, strings and a struct of numbers
+	}
 	if j.body, err = json.Marshal(map[string]any{"spec": string(text), "steps": steps}); err != nil {
 		panic(err) // cannot happen: the value consists of maps, slices and structs of numbers and strings
 	}
--- a/test/soak/cluster.go
+++ b/test/soak/cluster.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -32,6 +33,11 @@
 	// storeRetryEvery is the interval at which workers try to write their entries while the
 	// store is down, so that the entries are back within this time after its return.
 	storeRetryEvery = 2 * time.Second
+	// crashDowntime is how long a worker is down after a task has crashed it.
+	crashDowntime = 1500 * time.Millisecond
+	// shrinkGrace is how long after its capacity has shrunk a worker may get tasks that fill
+	// the earlier one: the time in which daemons must act on a change, and a heartbeat.
+	shrinkGrace = 3*time.Second + heartbeatEvery
 	// slowClockRate is the clock rate of every third worker: the platform allows clocks
 	// that are 2 % slow.
 	slowClockRate = 0.98
@@ -54,6 +60,8 @@
 	storeFaults callFaults
 	daemons     []*daemon
 	workers     []*worker
+	// crashingJobs counts the faults during which callers submit jobs that crash workers.
+	crashingJobs atomic.Int32
 
 	mu                   sync.Mutex
 	configurationVersion int64 // last version written
@@ -170,6 +178,14 @@
 	if i%3 == 0 {
 		w.ClockRate = slowClockRate
 	}
+	w.ShrinkGrace = shrinkGrace
+	w.AfterCrash = func() {
+		w.add(&w.downCount, 1)
+		time.Sleep(crashDowntime)
+		w.Restart()
+		w.add(&w.downCount, -1)
+		w.writeEntry()
+	}
 	w.SetFault(w.faults.draw)
 	w.server = httptest.NewServer(http.HandlerFunc(func(out http.ResponseWriter, r *http.Request) {
 		if w.isDown() {
@@ -200,6 +216,16 @@
 	}
 }
 
+// shrink halves the capacity of the worker until the returned function is called.
+func (w *worker) shrink() (grow func()) {
+	w.SetCapacity(standinfleet.Capacity{MilliCPU: 32000, MemoryMB: 65536, Accelerators: 4})
+	w.writeEntry()
+	return func() {
+		w.SetCapacity(standinfleet.Capacity{MilliCPU: 64000, MemoryMB: 131072, Accelerators: 8})
+		w.writeEntry()
+	}
+}
+
 // drain announces that the worker will shut down. The returned function restarts it without
 // its tasks.
 func (w *worker) drain() (restart func()) {
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -111,6 +111,11 @@
 		return func() {}
 	}},
 	{"all store answers lost", allDaemons, time.Second, 4 * time.Second, storeFault(standinfleet.LoseAnswer, 1)},
+	{"jobs that crash workers", operatorOnly, 2 * time.Second, 5 * time.Second, func(cl *cluster, _ int) func() {
+		cl.crashingJobs.Add(1)
+		return func() { cl.crashingJobs.Add(-1) }
+	}},
+	{"worker shrinks", oneWorker, 3 * time.Second, 9 * time.Second, func(cl *cluster, i int) func() { return cl.worker(i).shrink() }},
 }
 
 func storeLink(faults faultproxy.Faults) func(*cluster, int) func() {
--- a/test/soak/invariants.go
+++ b/test/soak/invariants.go
@@ -18,6 +18,11 @@
 	visibilityBound = 3 * time.Second
 	// cancelBound is the time within which all tasks of a cancelled job must have ended.
 	cancelBound = 3 * time.Second
+	// maxCrashingStarts bounds the starts of a task that crashes its workers.
+	maxCrashingStarts = 5
+	// minLossesToFail is how many workers must have been lost under a task before its job
+	// may be given up for that.
+	minLossesToFail = 2
 )
 
 // terminalStates are the states that a job never leaves.
@@ -64,7 +69,15 @@
 			}
 		}
 	}
+	for _, w := range c.cluster.workers {
+		if n := w.Overcommitments(); n > 0 {
+			c.reportOnce("overcommitted", w.ID, "%d starts on %s needed more capacity than it had left", n, w.ID)
+		}
+	}
 	for _, j := range c.callers.allJobs() {
+		if j.crashes && len(byTask[j.tasks[0]]) > maxCrashingStarts {
+			c.reportOnce("crashes", j.id, "task %s was started %d times and crashed its workers", j.tasks[0], len(byTask[j.tasks[0]]))
+		}
 		j.mu.Lock()
 		neverAccepted := j.acceptedAt.IsZero() && !j.unresolved && j.refused
 		j.mu.Unlock()
@@ -119,7 +132,7 @@
 	if slices.Contains(terminalStates, lastState) && state != lastState && (c.recovered || slices.Contains(terminalStates, state)) {
 		c.reportOnce("back", j.id, "job %s was %s and is now %s", j.id, lastState, state)
 	}
-	if state == "cancelled" && !cancelled || state == "failed" && !j.fails {
+	if state == "cancelled" && !cancelled || state == "failed" && !j.fails && !c.workersLost(j) {
 		c.reportOnce("cause", j.id, "job %s is unexpectedly %s", j.id, state)
 	}
 	j.mu.Lock()
@@ -128,6 +141,21 @@
 	return state
 }
 
+// workersLost reports whether enough workers were lost under a task of the job that the
+// job may be given up.
+func (c *checker) workersLost(j *job) bool {
+	byTask := c.runsByTask()
+	return slices.ContainsFunc(j.tasks, func(task string) bool {
+		lost := 0
+		for _, r := range byTask[task] {
+			if r.EndReason == "crashed" {
+				lost++
+			}
+		}
+		return lost >= minLossesToFail
+	})
+}
+
 // awaitEnd waits until all accepted jobs have ended and checks their ends and their runs.
 func (c *checker) awaitEnd(ctx context.Context) {
 	client := &http.Client{Transport: &http.Transport{}, Timeout: callTimeout}
