--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -33,9 +33,9 @@
 	endReason string // why the term ends; empty while it continues
 
 	jobs          map[string]*jobState
-	finished      map[string]time.Time // end times of the jobs that need no more work
-	presumed      map[fleet.Incarnation][]presumedLoss
-	silences      map[string]silence // when workers last fell silent or restarted, by ID
+	finished      map[string]time.Time                 // end times of the jobs that need no more work
+	presumed      map[fleet.Incarnation][]presumedLoss // losses of unreachable workers
+	silences      map[string]silence                   // when workers last fell silent or restarted, by ID
 	workers       map[string]*workerState
 	jobsListed    bool // a full listing of the jobs has been applied
 	workersListed bool // a full listing of the workers has been applied
