Let the restarted worker of a spec write its entry

Its stand-in worker never wrote an entry of its new incarnation, which the platform's workers do when they start; the dispatcher used the entry of the earlier one.

Change: the worker writes its entry after the restart. The check is the same: the job has to complete.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -235,6 +235,7 @@
 		Eventually(f.running).WithTimeout(timeout).Should(HaveLen(1))
 		time.Sleep(5 * time.Millisecond)
 		f.workers[0].Restart()
+		f.listWorker(0, "ready")
 		Eventually(f.state("j")).WithTimeout(timeout).Should(Equal(batch.Completed))
 	})
 
