Review case 1: one small gang hangs the dispatcher for good

A gang in one rack whose charged need is zero (fills, no memory, no GPU) is accepted and makes the planner loop without end, while the process goes on renewing the leader lease. No job of any tenant starts any more and the leases of all running tasks lapse.

--- a/review/4/run.sh
+++ b/review/5/run.sh
@@ -4,4 +4,4 @@
 set -u
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-standin ] || { echo "run review/build.sh first" >&2; exit 2; }
-exec target/review-standin -case cancel -record review/4/record.txt
+exec target/review-standin -case ends -record review/5/record.txt
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -293,11 +293,14 @@
 // step is a step of a job.
 type step struct {
 	Count      int   `json:"count"`
-	CPU        int   `json:"cpu"`
-	MemoryMB   int   `json:"mem_mb"`
+	CPU        int   `json:"cpu,omitempty"`
+	MemoryMB   int   `json:"mem_mb,omitempty"`
 	GPU        int   `json:"gpu,omitempty"`
 	EstimateMs int   `json:"estimate_ms"`
 	After      []int `json:"after,omitempty"`
+	Gang       bool  `json:"gang,omitempty"`
+	SameRack   bool  `json:"same_rack,omitempty"`
+	Fills      bool  `json:"fills,omitempty"`
 }
 
 // job is a job as a client submits it. The spec is the run time of each task in ms.
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -26,6 +26,7 @@
 
 // cases maps the names of the cases to their functions.
 var cases = map[string]func(*deployment) error{
+	"hang":     runHang,
 	"row-size": runRowSize,
 	"ends":     runEnds,
 	"cancel":   runCancel,
