--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -17,7 +17,7 @@
 		workMs   = 6000
 		downTime = 3500 * time.Millisecond
 	)
-	if err := d.start(4, 4); err != nil {
+	if err := d.start(4); err != nil {
 		return err
 	}
 	time.Sleep(time.Second)
@@ -86,7 +86,7 @@
 // memory is accepted, and from then on no job starts and the running ones lapse.
 func runHang(d *deployment) error {
 	const before = "00000000000000f0"
-	if err := d.start(16, 4); err != nil {
+	if err := d.start(16); err != nil {
 		return err
 	}
 	time.Sleep(time.Second)
@@ -128,33 +128,38 @@
 // finishTime is finish_s: after it, jobs are asked for.
 const finishTime = 14 * time.Second
 
-// runRowSize checks LOST: large jobs come at once, among them one whose occurrences
-// overlap. Its stored progress becomes larger than the store accepts, and from then on no
-// job starts. The sizes are the largest of the site file of the large deployment.
+// runRowSize checks LOST: a large job with overlapping occurrences has to make room for a
+// burst of urgent jobs. With the checkpoints of its tasks, its stored progress becomes
+// larger than the store accepts, and from then on no job starts. The sizes are the largest
+// of the site file of the large deployment.
 func runRowSize(d *deployment) error {
 	const (
-		workMs  = 11000
-		perStep = 470
-		burst   = 16
+		workMs      = 11000
+		perStep     = 470
+		urgentJobs  = 10
+		urgentTasks = 46
 	)
-	if err := d.start(480, 4); err != nil {
+	if err := d.start(480); err != nil {
 		return err
 	}
 	time.Sleep(time.Second)
 	if d.trouble {
-		s := step{Count: perStep, CPU: 5600, MemoryMB: 8200, GPU: 1, EstimateMs: workMs}
+		s := step{Count: perStep, CPU: 5600, MemoryMB: 8200, GPU: 1, EstimateMs: workMs, Checkpoint: true}
 		second, third := s, s
 		second.After, third.After = []int{0}, []int{1}
-		for i := range burst {
-			if err := d.submit(fmt.Sprintf("%s00000000000000%02d", bulk, i), job{Spec: strconv.Itoa(workMs), Steps: []step{s}}); err != nil {
+		scheduled := job{Spec: strconv.Itoa(workMs) + " saves", Steps: []step{s, second, third}, Repeats: 8, StartAtMs: time.Now().UnixMilli(), IntervalMs: 2000}
+		if err := d.submit(bulk+"00000000000000b1", scheduled); err != nil {
+			return err
+		}
+		time.Sleep(16 * time.Second)
+		for i := range urgentJobs {
+			wide := step{Count: urgentTasks, CPU: 7500, MemoryMB: 15000, GPU: 8, EstimateMs: 2500}
+			if err := d.submit(fmt.Sprintf("%s00000000000000%02d", urgent, i), job{Spec: "2500", Steps: []step{wide}}); err != nil {
 				return err
 			}
 		}
-		if err := d.submit(bulk+"00000000000000b1", job{Spec: strconv.Itoa(workMs), Steps: []step{s, second, third}, Repeats: 8, StartAtMs: time.Now().UnixMilli(), IntervalMs: 2000}); err != nil {
-			return err
-		}
 	}
-	time.Sleep(50 * time.Second)
+	time.Sleep(16 * time.Second)
 	ids, err := d.submitLast()
 	if err != nil {
 		return err
@@ -200,7 +205,7 @@
 		patience = 500 * time.Millisecond
 		lateness = 5 * time.Second
 	)
-	if err := d.start(4, 4); err != nil {
+	if err := d.start(4); err != nil {
 		return err
 	}
 	time.Sleep(4 * time.Second)
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -69,8 +69,8 @@
 	}, nil
 }
 
-// start starts the store, the minions and the daemons, and waits until all are ready.
-func (d *deployment) start(minions, daemons int) error {
+// start starts the store, the minions and one daemon a zone, and waits until all are ready.
+func (d *deployment) start(minions int) error {
 	d.store.put("op", "config", configuration())
 	storeAddress, err := serve(d.store)
 	if err != nil {
@@ -85,7 +85,7 @@
 		d.store.put("servers", m.id, m.entry())
 		go d.beat(m, time.Duration(i)*heartbeat/time.Duration(minions))
 	}
-	for i := range daemons {
+	for i := range zones {
 		if err := d.addDaemon(i, storeAddress); err != nil {
 			return err
 		}
@@ -298,12 +298,13 @@
 	GPU        int   `json:"gpu,omitempty"`
 	EstimateMs int   `json:"estimate_ms"`
 	After      []int `json:"after,omitempty"`
+	Checkpoint bool  `json:"checkpoint,omitempty"`
 	Gang       bool  `json:"gang,omitempty"`
 	SameRack   bool  `json:"same_rack,omitempty"`
 	Fills      bool  `json:"fills,omitempty"`
 }
 
-// job is a job as a client submits it. The spec is the run time of each task in ms.
+// job is a job as a client submits it. The minion says what its spec means.
 type job struct {
 	Spec       string `json:"spec"`
 	Steps      []step `json:"steps"`
--- a/review/standin/minion.go
+++ b/review/standin/minion.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"maps"
 	"net/http"
 	"slices"
@@ -24,10 +25,13 @@
 	run     int64
 	minion  string
 	started time.Time
-	due     time.Time // when its work is done
-	ended   time.Time // zero while it runs
+	resumed time.Duration // work that was done before this run
+	saves   bool          // saves its work when it is stopped
+	due     time.Time     // when its work is done
+	ended   time.Time     // zero while it runs
 	how     string
-	number  int64 // number of the end
+	number  int64  // number of the end
+	saved   string // what a stop has saved
 	// noted means that last_seen has reached the end, and the lease has not expired between.
 	noted bool
 	// expired means that the lease expired before last_seen reached the end.
@@ -35,7 +39,8 @@
 }
 
 // minion is a stand-in for a minion that starts whatever it is told to start. The spec of
-// a task is its run time in ms.
+// a task is its run time in ms, followed by " saves" if it saves its work when it is
+// stopped.
 type minion struct {
 	id, service, zone, rack string
 	address                 string
@@ -98,7 +103,7 @@
 	delete(m.running, r.task)
 	m.highest[r.task] = max(m.highest[r.task], r.run)
 	m.ends = append(m.ends, r)
-	m.record.printf("%s: run %d of %s ended %s, end %d", m.id, r.run, r.task, how, r.number)
+	m.record.printf("%s: %s %s run %d, end %d", m.id, how, r.task, r.run, r.number)
 }
 
 type order struct {
@@ -107,6 +112,7 @@
 	Spec     string `json:"spec"`
 	Deadline int64  `json:"deadline_ms"`
 	Fence    int64  `json:"fence"`
+	Saved    string `json:"saved"`
 	LastSeen int64  `json:"last_seen"`
 	WaitMs   int64  `json:"wait_ms"`
 }
@@ -177,15 +183,21 @@
 		m.refuse(w, "old")
 		return
 	}
-	ms, err := strconv.Atoi(strings.TrimSpace(o.Spec))
+	text, saves := strings.CutSuffix(o.Spec, " saves")
+	work, err := strconv.Atoi(text)
+	done := int64(0)
+	if err == nil && o.Saved != "" {
+		done, err = strconv.ParseInt(o.Saved, 16, 64)
+	}
 	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	r := &taskRun{task: o.Task, run: o.Run, minion: m.id, started: now, due: now.Add(time.Duration(ms) * time.Millisecond)}
+	r := &taskRun{task: o.Task, run: o.Run, minion: m.id, started: now, saves: saves, resumed: time.Duration(done) * time.Millisecond}
+	r.due = now.Add(time.Duration(work)*time.Millisecond - r.resumed)
 	m.running[o.Task] = r
 	m.history = append(m.history, r)
-	m.record.printf("%s: run %d of %s started", m.id, o.Run, o.Task)
+	m.record.printf("%s: start %s run %d", m.id, o.Task, o.Run)
 	m.accept(w)
 }
 
@@ -195,9 +207,14 @@
 		time.AfterFunc(stopTime, func() {
 			m.mu.Lock()
 			defer m.mu.Unlock()
-			if r.ended.IsZero() {
-				m.end(r, "stopped", time.Now())
+			if !r.ended.IsZero() {
+				return
+			}
+			now := time.Now()
+			if r.saves {
+				r.saved = fmt.Sprintf("%016x", (r.resumed + now.Sub(r.started)).Milliseconds())
 			}
+			m.end(r, "stopped", now)
 		})
 	}
 	m.accept(w)
@@ -229,7 +246,7 @@
 		running = append(running, []any{t.task, t.run, "", 50, 100})
 	}
 	for _, e := range m.ends[:min(len(m.ends), maxEndsPerAnswer)] {
-		ended = append(ended, []any{e.number, e.task, e.run, e.how, ""})
+		ended = append(ended, []any{e.number, e.task, e.run, e.how, e.saved})
 	}
 	writeJSON(w, http.StatusOK, map[string]any{"clock_ms": m.clockMs(time.Now()), "born": m.born.UnixMilli(), "running": running, "ended": ended})
 }
