Store the progress of large jobs in pages

Cause: the progress of a job was one row of any size. With 8 occurrences open and the checkpoints of evicted tasks it grew from 55,331 to 66,148 bytes; the store rejects a value above 65,536 bytes and with it the whole commit, which also had the progress of all other jobs. The commit was repeated over 300 times. Ruled out: the size of the transaction (commits without this row pass) and a slow store (other rows are written meanwhile).

Change: the tasks of a job that is scheduled or has more than 100 tasks are in pages of 100, of which only changed ones are written. The bounds of a page (the identifier and address of a worker, checkpoints of at most 256 bytes) keep each row below the limit. The changed pages of an occurrence go into one commit; a very large job takes several, head first, and its starts and acknowledgements wait for all of them. The counts of waiting jobs, which share the commits, are left out if their row would be too large.

The batch test of the largest row is replaced by "stay below the limit of the store", which checks all rows, for scheduled jobs too, with names, counts and checkpoints of the largest size.

--- a/api/api.gen.go
+++ b/api/api.gen.go
@@ -333,13 +333,16 @@
 	MilliCPU int64 `cbor:"1,keyasint,omitempty" json:"milli_cpu,omitempty"`
 }
 
-// BatchProgress Row progress/{id}: state of a batch job. Only the scheduler writes it.
+// BatchProgress Row progress/{id}: state of a batch job. The tasks of a large job are in pages, rows progress/{id}/{occurrence}/{page} that have only units and workers. Only the scheduler writes them.
 type BatchProgress struct {
 	EndedAtMs int64 `cbor:"6,keyasint,omitempty" json:"ended_at_ms,omitempty"`
 
 	// NextOccurrence First occurrence that has not been opened.
 	NextOccurrence int64 `cbor:"3,keyasint,omitempty" json:"next_occurrence,omitempty"`
 
+	// Open Occurrences that are open, if their tasks are in pages.
+	Open []int64 `cbor:"7,keyasint,omitempty" json:"open,omitempty"`
+
 	// Started At least one task has been started.
 	Started bool          `cbor:"5,keyasint,omitempty" json:"started,omitempty"`
 	State   string        `cbor:"1,keyasint,omitempty" json:"state,omitempty"`
@@ -425,7 +428,10 @@
 // BatchUnit One step of one occurrence of a batch job.
 type BatchUnit struct {
 	// FailedRun Newest run of a gang whose failure has been counted.
-	FailedRun  int64       `cbor:"4,keyasint,omitempty" json:"failed_run,omitempty"`
+	FailedRun int64 `cbor:"4,keyasint,omitempty" json:"failed_run,omitempty"`
+
+	// First Index of the first task that is listed.
+	First      int         `cbor:"5,keyasint,omitempty" json:"first,omitempty"`
 	Occurrence int64       `cbor:"1,keyasint,omitempty" json:"occurrence,omitempty"`
 	Step       int         `cbor:"2,keyasint,omitempty" json:"step,omitempty"`
 	Tasks      []BatchTask `cbor:"3,keyasint,omitempty" json:"tasks,omitempty"`
--- a/internal/batch/batch_test.go
+++ b/internal/batch/batch_test.go
@@ -133,11 +133,7 @@
 		t.OpenDue(now)
 		refs := startAll(t, t.Units[0])
 		t.Fail(refs[0], now)
-		value, err := t.Encode()
-		Expect(err).NotTo(HaveOccurred())
-		restored := batch.NewTracker(gangJob(3))
-		Expect(restored.Restore(value)).To(Succeed())
-		Expect(restored).To(Equal(t))
+		Expect(restore(t)).To(Equal(t))
 	})
 
 	DescribeTable("rejects invalid jobs", func(job batch.Job) {
@@ -149,17 +145,4 @@
 		Entry("too many tasks", batch.Job{Steps: []batch.Step{{Tasks: batch.MaxTasks}, {Tasks: 1}}}),
 		Entry("a negative need", batch.Job{Steps: []batch.Step{{Tasks: 1, Need: batch.Need{MilliCPU: -1}}}}),
 	)
-
-	It("keeps the row of the largest job below the limit of the store", func() {
-		t := batch.NewTracker(batch.Job{ID: "0123456789abcdef", Steps: []batch.Step{{Tasks: batch.MaxTasks}}})
-		t.OpenDue(now)
-		startAll(t, t.Units[0])
-		for i := range t.Units[0].Tasks {
-			t.Units[0].Tasks[i].Checkpoint = "00000bb87a21d94b"
-			t.Units[0].Tasks[i].Failures = 3
-		}
-		value, err := t.Encode()
-		Expect(err).NotTo(HaveOccurred())
-		Expect(len(value)).To(BeNumerically("<", 64<<10))
-	})
 })
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -24,8 +24,8 @@
 // Need is the capacity that a task takes on a worker.
 type Need = api.BatchNeed
 
-// Limits of a job. They keep its progress row, at about 30 bytes a task, below
-// the 64 KiB that a table service accepts.
+// Limits of a job. They keep the progress of an occurrence, at about 150 bytes a task,
+// within one commit.
 const (
 	MaxTasks = 1500
 	MaxSteps = 100
@@ -90,6 +90,15 @@
 	return time.UnixMilli(job.FirstAtMs + occurrence*job.EveryMs)
 }
 
+// taskCount returns the number of tasks of one occurrence.
+func taskCount(job Job) int {
+	total := 0
+	for i := range job.Steps {
+		total += job.Steps[i].Tasks
+	}
+	return total
+}
+
 // EncodeJob returns the row value of a job.
 func EncodeJob(job Job) ([]byte, error) {
 	value, err := cbor.Marshal(job)
--- a/internal/batch/losses_test.go
+++ b/internal/batch/losses_test.go
@@ -91,10 +91,7 @@
 		lose(t, true, early)
 		t.Assign(t.Units[0], 0, worker)
 		t.Units[0].Tasks[0].Isolated = true
-		value, err := t.Encode()
-		Expect(err).NotTo(HaveOccurred())
-		restored := batch.NewTracker(t.Job)
-		Expect(restored.Restore(value)).To(Succeed())
+		restored := restore(t)
 		Expect(restored.Units).To(Equal(t.Units))
 		Expect(restored.Units[0].Tasks[0].Losses).To(Equal(batch.Losses{All: 2, Early: 2, Isolated: 1, Widespread: 1}))
 	})
--- a/internal/batch/progress.go
+++ b/internal/batch/progress.go
@@ -2,11 +2,6 @@
 
 import (
 	"time"
-
-	"github.com/fxamacker/cbor/v2"
-	"github.com/rotisserie/eris"
-
-	"github.com/samphirepath/samphirepath/api"
 )
 
 // State is the state of a job as reported to its caller.
@@ -105,15 +100,20 @@
 		if now.Before(due) {
 			return due, opened
 		}
-		for step := range t.Job.Steps {
-			t.Units = append(t.Units, &Unit{Occurrence: t.nextOccurrence, Step: step, Tasks: make([]Task, t.Job.Steps[step].Tasks)})
-		}
+		t.addUnits(t.nextOccurrence)
 		t.nextOccurrence++
 		opened = true
 	}
 	return time.Time{}, opened
 }
 
+// addUnits adds the units of an occurrence without any progress.
+func (t *Tracker) addUnits(occurrence int64) {
+	for step := range t.Job.Steps {
+		t.Units = append(t.Units, &Unit{Occurrence: occurrence, Step: step, Tasks: make([]Task, t.Job.Steps[step].Tasks)})
+	}
+}
+
 func (t *Tracker) openOccurrences() int {
 	if len(t.Job.Steps) == 0 {
 		return 0
@@ -211,13 +211,18 @@
 	}
 	task.Done = true
 	if t.Job.Steps[run.Step].Gang {
-		for i := range unit.Tasks {
-			unit.Tasks[i].Done = true
-		}
+		unit.finish()
 	}
 	return true
 }
 
+// finish marks all tasks as done.
+func (u *Unit) finish() {
+	for i := range u.Tasks {
+		u.Tasks[i].Done = true
+	}
+}
+
 // Fail records that a run has failed, and fails the job when the task has no
 // attempts left. A gang has as many attempts as one task. It returns false if
 // the run is not the current one.
@@ -310,77 +315,3 @@
 	}
 	return true
 }
-
-// Encode returns the row value of the progress.
-func (t *Tracker) Encode() ([]byte, error) {
-	row := api.BatchProgress{State: string(t.State), NextOccurrence: t.nextOccurrence, Started: t.Started}
-	if !t.EndedAt.IsZero() {
-		row.EndedAtMs = t.EndedAt.UnixMilli()
-	}
-	workers := map[WorkerIncarnation]int{}
-	if !t.State.Final() || !t.Idle() {
-		for _, unit := range t.Units {
-			row.Units = append(row.Units, encodeUnit(unit, workers, &row))
-		}
-	}
-	value, err := cbor.Marshal(row)
-	return value, eris.Wrap(err, "encode the progress of a job")
-}
-
-func encodeUnit(unit *Unit, workers map[WorkerIncarnation]int, row *api.BatchProgress) api.BatchUnit {
-	encoded := api.BatchUnit{Occurrence: unit.Occurrence, Step: unit.Step, FailedRun: unit.FailedRun, Tasks: make([]api.BatchTask, len(unit.Tasks))}
-	for i, task := range unit.Tasks {
-		encoded.Tasks[i] = api.BatchTask{Run: task.Run, Failures: task.Failures, Done: task.Done, Saved: task.Checkpoint,
-			Losses: task.Losses.All, EarlyLosses: task.Losses.Early, IsolatedLosses: task.Losses.Isolated,
-			WidespreadLosses: task.Losses.Widespread, Isolated: task.Isolated}
-		if !task.Assigned() {
-			continue
-		}
-		position, known := workers[task.Worker]
-		if !known {
-			row.Workers = append(row.Workers, api.BatchWorker{ID: task.Worker.ID, Born: task.Worker.StartedMs, Address: task.Worker.Address})
-			position = len(row.Workers)
-			workers[task.Worker] = position
-		}
-		encoded.Tasks[i].Worker = position
-	}
-	return encoded
-}
-
-// DecodeState returns the state of the job from its progress row.
-func DecodeState(value []byte) (State, error) {
-	var row api.BatchProgress
-	if err := cbor.Unmarshal(value, &row); err != nil {
-		return "", eris.Wrap(err, "decode the state of a job")
-	}
-	return State(row.State), nil
-}
-
-// Restore sets the tracker to the progress of a row value.
-func (t *Tracker) Restore(value []byte) error {
-	var row api.BatchProgress
-	if err := cbor.Unmarshal(value, &row); err != nil {
-		return eris.Wrap(err, "decode the progress of a job")
-	}
-	t.State, t.nextOccurrence, t.Started, t.Units = State(row.State), row.NextOccurrence, row.Started, nil
-	if row.EndedAtMs != 0 {
-		t.EndedAt = time.UnixMilli(row.EndedAtMs)
-	}
-	for _, encoded := range row.Units {
-		if encoded.Step < 0 || encoded.Step >= len(t.Job.Steps) {
-			return eris.Errorf("progress of job %s refers to step index %d, but the job has %d steps", t.Job.ID, encoded.Step, len(t.Job.Steps))
-		}
-		unit := &Unit{Occurrence: encoded.Occurrence, Step: encoded.Step, FailedRun: encoded.FailedRun, Tasks: make([]Task, t.Job.Steps[encoded.Step].Tasks)}
-		for i := range min(len(encoded.Tasks), len(unit.Tasks)) {
-			stored := encoded.Tasks[i]
-			unit.Tasks[i] = Task{Run: stored.Run, Failures: stored.Failures, Done: stored.Done, Checkpoint: stored.Saved,
-				Losses: Losses{All: stored.Losses, Early: stored.EarlyLosses, Isolated: stored.IsolatedLosses, Widespread: stored.WidespreadLosses}, Isolated: stored.Isolated}
-			if stored.Worker > 0 && stored.Worker <= len(row.Workers) {
-				worker := row.Workers[stored.Worker-1]
-				unit.Tasks[i].Worker = WorkerIncarnation{ID: worker.ID, StartedMs: worker.Born, Address: worker.Address}
-			}
-		}
-		t.Units = append(t.Units, unit)
-	}
-	return nil
-}
--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -36,7 +36,7 @@
 	countsInterval = 700 * time.Millisecond
 )
 
-// markChanged schedules the progress row of a job to be written.
+// markChanged schedules the changed progress of a job to be stored.
 func (t *term) markChanged(j *jobState) {
 	j.revision++
 	t.changedJobs[j.tracker.Job.ID] = true
@@ -62,35 +62,16 @@
 	if !held {
 		return
 	}
-	conditions := []table.Condition{fence}
-	var writes []table.Write
-	revisions := map[string]int64{}
-	size := 0
-	for id := range t.changedJobs {
-		j := t.jobs[id]
-		if j == nil {
-			delete(t.changedJobs, id)
-			continue
-		}
-		value, err := j.tracker.Encode()
-		if err != nil {
-			t.log.Error("Failed to encode the progress of a job.", zap.String("job", id), telemetry.ErrorField(err))
-			delete(t.changedJobs, id)
-			continue
-		}
-		if size += len(value); len(revisions) >= maxCommitRows || size > maxCommitBytes && len(revisions) > 0 {
-			break
-		}
-		conditions = append(conditions, table.Condition{Key: ProgressPrefix + id, Version: j.version})
-		writes = append(writes, table.Write{Key: ProgressPrefix + id, Value: value})
-		revisions[id] = j.revision
-		delete(t.changedJobs, id)
-	}
+	commit := t.collectProgress()
+	conditions, writes := append([]table.Condition{fence}, commit.conditions...), commit.writes
 	if countsChanged {
 		value, err := batch.EncodeCounts(counts)
-		if err != nil {
+		switch {
+		case err != nil:
 			t.log.Error("Failed to encode the counts of waiting jobs.", telemetry.ErrorField(err))
-		} else {
+		case len(value) > batch.MaxRowBytes:
+			t.log.Error("Counts of waiting jobs not stored because the row is too large.", zap.Int("queues", len(counts)), zap.Int("bytes", len(value)))
+		default:
 			writes = append(writes, table.Write{Key: PendingKey, Value: value})
 		}
 	}
@@ -112,11 +93,38 @@
 			if countsChanged && result.Status == table.Committed {
 				t.storedCounts = counts
 			}
-			t.handleCommitResult(result, revisions, versions, fence.Key)
+			t.handleCommitResult(result, commit.jobs, versions, fence.Key)
 		})
 	}()
 }
 
+// collectProgress returns the changed progress that the next commit stores, and takes its
+// jobs from changedJobs.
+func (t *term) collectProgress() *progressCommit {
+	commit := &progressCommit{jobs: map[string]*jobCommit{}}
+	for id := range t.changedJobs {
+		if commit.full() {
+			break
+		}
+		delete(t.changedJobs, id)
+		j := t.jobs[id]
+		if j == nil {
+			continue
+		}
+		groups, revision, err := j.nextRows()
+		if err != nil {
+			t.log.Error("Failed to encode the progress of a job.", zap.String("job", id), telemetry.ErrorField(err))
+			continue
+		}
+		if len(groups) == 0 {
+			t.markStored(j, revision)
+			continue
+		}
+		commit.add(j, groups, revision)
+	}
+	return commit
+}
+
 // confirmationOf returns how to see that a commit was applied: its mark is stored. The
 // other rows do not show it, because an earlier commit whose answer was lost may have
 // stored the same values.
@@ -142,22 +150,22 @@
 	return versions
 }
 
-func (t *term) handleCommitResult(result table.CommitResult, revisions map[string]int64, versions map[string]int64, fence string) {
+func (t *term) handleCommitResult(result table.CommitResult, jobs map[string]*jobCommit, versions map[string]int64, fence string) {
 	if result.Status == table.Committed {
-		for id, revision := range revisions {
-			if j := t.jobs[id]; j != nil {
-				j.version = result.Version
-				t.markStored(j, revision)
-			}
+		for id, part := range jobs {
+			t.handleStored(id, part, result.Version)
 		}
 		return
 	}
 	t.scope.Counter("commits_failed").Inc(1)
-	for id := range revisions {
+	for id := range jobs {
 		t.changedJobs[id] = true
+		if j := t.jobs[id]; j != nil {
+			j.backlog = nil
+		}
 	}
 	if result.Status != table.Conflict {
-		t.log.Warn("Failed to store the progress of jobs.", zap.Int("jobs", len(revisions)), zap.Bool("unknown", result.Status == table.Unknown), telemetry.ErrorField(result.Err))
+		t.log.Warn("Failed to store the progress of jobs.", zap.Int("jobs", len(jobs)), zap.Bool("unknown", result.Status == table.Unknown), telemetry.ErrorField(result.Err))
 		t.commitRetryAt = time.Now().Add(commitRetryDelay)
 		return
 	}
@@ -168,13 +176,28 @@
 		}
 	}
 	for key, version := range versions {
-		if j := t.jobs[strings.TrimPrefix(key, ProgressPrefix)]; j != nil {
-			j.version = version
+		row := strings.TrimPrefix(key, ProgressPrefix)
+		id, _ := batch.RowJob(row)
+		if j := t.jobs[id]; j != nil {
+			j.setVersion(row, version)
 		}
 	}
 	t.log.Info("Commit of job progress conflicted; it will be repeated.", zap.Strings("rows", result.Conflicts))
 }
 
+// handleStored applies the commit of rows of a job.
+func (t *term) handleStored(id string, part *jobCommit, version int64) {
+	j := t.jobs[id]
+	if j == nil {
+		return
+	}
+	if !j.applyStored(part, version) {
+		t.changedJobs[id] = true
+		return
+	}
+	t.markStored(j, part.revision)
+}
+
 // knownState returns the state of a job, or "" if it is not certain. If the job has
 // ended and the ends of its last runs are not stored yet, its state is certain only
 // while the workers that keep these ends answer: should this daemon fail, the next
--- a/internal/dispatch/fixture_test.go
+++ b/internal/dispatch/fixture_test.go
@@ -48,6 +48,27 @@
 	// the first one breaks off at once, the others hang.
 	loseAnswers bool
 	brokenOff   bool
+	// maxRowBytes is the size of a row value above which the store rejects a commit; 0
+	// accepts all.
+	maxRowBytes   int
+	rejectedCount int
+}
+
+// rejected returns the number of commits that were rejected because of a large row.
+func (s *faultyStore) rejected() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rejectedCount
+}
+
+func (s *faultyStore) tooLarge(writes []table.Write) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.maxRowBytes == 0 || !slices.ContainsFunc(writes, func(w table.Write) bool { return len(w.Value) > s.maxRowBytes }) {
+		return false
+	}
+	s.rejectedCount++
+	return true
 }
 
 func (s *faultyStore) setLoseAnswers(lose bool) {
@@ -106,6 +127,9 @@
 	if err := s.fail(); err != nil {
 		return table.CommitResult{Status: table.Unavailable, Err: err}
 	}
+	if s.tooLarge(writes) {
+		return table.CommitResult{Status: table.Unknown, Err: fmt.Errorf("the store answered 400")}
+	}
 	s.mu.Lock()
 	delay := s.commitDelay
 	s.mu.Unlock()
@@ -238,6 +262,26 @@
 	return starts
 }
 
+// ends returns the number of runs that have ended for a reason.
+func (f *fixture) ends(reason string) int {
+	n := 0
+	for _, w := range f.workers {
+		for _, r := range w.Records() {
+			if r.EndReason == reason {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// progressRows returns the number of rows that hold the progress of a job.
+func (f *fixture) progressRows(id string) int {
+	listing, err := f.store.Memory.List(context.Background(), dispatch.ProgressPrefix+id, 0)
+	Expect(err).NotTo(HaveOccurred())
+	return len(listing.Rows)
+}
+
 // running returns the number of active runs of each task.
 func (f *fixture) running() map[string]int {
 	running := map[string]int{}
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -180,6 +180,7 @@
 		w.ackedEnd = max(w.ackedEnd, order.AckedEnds)
 	}
 	t.updateClock(w, report.Clock, now)
+	t.dropLongCheckpoints(w, &report)
 	if t.canReadEnds() {
 		for _, end := range report.Ended {
 			t.handleEnd(w, end)
@@ -191,6 +192,32 @@
 	}
 }
 
+// dropLongCheckpoints removes the checkpoints that are too long to be stored with the
+// progress of a job. Their runs continue from an earlier one.
+func (t *term) dropLongCheckpoints(w *workerState, report *fleet.Report) {
+	dropped := 0
+	bound := func(checkpoint *string) {
+		if len(*checkpoint) > batch.MaxCheckpointBytes {
+			*checkpoint = ""
+			dropped++
+		}
+	}
+	for i := range report.Running {
+		bound(&report.Running[i].Checkpoint)
+	}
+	for i := range report.Ended {
+		bound(&report.Ended[i].Checkpoint)
+	}
+	if dropped == 0 {
+		return
+	}
+	t.scope.Counter("checkpoints_too_long").Inc(int64(dropped))
+	if !w.longCheckpoints {
+		w.longCheckpoints = true
+		t.log.Warn("Checkpoints of a worker ignored because they are too long.", zap.String("worker", w.info.ID), zap.Int("runs", dropped), zap.Int("limit_bytes", batch.MaxCheckpointBytes))
+	}
+}
+
 func (t *term) updateClock(w *workerState, clock int64, now time.Time) {
 	if clock > 0 {
 		w.clock, w.clockReadAt = clock, now
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -43,7 +43,7 @@
 	// reentryEnd is when workers whose entry is missing count as gone after an outage.
 	reentryEnd time.Time
 
-	changedJobs   map[string]bool // jobs whose progress row is to be written
+	changedJobs   map[string]bool // jobs whose progress is to be stored
 	committing    bool
 	commitRetryAt time.Time
 	storedCounts  map[string]int64 // last stored counts of waiting jobs
@@ -60,9 +60,12 @@
 // jobState is a job and its progress as the term knows it.
 type jobState struct {
 	tracker *batch.Tracker
-	version int64 // version of the progress row
+	rows    map[string]storedRow // stored rows of the progress by key below ProgressPrefix
+	// backlog holds groups of rows of backlogRevision that are not stored yet.
+	backlog         [][]rowChange
+	backlogRevision int64
 	// revision counts the changes of the progress; storedRevision is the revision that
-	// the stored row contains.
+	// the stored rows contain.
 	revision       int64
 	storedRevision int64
 	callbacks      []commitCallback
@@ -87,7 +90,7 @@
 	step       int
 }
 
-// commitCallback is called once the stored row contains the revision.
+// commitCallback is called once the stored rows contain the revision.
 type commitCallback struct {
 	revision int64
 	call     func()
@@ -253,24 +256,29 @@
 	})
 }
 
-// loadProgress reads the progress rows of all jobs.
-func (t *term) loadProgress() (map[string]table.Row, error) {
+// loadProgress reads the stored progress of all jobs.
+func (t *term) loadProgress() (map[string]storedProgress, error) {
 	ctx, cancel := context.WithTimeout(t.ctx, t.cfg.Follower.Wait+t.cfg.Follower.Grace)
 	defer cancel()
 	listing, err := t.cfg.Store.List(ctx, ProgressPrefix, 0)
 	if err != nil {
 		return nil, err
 	}
-	rows := make(map[string]table.Row, len(listing.Rows))
+	progress := map[string]storedProgress{}
 	for _, row := range listing.Rows {
-		rows[strings.TrimPrefix(row.Key, ProgressPrefix)] = row
+		key := strings.TrimPrefix(row.Key, ProgressPrefix)
+		id, _ := batch.RowJob(key)
+		if progress[id] == nil {
+			progress[id] = storedProgress{}
+		}
+		progress[id][key] = row
 	}
-	return rows, nil
+	return progress, nil
 }
 
 // handleJobUpdate applies new jobs and cancellation requests. The daemon's own follower
 // logs failed reads.
-func (t *term) handleJobUpdate(update table.Update, progress map[string]table.Row) {
+func (t *term) handleJobUpdate(update table.Update, progress map[string]storedProgress) {
 	if update.Err != nil {
 		return
 	}
@@ -294,7 +302,7 @@
 }
 
 // addJob adds a job with its stored progress, if it has any.
-func (t *term) addJob(id string, row, stored table.Row) {
+func (t *term) addJob(id string, row table.Row, stored storedProgress) {
 	defer telemetry.LogPanic(t.log, "decoding of a job", zap.String("job", id), zap.Int64("version", row.Version))
 	if _, known := t.jobs[id]; known {
 		return
@@ -308,18 +316,20 @@
 		return
 	}
 	j := &jobState{
-		tracker: batch.NewTracker(job), startableSince: map[unitKey]time.Time{},
+		tracker: batch.NewTracker(job), rows: map[string]storedRow{}, startableSince: map[unitKey]time.Time{},
 		failedWorkers: map[unitKey]map[string]bool{}, suspectSince: map[unitKey]time.Time{}, runs: map[batch.RunRef]*run{},
 	}
-	if stored.Version != 0 && !t.jobsListed {
-		j.version = stored.Version
-		if err := j.tracker.Restore(stored.Value); err != nil {
-			t.log.Error("Job ignored because its progress row is invalid.", zap.String("job", id), zap.Int64("version", stored.Version), telemetry.ErrorField(err))
+	if !t.jobsListed {
+		if err := j.restore(stored); err != nil {
+			t.log.Error("Job ignored because its stored progress is invalid.", zap.String("job", id), telemetry.ErrorField(err))
 			return
 		}
 		if j.tracker.State.Final() && j.tracker.Idle() {
-			t.finished[id] = j.tracker.EndedAt
-			return
+			if len(j.rows) <= 1 {
+				t.finished[id] = j.tracker.EndedAt
+				return
+			}
+			t.markChanged(j) // its pages are to be deleted
 		}
 	}
 	t.openOccurrences(j)
--- a/internal/dispatch/workers.go
+++ b/internal/dispatch/workers.go
@@ -97,6 +97,8 @@
 	orders         []order // orders that wait
 	ordersInFlight int
 
+	longCheckpoints bool // the worker has reported checkpoints that are too long; logged once
+
 	failures     int // failed tasks and starts, less one for each successful task
 	suspectUntil time.Time
 }
--- a/internal/standinfleet/worker.go
+++ b/internal/standinfleet/worker.go
@@ -33,10 +33,11 @@
 }
 
 type activeRun struct {
-	doneAt    time.Time // when the task completes
-	endReason string
-	need      Capacity
-	record    *RunRecord
+	doneAt     time.Time // when the task completes
+	endReason  string
+	checkpoint string // reported with an end that is not done
+	need       Capacity
+	record     *RunRecord
 }
 
 // Capacity is the capacity of a worker, or what a task takes of it.
@@ -51,6 +52,8 @@
 type taskSpec struct {
 	DurationMs int64  `json:"ms"`
 	EndReason  string `json:"ends"`
+	// Checkpoint is reported with the end of a run that is not done.
+	Checkpoint string `json:"saves"`
 	// CrashMs is the time after the start at which the task crashes the worker; 0 crashes
 	// it before it answers the start.
 	CrashMs *int64 `json:"crash_ms"`
@@ -266,12 +269,16 @@
 }
 
 func (w *Worker) endRun(key RunKey, reason string, at time.Time) {
-	record := w.running[key].record
+	run := w.running[key]
+	record, checkpoint := run.record, ""
+	if reason != "done" {
+		checkpoint = run.checkpoint
+	}
 	record.Ended, record.EndReason, record.EndNumber = at, reason, w.endCount+1
 	delete(w.running, key)
 	w.highestRuns[key.Task] = max(w.highestRuns[key.Task], key.Run)
 	w.endCount++
-	w.unackedEnds = append(w.unackedEnds, []any{w.endCount, key.Task, key.Run, reason, ""})
+	w.unackedEnds = append(w.unackedEnds, []any{w.endCount, key.Task, key.Run, reason, checkpoint})
 	close(w.changed)
 	w.changed = make(chan struct{})
 }
@@ -385,7 +392,7 @@
 	w.startCounts[key]++
 	record := &RunRecord{RunKey: key, Worker: w.ID, Started: time.Now()}
 	w.records = append(w.records, record)
-	w.running[key] = activeRun{doneAt: record.Started.Add(time.Duration(spec.DurationMs) * time.Millisecond), endReason: spec.EndReason, need: spec.Need, record: record}
+	w.running[key] = activeRun{doneAt: record.Started.Add(time.Duration(spec.DurationMs) * time.Millisecond), endReason: spec.EndReason, checkpoint: spec.Checkpoint, need: spec.Need, record: record}
 	if w.overcommitted() {
 		w.overcommitments++
 	}
