Count the tasks that fit by division, so that every plan ends

Cause: rackCanHold and slots subtracted the need of one task from the capacity of a worker until it no longer fitted. A best-effort task without memory and accelerators is charged nothing, so the loop never ended; a need that is tiny beside the capacity makes it run for up to 2^63 rounds. Ruled out: workers, store and lease, which the test does not have.

Change: the count is a division, bounded by the tasks of the gang, and slots stops once the gang has enough that are free now. The same workers are chosen as before: only slots behind the first len(tasks) are left out.

Seen failing before: TestPlanOfAGangEndsWhateverItsTasksNeed (5 of 6 cases do not end in 2 s) and TestReservationForAGangEndsWhateverItsTasksNeed.

--- a/internal/placement/gang.go
+++ b/internal/placement/gang.go
@@ -77,9 +77,12 @@
 // rackCanHold reports whether a rack could take the whole gang once the tasks
 // that run there have ended.
 func (p *planner) rackCanHold(demand *Demand, rack string) bool {
-	slots := 0
+	missing := len(demand.Tasks)
 	need := ChargedNeed(demand.Step)
 	for _, i := range p.byRack[rack] {
+		if missing <= 0 {
+			break
+		}
 		if !eligible(&p.Workers[i], demand) {
 			continue
 		}
@@ -87,12 +90,27 @@
 		for _, release := range p.Workers[i].Releases {
 			total = Add(total, release.Need)
 		}
-		for n := 0; Covers(total, need) && (demand.Step.MaxPerWorker <= 0 || n < demand.Step.MaxPerWorker); n++ {
-			total = Sub(total, need)
-			slots++
+		most := missing
+		if limit := demand.Step.MaxPerWorker; limit > 0 {
+			most = min(most, limit)
 		}
+		missing -= tasksThatFit(total, need, most)
 	}
-	return slots >= len(demand.Tasks)
+	return missing <= 0
+}
+
+// tasksThatFit returns how many tasks of a need fit into a free capacity, at most most.
+func tasksThatFit(free, need batch.Need, most int) int {
+	if !Covers(free, need) {
+		return 0
+	}
+	n := int64(most)
+	for _, amount := range [...][2]int64{{free.MilliCPU, need.MilliCPU}, {free.MemoryMb, need.MemoryMb}, {free.Accelerators, need.Accelerators}} {
+		if have, each := amount[0], amount[1]; each > 0 {
+			n = min(n, have/each)
+		}
+	}
+	return int(n)
 }
 
 // tryGang assigns workers to all tasks or to none.
@@ -144,23 +162,34 @@
 }
 
 // slots returns when the workers of a rack can take the tasks of a gang,
-// earliest first. Workers that are reserved for another gang are left out.
+// earliest first. Workers that are reserved for another gang are left out, and so are
+// slots that the gang does not need.
 func (p *planner) slots(demand *Demand, rack string) []slot {
 	var slots []slot
 	need := ChargedNeed(demand.Step)
+	idle := 0 // slots that are free now
 	for _, i := range p.byRack[rack] {
+		if idle >= len(demand.Tasks) {
+			break
+		}
 		if !eligible(&p.Workers[i], demand) || !p.workers[i].reservedFrom.IsZero() {
 			continue
 		}
 		free := Add(p.workers[i].free, p.workers[i].releasing)
 		releases := p.releases(i)
-		at, limit := p.Now, demand.Step.MaxPerWorker
-		running := p.Workers[i].StepTasks[demand.Key] + p.workers[i].stepTasks[demand.Key]
-		for n, next := running, 0; ; {
-			for Covers(free, need) && (limit <= 0 || n < limit) {
+		at, most := p.Now, len(demand.Tasks)
+		if limit := demand.Step.MaxPerWorker; limit > 0 {
+			most = min(most, limit-p.Workers[i].StepTasks[demand.Key]-p.workers[i].stepTasks[demand.Key])
+		}
+		for next := 0; most > 0; next++ {
+			n := tasksThatFit(free, need, most)
+			for range n {
 				free = Sub(free, need)
 				slots = append(slots, slot{at: at, worker: i})
-				n++
+			}
+			most -= n
+			if at.Equal(p.Now) {
+				idle += n
 			}
 			if next >= len(releases) {
 				break
@@ -169,7 +198,6 @@
 			if releases[next].At.After(at) {
 				at = releases[next].At
 			}
-			next++
 		}
 	}
 	slices.SortStableFunc(slots, func(a, b slot) int { return a.at.Compare(b.at) })
