Do not take a run for lost while a worker may list more ends

Cause: a worker lists its ends 500 at a time. reconcileRuns took a run that was neither running nor among the listed ends for one whose start had not been carried out, or that no longer existed. Evidence: the tasks that ran again have their ends beyond the first 500, and their "Run dropped." comes milliseconds before the answer with the rest. Ruled out: the hand-over itself, since the same happens to one dispatcher while the store is away.

Change: fleet.Report says whether more ends may wait at the worker. Until it does not, a run that is not listed stays as it is; the ends that were read are stored and acknowledged, and the next call reads on. A worker with a partial answer also stays unread. The stand-in for workers now lists 500 ends at a time.

--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -173,7 +173,7 @@
 	}
 	t.retractLosses(w)
 	w.misses = 0
-	w.unread = !t.canReadEnds()
+	w.unread = !t.canReadEnds() || report.MoreEnds
 	w.lastAnswered = sent
 	if order.AckedEnds <= w.storedEnd {
 		// Otherwise the call was sent to an earlier incarnation.
@@ -186,7 +186,7 @@
 			t.handleEnd(w, end)
 		}
 	}
-	t.reconcileRuns(w, order, sent, report.Running)
+	t.reconcileRuns(w, order, sent, report)
 	if order.Deadline == 0 && len(w.runs) > 0 {
 		w.nextCall = time.Time{}
 	}
@@ -227,10 +227,11 @@
 // reconcileRuns compares the runs that a worker reports with those assigned to it:
 // it stops runs that no job records, drops runs that no longer exist, and repeats
 // starts that were not carried out, unless they may have been by an earlier incarnation.
-func (t *term) reconcileRuns(w *workerState, order fleet.LeaseRenewal, sent time.Time, reported []fleet.RunStatus) {
-	listed := make(map[batch.RunRef]fleet.RunStatus, len(reported))
-	for _, r := range reported {
-		listed[r.Run] = r
+// While more ends wait at the worker, a run that is not reported may have ended.
+func (t *term) reconcileRuns(w *workerState, order fleet.LeaseRenewal, sent time.Time, report fleet.Report) {
+	listed := make(map[batch.RunRef]bool, len(report.Running))
+	for _, r := range report.Running {
+		listed[r.Run] = true
 		if known := w.runs[r.Run]; known != nil {
 			t.updateRun(known, r)
 			continue
@@ -238,8 +239,11 @@
 		t.log.Warn("Stopping a run that no job records.", zap.String("worker", w.info.ID), zap.Stringer("task", r.Run.TaskRef), zap.Int64("run", r.Run.Run))
 		t.sendStop(w, r.Run)
 	}
+	if report.MoreEnds {
+		return
+	}
 	for ref, r := range w.runs {
-		if _, ok := listed[ref]; ok {
+		if listed[ref] {
 			continue
 		}
 		switch {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -132,12 +132,16 @@
 	Checkpoint string
 }
 
-// Report is the answer to a LeaseRenewal.
+// Report is the answer to a LeaseRenewal. Running is complete. Ended lists the oldest
+// ends that are not acknowledged.
 type Report struct {
 	Reply
 	StartedMs int64
 	Running   []RunStatus
 	Ended     []End
+	// MoreEnds means that further ends may wait at the worker. A run that the report does
+	// not list may be among them.
+	MoreEnds bool
 }
 
 // Client sends orders to workers.
--- a/internal/standinfleet/worker.go
+++ b/internal/standinfleet/worker.go
@@ -297,6 +297,9 @@
 // maxLeaseMs limits how far ahead of the worker's clock an order can set the lease end.
 const maxLeaseMs = 6000
 
+// maxEndsPerAnswer limits the ends in one answer, as the platform does.
+const maxEndsPerAnswer = 500
+
 // ServeHTTP handles one order.
 func (w *Worker) ServeHTTP(response http.ResponseWriter, r *http.Request) {
 	w.mu.Lock()
@@ -471,9 +474,6 @@
 		running = append(running, []any{key.Task, key.Run, "", 50})
 	}
 	sort.Slice(running, func(i, j int) bool { return fmt.Sprint(running[i]) < fmt.Sprint(running[j]) })
-	ended := w.unackedEnds
-	if ended == nil {
-		ended = [][]any{}
-	}
+	ended := append([][]any{}, w.unackedEnds[:min(len(w.unackedEnds), maxEndsPerAnswer)]...)
 	return http.StatusOK, map[string]any{"clock_ms": w.clockMs(), "born": w.startedAt.UnixMilli(), "running": running, "ended": ended}
 }
