Tell a final state of a job only once it is stored

Cause: the dispatcher told ends that only it and the workers knew, as long as these workers answered. A zone's loss of power takes both.

Change: knownState returns a final state once its revision is stored, and "" before, so the question is left to the store. It also knows the stored end of jobs that the term has finished with. endSource is gone.

--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -39,6 +39,9 @@
 // markChanged schedules the changed progress of a job to be stored.
 func (t *term) markChanged(j *jobState) {
 	j.revision++
+	if j.finalRevision == 0 && j.tracker.State.Final() {
+		j.finalRevision = j.revision
+	}
 	t.changedJobs[j.tracker.Job.ID] = true
 }
 
@@ -198,30 +201,22 @@
 	t.markStored(j, part.revision)
 }
 
-// knownState returns the state of a job, or "" if it is not certain. If the job has
-// ended and the ends of its last runs are not stored yet, its state is certain only
-// while the workers that keep these ends answer: should this daemon fail, the next
-// dispatcher gets the ends from them.
+// knownState returns the state of a job, or "" if it is not certain. A final state is
+// certain once it is stored. Before, the daemon and the workers that keep the ends may be
+// lost together, with a zone, and the next dispatcher would run the tasks again.
 func (t *term) knownState(id string) batch.State {
+	if finished, known := t.finished[id]; known {
+		return finished.state
+	}
 	j := t.jobs[id]
-	if j == nil || !t.jobsListed {
+	if j == nil || !t.jobsListed || j.storedRevision < j.finalRevision {
 		return ""
 	}
-	if j.tracker.State == batch.Queued || j.tracker.State == batch.Running || j.storedRevision == j.revision {
-		return j.tracker.State
-	}
-	for _, source := range j.unstoredEnds {
-		if w := source.worker; !w.listed || w.misses > 0 || w.info.Draining || w.info.StartedMs != source.startedMs {
-			return ""
-		}
-	}
 	return j.tracker.State
 }
 
 func (t *term) markStored(j *jobState, revision int64) {
-	if j.storedRevision = max(j.storedRevision, revision); j.storedRevision == j.revision {
-		j.unstoredEnds = nil
-	}
+	j.storedRevision = max(j.storedRevision, revision)
 	callbacks := j.callbacks
 	j.callbacks = nil
 	for _, callback := range callbacks {
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -276,7 +276,6 @@
 		t.ackStored(w, a)
 		return
 	}
-	j.unstoredEnds = append(j.unstoredEnds, endSource{worker: w, startedMs: a.startedMs})
 	t.whenDurable(j, func() { t.ackStored(w, a) })
 }
 
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -33,7 +33,7 @@
 	endReason string // why the term ends; empty while it continues
 
 	jobs          map[string]*jobState
-	finished      map[string]time.Time                 // end times of the jobs that need no more work
+	finished      map[string]finishedJob               // jobs that need no more work
 	presumed      map[fleet.Incarnation][]presumedLoss // losses of unreachable workers
 	silences      map[string]silence                   // when workers last fell silent or restarted, by ID
 	workers       map[string]*workerState
@@ -68,20 +68,20 @@
 	// the stored rows contain.
 	revision       int64
 	storedRevision int64
+	finalRevision  int64 // first revision with a final state; 0 while it has none
 	callbacks      []commitCallback
 	startableSince map[unitKey]time.Time
 	failedWorkers  map[unitKey]map[string]bool // IDs of the workers on which a task of the unit has failed
 	suspectSince   map[unitKey]time.Time       // when tasks under suspicion became startable again
 	runs           map[batch.RunRef]*run
-	nextDue        time.Time   // when the next occurrence is due
-	unstoredEnds   []endSource // workers that keep the ends not stored yet
+	nextDue        time.Time // when the next occurrence is due
 	endLogged      bool
 }
 
-// endSource is an incarnation of a worker that keeps an end until it is stored.
-type endSource struct {
-	worker    *workerState
-	startedMs int64
+// finishedJob is a job that has ended, whose end is stored and whose runs are gone.
+type finishedJob struct {
+	state   batch.State
+	endedAt time.Time
 }
 
 // unitKey identifies a unit of a job: one step of one occurrence.
@@ -102,7 +102,7 @@
 	return &term{
 		Dispatcher: d, ctx: ctx, epoch: epoch, startedAt: now, lastHeldAt: now,
 		events: make(chan func(), eventQueueSize),
-		jobs:   map[string]*jobState{}, finished: map[string]time.Time{}, workers: map[string]*workerState{},
+		jobs:   map[string]*jobState{}, finished: map[string]finishedJob{}, workers: map[string]*workerState{},
 		presumed: map[fleet.Incarnation][]presumedLoss{}, silences: map[string]silence{},
 		changedJobs: map[string]bool{},
 	}
@@ -326,7 +326,7 @@
 		}
 		if j.tracker.State.Final() && j.tracker.Idle() {
 			if len(j.rows) <= 1 {
-				t.finished[id] = j.tracker.EndedAt
+				t.finished[id] = finishedJob{state: j.tracker.State, endedAt: j.tracker.EndedAt}
 				return
 			}
 			t.markChanged(j) // its pages are to be deleted
@@ -380,13 +380,13 @@
 func (t *term) forgetFinished(now time.Time) {
 	for id, j := range t.jobs {
 		if j.tracker.State.Final() && len(j.runs) == 0 && j.tracker.Idle() && j.storedRevision == j.revision {
-			t.finished[id] = j.tracker.EndedAt
+			t.finished[id] = finishedJob{state: j.tracker.State, endedAt: j.tracker.EndedAt}
 			delete(t.jobs, id)
 		}
 	}
 	var expired []string
-	for id, ended := range t.finished {
-		if now.Sub(ended) > t.cfg.FinishedRetention && len(expired) < maxExpiredJobs {
+	for id, finished := range t.finished {
+		if now.Sub(finished.endedAt) > t.cfg.FinishedRetention && len(expired) < maxExpiredJobs {
 			expired = append(expired, id)
 		}
 	}
