Wait for the leases of a former dispatcher until a worker has answered

Cause: a new term has to wait until the leases that a former holder may still renew have expired. workerLeaseExpiry did so only until the new term had sent a lease of its own, even one that was never answered; that of 6.3 s then replaced the 18.3 s of the former.

Change: the later of the two moments counts until the worker has answered a call of this term. Its answer shuts out the former one, whose last lease then ends at most one lease later. A new incarnation of a worker has seen no fence, so the former's bound holds again for it.

The price, alone: a worker that is lost together with the dispatcher is always given up after 18.3 s.

--- a/internal/dispatch/fixture_test.go
+++ b/internal/dispatch/fixture_test.go
@@ -195,6 +195,14 @@
 	testWorkerLease = 1200 * time.Millisecond
 )
 
+// separateStore gives the dispatchers that are started from now on a path of their own to
+// the store, and returns that of the earlier ones.
+func (f *fixture) separateStore() *faultyStore {
+	former := f.store
+	f.store = &faultyStore{Memory: former.Memory}
+	return former
+}
+
 // startDispatcher starts a dispatcher with the given name, and returns it with a
 // function that kills it.
 func (f *fixture) startDispatcher(name string) (d *dispatch.Dispatcher, kill func()) {
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -172,6 +172,7 @@
 		t.planNeeded = true
 	}
 	t.retractLosses(w)
+	t.noteFenced(w, now)
 	w.misses = 0
 	w.unread = !t.canReadEnds() || report.MoreEnds
 	w.lastAnswered = sent
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -126,6 +126,7 @@
 	switch reply.Outcome {
 	case fleet.Accepted:
 		r.phase, r.confirmedAt, r.seenAt = phaseRunning, now, now
+		t.noteFenced(r.worker, now)
 		if r.stopReason != "" {
 			t.stopRunning(r)
 		}
--- a/internal/dispatch/workers.go
+++ b/internal/dispatch/workers.go
@@ -72,9 +72,12 @@
 
 	clock       int64     // worker's clock in ms at clockReadAt
 	clockReadAt time.Time // zero until the worker or discovery has reported its clock
-	// leaseExpiresAt is when all leases sent to the worker have certainly expired,
-	// unless another one is sent; zero while this term has sent none.
+	// leaseExpiresAt is when all leases that this term has sent to the worker have
+	// certainly expired, unless another one is sent; zero while it has sent none.
 	leaseExpiresAt time.Time
+	// fenced means that the incarnation of the worker has answered a call of this term, so
+	// that it accepts none of an earlier holder any more.
+	fenced bool
 
 	runs        map[batch.RunRef]*run
 	lastEnd     int64 // number of the newest end received
@@ -247,6 +250,7 @@
 	w.lastEnd, w.storedEnd, w.ackedEnd, w.pendingAcks = 0, 0, 0, nil
 	w.clock, w.clockReadAt = clock, now
 	w.failures, w.suspectUntil = 0, time.Time{}
+	w.fenced = false
 	for _, r := range w.runs {
 		if r.phase != phaseCommitting {
 			r.phase = phaseUnknown
@@ -278,14 +282,36 @@
 }
 
 // workerLeaseExpiry returns the time from which no run started on the worker can
-// still exist, unless its lease is renewed.
+// still exist, unless its lease is renewed. Until the worker has answered a call of this
+// term, an earlier holder may have renewed its lease too, for up to maxLeaseOutage,
+// whatever this term has sent.
 func (t *term) workerLeaseExpiry(w *workerState) time.Time {
-	if !w.leaseExpiresAt.IsZero() {
-		return w.leaseExpiresAt
+	if former := t.longestLeaseEnd(t.startedAt.Add(maxLeaseOutage)); !w.fenced && former.After(w.leaseExpiresAt) {
+		return former
+	}
+	return w.leaseExpiresAt
+}
+
+// longestLeaseEnd returns when a lease has certainly expired whose order was sent up to a
+// time.
+func (t *term) longestLeaseEnd(sent time.Time) time.Time {
+	return sent.Add(time.Duration(float64(t.cfg.MaxWorkerLease)/minClockRate) + leaseTransitTime)
+}
+
+// noteFenced records that a worker has answered a call of this term. An earlier holder
+// may have renewed its lease just before.
+func (t *term) noteFenced(w *workerState, now time.Time) {
+	if w.fenced {
+		return
+	}
+	w.fenced = true
+	w.extendExpiry(t.longestLeaseEnd(now))
+}
+
+func (w *workerState) extendExpiry(expiry time.Time) {
+	if expiry.After(w.leaseExpiresAt) {
+		w.leaseExpiresAt = expiry
 	}
-	// An earlier term may have renewed the worker's lease for up to maxLeaseOutage
-	// after it last held the leader lease.
-	return t.startedAt.Add(maxLeaseOutage + time.Duration(float64(t.cfg.MaxWorkerLease)/minClockRate) + leaseTransitTime)
 }
 
 // estimateClock returns the worker's clock in ms at the given time, or 0 if no
@@ -305,11 +331,8 @@
 	if clock == 0 {
 		return 0
 	}
-	duration := t.cfg.MaxWorkerLease
-	if expires := now.Add(time.Duration(float64(duration)/minClockRate) + leaseTransitTime); expires.After(w.leaseExpiresAt) {
-		w.leaseExpiresAt = expires
-	}
-	return clock + duration.Milliseconds()
+	w.extendExpiry(t.longestLeaseEnd(now))
+	return clock + t.cfg.MaxWorkerLease.Milliseconds()
 }
 
 // recordFailure counts a failed task or start and makes the worker suspect.
