Ask former dispatchers to end their terms

Change: the lease row names the former holders that may still act. A new term asks each of them, through the connections between daemons, to end its term; a daemon that answers runs none before the new epoch any more. From the last answer on one worker lease is left to wait. Without an answer the wait stays as it was, since a holder that is gone cannot be told from one that is cut off.

Seen failing before: dispatch "a worker that only a former dispatcher reaches, loses its runs one lease after the former one has ended its term". After: it passes, as do the new specs of lease, relay and "a dispatcher whose successor asks for its end".

--- a/api/api.gen.go
+++ b/api/api.gen.go
@@ -959,6 +959,9 @@
 type PlannerLease struct {
 	Epoch int64 `json:"epoch"`
 
+	// Former VMs of earlier holders that may not have noticed yet that they lost the lease; an empty name stands for any others.
+	Former []string `json:"former,omitempty"`
+
 	// Holder VM of the holder; empty after the lease has been released.
 	Holder      string `json:"holder"`
 	Incarnation string `json:"incarnation"`
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -63,9 +63,12 @@
 
 // Config holds the dependencies and bounds of a Dispatcher.
 type Config struct {
-	Store             table.Watcher
-	Lease             *lease.Lease
-	Holder            string // name of this daemon in the lease
+	Store  table.Watcher
+	Lease  *lease.Lease
+	Holder string // name of this daemon in the lease
+	// EndFormerTerm asks another daemon to end its term if that has a lower epoch, and
+	// reports whether none runs or will run there any more.
+	EndFormerTerm     func(ctx context.Context, daemon string, epoch int64) (bool, error)
 	Workers           Discovery
 	Client            fleet.Client
 	Zones             Zones
@@ -84,6 +87,9 @@
 	scope   tally.Scope
 	leading atomic.Bool
 	current atomic.Pointer[term] // nil while this daemon does not dispatch
+	// minEpoch is the lowest epoch of which a term may run. Another daemon that holds the
+	// lease raises it.
+	minEpoch atomic.Int64
 	// maxFence is the highest fence used by a term of this process. The next term uses
 	// a higher one even if it has the same epoch, because workers reject orders with a
 	// lower fence than the highest that they have seen.
@@ -125,8 +131,8 @@
 // Run runs a term whenever this daemon holds the lease, until ctx ends.
 func (d *Dispatcher) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if status := d.cfg.Lease.Status(); status.Held {
-			d.runTerm(ctx, status.Epoch)
+		if status := d.cfg.Lease.Status(); status.Held && status.Epoch >= d.minEpoch.Load() {
+			d.runTerm(ctx, status)
 			continue
 		}
 		select {
@@ -138,15 +144,57 @@
 	return nil
 }
 
-func (d *Dispatcher) runTerm(ctx context.Context, epoch int64) {
+// EndTermBefore ends the running term if its epoch is lower, and reports whether no such
+// term runs or will run any more. Calls to workers that the term has sent by then extend
+// their leases to at most the longest lease from now.
+func (d *Dispatcher) EndTermBefore(ctx context.Context, epoch int64) bool {
+	for {
+		known := d.minEpoch.Load()
+		if known >= epoch || d.minEpoch.CompareAndSwap(known, epoch) {
+			break
+		}
+	}
+	t := d.current.Load()
+	if t == nil {
+		return true
+	}
+	newer := make(chan struct{})
+	select {
+	case t.events <- func() {
+		if t.epoch >= epoch {
+			close(newer)
+			return
+		}
+		t.endReason = "another daemon holds the lease"
+	}:
+	case <-t.done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+	select {
+	case <-newer:
+		return true
+	case <-t.done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (d *Dispatcher) runTerm(ctx context.Context, status lease.Status) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	d.leading.Store(true)
 	defer d.leading.Store(false)
-	t := newTerm(ctx, d, epoch)
+	t := newTerm(ctx, d, status)
 	d.current.Store(t)
+	defer close(t.done)
 	defer d.current.Store(nil)
-	d.log.Info("Term started.", zap.Int64("epoch", epoch))
+	if status.Epoch < d.minEpoch.Load() {
+		return
+	}
+	d.log.Info("Term started.", zap.Int64("epoch", status.Epoch), zap.Strings("former", status.Former))
 	reason := t.run() //nolint:contextcheck // the term stores its context, because results of calls return through its event queue
-	d.log.Info("Term ended.", zap.Int64("epoch", epoch), zap.String("reason", reason))
+	d.log.Info("Term ended.", zap.Int64("epoch", status.Epoch), zap.String("reason", reason))
 }
--- a/internal/dispatch/fixture_test.go
+++ b/internal/dispatch/fixture_test.go
@@ -32,6 +32,8 @@
 	// client and discovery replace those of the platform if they are set.
 	client    fleet.Client
 	discovery *dispatch.Discovery
+	// endFormerTerm asks another dispatcher to end its term.
+	endFormerTerm func(ctx context.Context, daemon string, epoch int64) (bool, error)
 }
 
 // faultyStore is a store that fails all calls while it is down.
@@ -218,7 +220,7 @@
 		client = f.client
 	}
 	d = dispatch.New(dispatch.Config{
-		Store: f.store, Lease: leaderLease, Holder: name, Workers: discovery, Client: client, Zones: &f.zones,
+		Store: f.store, Lease: leaderLease, Holder: name, EndFormerTerm: f.endFormerTerm, Workers: discovery, Client: client, Zones: &f.zones,
 		MaxWorkerLease: testWorkerLease, FinishedRetention: time.Minute,
 		Follower: table.Follower{Wait: 200 * time.Millisecond, Grace: 400 * time.Millisecond, RetryDelay: 20 * time.Millisecond},
 		Log:      log.Named(name),
--- a/internal/dispatch/former_test.go
+++ b/internal/dispatch/former_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/samphirepath/samphirepath/internal/batch"
+	"github.com/samphirepath/samphirepath/internal/dispatch"
 	"github.com/samphirepath/samphirepath/internal/fleet"
 	"github.com/samphirepath/samphirepath/platform"
 )
@@ -40,27 +42,66 @@
 	return c.Client.RenewLease(ctx, worker, order)
 }
 
+var errNoAnswer = errors.New("no answer")
+
 // A dispatcher takes over from one that is cut off from the store together with a worker,
 // whose lease the former one goes on renewing.
 var _ = Describe("a worker that only a former dispatcher reaches", func() {
 	// takeOver starts dispatcher a with a job on the first worker, cuts both off, starts b
 	// and submits a job that b plans on that worker before its first call has failed.
-	takeOver := func(f *fixture) {
-		f.startDispatcher("a")
+	takeOver := func(f *fixture) (a *dispatch.Dispatcher) {
+		a, _ = f.startDispatcher("a")
 		f.submit(batch.Job{ID: "old", Spec: `{"ms":4000}`, Steps: []batch.Step{task(1)}})
 		Eventually(f.workers[0].Running).WithTimeout(timeout).Should(HaveLen(1))
 		f.submit(batch.Job{ID: "new", Spec: `{"ms":50}`, Steps: []batch.Step{{Tasks: 14, Need: batch.Need{Accelerators: 1}, EstimateMs: 50, MaxPerWorker: 7}}})
 		f.separateStore().setDown(true)
 		f.client = cutClient{Client: platform.NewWorkers(), worker: f.workers[0].ID}
 		f.startDispatcher("b")
+		return a
 	}
 
 	// Guards against a run that is started a second time: the lease that the new term had
 	// sent to the worker was taken for the longest one that any dispatcher may have sent.
 	It("keeps its runs while the former one may renew their lease", func() {
 		f := newFixture(2)
+		f.endFormerTerm = func(context.Context, string, int64) (bool, error) { return false, errNoAnswer }
 		takeOver(f)
 		Consistently(func() int { return f.starts()["old.0.0.0"] }).WithTimeout(5 * time.Second).Should(Equal(1))
 		Expect(f.ends("done")).To(BeNumerically(">=", 1))
 	})
+
+	// Guards against work on a lost worker that waits until the former dispatcher would
+	// have given up, although that has ended its term.
+	It("loses its runs one lease after the former one has ended its term", func() {
+		f := newFixture(2)
+		var former *dispatch.Dispatcher
+		f.endFormerTerm = func(ctx context.Context, daemon string, epoch int64) (bool, error) {
+			if daemon != "a" || former == nil {
+				return false, errNoAnswer
+			}
+			return former.EndTermBefore(ctx, epoch), nil
+		}
+		former = takeOver(f)
+		Eventually(func() int { return len(f.workers[1].Running()) }).WithTimeout(5 * time.Second).Should(BeNumerically(">", 0))
+		Expect(former.Leading()).To(BeFalse())
+		Eventually(f.state("old")).WithTimeout(9 * time.Second).Should(Equal(batch.Completed))
+		for _, r := range f.workers[0].Records() {
+			if r.Task == "old.0.0.0" {
+				Expect(r.EndReason).To(Equal("lapsed"))
+			}
+		}
+	})
+})
+
+var _ = Describe("a dispatcher whose successor asks for its end", func() {
+	It("ends its term and starts none before the epoch of the successor", func(ctx SpecContext) {
+		f := newFixture(1)
+		d, _ := f.startDispatcher("a")
+		f.submit(batch.Job{ID: "j", Spec: `{"ms":100}`, Steps: []batch.Step{task(1)}})
+		Eventually(f.state("j")).WithTimeout(timeout).Should(Equal(batch.Completed))
+		Expect(d.EndTermBefore(ctx, 1)).To(BeTrue())
+		Expect(d.Leading()).To(BeTrue(), "its own epoch")
+		Expect(d.EndTermBefore(ctx, 2)).To(BeTrue())
+		Consistently(d.Leading).WithTimeout(500 * time.Millisecond).Should(BeFalse())
+	})
 })
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -30,7 +30,9 @@
 	epoch     int64
 	startedAt time.Time
 	events    chan func()
-	endReason string // why the term ends; empty while it continues
+	done      chan struct{} // closed when the term has ended
+	endReason string        // why the term ends; empty while it continues
+	former    formerHolders
 
 	jobs          map[string]*jobState
 	finished      map[string]finishedJob               // jobs that need no more work
@@ -96,13 +98,13 @@
 	call     func()
 }
 
-func newTerm(ctx context.Context, d *Dispatcher, epoch int64) *term {
+func newTerm(ctx context.Context, d *Dispatcher, status lease.Status) *term {
 	now := time.Now()
-	d.maxFence = max(d.maxFence+1, epoch<<fenceBits)
+	d.maxFence = max(d.maxFence+1, status.Epoch<<fenceBits)
 	return &term{
-		Dispatcher: d, ctx: ctx, epoch: epoch, startedAt: now, lastHeldAt: now,
-		events: make(chan func(), eventQueueSize),
-		jobs:   map[string]*jobState{}, finished: map[string]finishedJob{}, workers: map[string]*workerState{},
+		Dispatcher: d, ctx: ctx, epoch: status.Epoch, startedAt: now, lastHeldAt: now, former: newFormerHolders(status.Former, now),
+		events: make(chan func(), eventQueueSize), done: make(chan struct{}),
+		jobs: map[string]*jobState{}, finished: map[string]finishedJob{}, workers: map[string]*workerState{},
 		presumed: map[fleet.Incarnation][]presumedLoss{}, silences: map[string]silence{},
 		changedJobs: map[string]bool{},
 	}
@@ -123,6 +125,7 @@
 		t.log.Warn("Failed to read the progress of the jobs.", telemetry.ErrorField(err))
 		return "progress not read"
 	}
+	t.askFormerHolders()
 	t.follow(JobsPrefix, 0, func(update table.Update) { t.handleJobUpdate(update, progress) })
 	t.follow(t.cfg.Workers.Prefix, minWorkerReadInterval, t.handleWorkerUpdate)
 	tick := time.NewTicker(tickEvery)
@@ -215,6 +218,7 @@
 	case now.Sub(t.lastHeldAt) > maxLeaseOutage:
 		t.endReason = "lease not renewed for too long"
 	}
+	t.endFormerHolders(now, status)
 	for _, j := range t.jobs {
 		if !j.nextDue.IsZero() && !now.Before(j.nextDue) {
 			t.openOccurrences(j)
--- a/internal/dispatch/workers.go
+++ b/internal/dispatch/workers.go
@@ -283,10 +283,9 @@
 
 // workerLeaseExpiry returns the time from which no run started on the worker can
 // still exist, unless its lease is renewed. Until the worker has answered a call of this
-// term, an earlier holder may have renewed its lease too, for up to maxLeaseOutage,
-// whatever this term has sent.
+// term, an earlier holder may have renewed its lease too, whatever this term has sent.
 func (t *term) workerLeaseExpiry(w *workerState) time.Time {
-	if former := t.longestLeaseEnd(t.startedAt.Add(maxLeaseOutage)); !w.fenced && former.After(w.leaseExpiresAt) {
+	if former := t.longestLeaseEnd(t.former.lastRenewal(t.startedAt)); !w.fenced && former.After(w.leaseExpiresAt) {
 		return former
 	}
 	return w.leaseExpiresAt
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -114,7 +114,7 @@
 	}
 	n := &Node{settings: settings, deps: deps, log: telemetry.Named(deps.Log, "node"), lease: leaderLease, outOfService: map[string]string{}}
 	n.dispatcher = dispatch.New(dispatch.Config{
-		Store: deps.Store, Lease: leaderLease, Holder: settings.Name, Workers: deps.Workers, Client: deps.Client, Zones: deps.Current,
+		Store: deps.Store, Lease: leaderLease, Holder: settings.Name, EndFormerTerm: deps.Store.EndTermBefore, Workers: deps.Workers, Client: deps.Client, Zones: deps.Current,
 		MaxWorkerLease: settings.MaxWorkerLease, MaxStopTime: settings.MaxStopTime, FinishedRetention: settings.FinishedRetention, Follower: n.follower(""),
 		Log: deps.Log, Scope: deps.Scope,
 	})
@@ -154,6 +154,14 @@
 	return batch.State(state)
 }
 
+// peerDispatcher is the dispatcher as other daemons may use it.
+type peerDispatcher struct{ *dispatch.Dispatcher }
+
+// JobState returns the state of a job, or "" if it is not certain.
+func (d peerDispatcher) JobState(ctx context.Context, job string) string {
+	return string(d.State(ctx, job))
+}
+
 // Run serves callers until ctx ends, and then stops gracefully.
 func (n *Node) Run(ctx context.Context) error {
 	front, err := n.listen(n.settings.FrontAddress, n.deps.Front)
@@ -164,7 +172,7 @@
 	if err != nil {
 		return err
 	}
-	peers, err := n.listen(n.settings.PeerAddress, relay.Handler(n.deps.DirectStore, func(ctx context.Context, job string) string { return string(n.dispatcher.State(ctx, job)) }, n.deps.Log))
+	peers, err := n.listen(n.settings.PeerAddress, relay.Handler(n.settings.Name, n.deps.DirectStore, peerDispatcher{n.dispatcher}, n.deps.Log))
 	if err != nil {
 		return err
 	}
--- a/internal/relay/frames.go
+++ b/internal/relay/frames.go
@@ -21,6 +21,8 @@
 	opCommit = "commit"
 	// opState requests the state of a job from the peer's dispatcher.
 	opState = "state"
+	// opEndTerm asks the peer whether its dispatcher has ended all terms before an epoch.
+	opEndTerm = "end_term"
 )
 
 const (
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -112,19 +112,24 @@
 	return result
 }
 
-// dispatcherState is the relay.StateFunc of each daemon.
-func dispatcherState(_ context.Context, job string) string {
+// stubDispatcher is the dispatcher of each daemon. It knows the job "j", and runs the term
+// of epoch 7.
+type stubDispatcher struct{}
+
+func (stubDispatcher) JobState(_ context.Context, job string) string {
 	if job == "j" {
 		return "completed"
 	}
 	return ""
 }
 
+func (stubDispatcher) EndTermBefore(_ context.Context, epoch int64) bool { return epoch > 7 }
+
 // newDaemon starts the relay server of a daemon, announces it to its peers and returns
 // the daemon's store and direct path.
 func newDaemon(shared *table.Memory, name string) (*relay.Store, *directStore) {
 	direct := &directStore{Memory: shared}
-	server := httptest.NewServer(relay.Handler(direct, dispatcherState, nil))
+	server := httptest.NewServer(relay.Handler(name, direct, stubDispatcher{}, nil))
 	DeferCleanup(func() {
 		server.CloseClientConnections()
 		server.Close()
@@ -343,8 +348,30 @@
 		Eventually(listings).WithTimeout(2 * time.Second).Should(BeNumerically(">", before))
 	})
 
+	// Guards against a daemon that has got the address of a former dispatcher and answers
+	// for it.
+	It("asks a daemon for the end of its own term only", func() {
+		shared := table.NewMemory()
+		a, _ := newDaemon(shared, "a")
+		newDaemon(shared, "b")
+		runStore(a)
+		ask := func(name string, epoch int64) func() (bool, error) {
+			return func() (bool, error) { return a.EndTermBefore(withTimeout(), name, epoch) }
+		}
+		Eventually(ask("b", 8)).WithTimeout(3 * time.Second).Should(BeTrue())
+		Expect(ask("b", 7)()).To(BeFalse())
+		row, _, err := shared.Get(context.Background(), relay.PeersPrefix+"b")
+		Expect(err).NotTo(HaveOccurred())
+		shared.Commit(context.Background(), nil, []table.Write{{Key: relay.PeersPrefix + "gone", Value: row.Value}})
+		Eventually(func() error {
+			_, err := ask("gone", 8)()
+			return err
+		}).WithTimeout(3 * time.Second).Should(Succeed())
+		Expect(ask("gone", 8)()).To(BeFalse())
+	})
+
 	It("sends no commit to a peer that no longer answers", func() {
-		server := httptest.NewServer(relay.Handler(&directStore{Memory: shared}, dispatcherState, nil))
+		server := httptest.NewServer(relay.Handler("silent", &directStore{Memory: shared}, stubDispatcher{}, nil))
 		DeferCleanup(server.Close)
 		proxy, err := faultproxy.New(faultproxy.Config{Target: strings.TrimPrefix(server.URL, "http://")})
 		Expect(err).NotTo(HaveOccurred())
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -22,13 +22,18 @@
 	writeTimeout = time.Second
 )
 
-// StateFunc returns the state of a job as this daemon's dispatcher knows it, or "" if
-// it is not certain.
-type StateFunc func(ctx context.Context, job string) string
+// Dispatcher answers for the dispatcher of this daemon.
+type Dispatcher interface {
+	// JobState returns the state of a job, or "" if it is not certain.
+	JobState(ctx context.Context, job string) string
+	// EndTermBefore ends a term with a lower epoch, and reports whether none runs or will
+	// run any more.
+	EndTermBefore(ctx context.Context, epoch int64) bool
+}
 
 // Handler executes the operations of peers on this daemon's direct path to the store,
-// and answers requests for job states.
-func Handler(store table.Watcher, jobState StateFunc, log *zap.Logger) http.Handler {
+// and answers what they ask of its dispatcher. self is the name of this daemon.
+func Handler(self string, store table.Watcher, dispatcher Dispatcher, log *zap.Logger) http.Handler {
 	log = telemetry.Named(log, "relay")
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		conn, err := websocket.Accept(w, r, nil)
@@ -38,13 +43,20 @@
 		}
 		conn.SetReadLimit(maxFrameBytes)
 		log.Info("Peer connected.", zap.String("address", r.RemoteAddr))
-		err = serve(r.Context(), conn, store, jobState, log)
+		err = local{self, store, dispatcher}.serve(r.Context(), conn, log)
 		log.Info("Peer disconnected.", zap.String("address", r.RemoteAddr), telemetry.ErrorField(err))
 	})
 }
 
+// local is what a daemon offers to its peers.
+type local struct {
+	self       string
+	store      table.Watcher
+	dispatcher Dispatcher
+}
+
 // serve executes the operations of a peer until the connection ends.
-func serve(ctx context.Context, conn *websocket.Conn, store table.Watcher, jobState StateFunc, log *zap.Logger) error {
+func (l local) serve(ctx context.Context, conn *websocket.Conn, log *zap.Logger) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer func() { _ = conn.CloseNow() }()
@@ -66,7 +78,7 @@
 		go func() {
 			defer func() { <-slots }()
 			defer telemetry.LogPanic(log, "operation of a peer", zap.String("operation", frame.Operation), zap.String("key", frame.Key))
-			answer := execute(ctx, store, jobState, frame)
+			answer := l.execute(ctx, frame)
 			// A peer that does not receive the result treats it as unknown.
 			_ = write(ctx, conn, answer)
 		}()
@@ -84,33 +96,47 @@
 }
 
 // execute runs an operation and returns the frame with its result.
-func execute(ctx context.Context, store table.Watcher, jobState StateFunc, frame *api.RelayFrame) *api.RelayFrame {
+func (l local) execute(ctx context.Context, frame *api.RelayFrame) *api.RelayFrame {
 	timeout := min(milliseconds(frame.WaitMs), maxOperationTime)
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	switch frame.Operation {
 	case opGet:
-		row, found, err := store.Get(ctx, frame.Key)
+		row, found, err := l.store.Get(ctx, frame.Key)
 		listing := table.Listing{}
 		if found {
 			listing.Rows = []table.Row{row}
 		}
 		return listingFrame(frame.ID, listing, err)
 	case opList:
-		listing, err := store.List(ctx, frame.Key, frame.Since)
+		listing, err := l.store.List(ctx, frame.Key, frame.Since)
 		return listingFrame(frame.ID, listing, err)
 	case opWatch:
-		listing, err := store.Watch(ctx, frame.Key, frame.Since, timeout*watchWaitPercent/100)
+		listing, err := l.store.Watch(ctx, frame.Key, frame.Since, timeout*watchWaitPercent/100)
 		return listingFrame(frame.ID, listing, err)
 	case opCommit:
 		conditions, writes := parseCommit(frame)
-		return resultFrame(frame.ID, store.Commit(ctx, conditions, writes))
+		return resultFrame(frame.ID, l.store.Commit(ctx, conditions, writes))
 	case opState:
-		return listingFrame(frame.ID, table.Listing{Rows: []table.Row{{Key: frame.Key, Value: []byte(jobState(ctx, frame.Key))}}}, nil)
+		return textFrame(frame, l.dispatcher.JobState(ctx, frame.Key))
+	case opEndTerm:
+		// Another daemon may have got the address of the one that is meant.
+		if frame.Key == l.self && l.dispatcher.EndTermBefore(ctx, frame.Since) {
+			return textFrame(frame, termEnded)
+		}
+		return textFrame(frame, "")
 	}
 	return &api.RelayFrame{ID: frame.ID, Failure: "unknown operation " + frame.Operation, Status: int(table.Unavailable)}
 }
 
+// termEnded is the result of opEndTerm if no term before the epoch runs.
+const termEnded = "ended"
+
+// textFrame returns the result of an operation that yields a text.
+func textFrame(frame *api.RelayFrame, text string) *api.RelayFrame {
+	return listingFrame(frame.ID, table.Listing{Rows: []table.Row{{Key: frame.Key, Value: []byte(text)}}}, nil)
+}
+
 // watchWaitPercent is the percentage of the time of an operation for which a watch
 // waits at the store. The rest is for the network.
 const watchWaitPercent = 60
--- a/internal/relay/store.go
+++ b/internal/relay/store.go
@@ -379,11 +379,23 @@
 // JobState returns the state of a job as the dispatcher of another daemon knows it, or
 // "" if it is not certain.
 func (s *Store) JobState(ctx context.Context, daemon, job string) (string, error) {
+	return s.askDaemon(ctx, daemon, &api.RelayFrame{Operation: opState, Key: job})
+}
+
+// EndTermBefore asks another daemon to end a dispatcher's term with a lower epoch, and
+// reports whether none runs or will run there any more.
+func (s *Store) EndTermBefore(ctx context.Context, daemon string, epoch int64) (bool, error) {
+	answer, err := s.askDaemon(ctx, daemon, &api.RelayFrame{Operation: opEndTerm, Key: daemon, Since: epoch})
+	return answer == termEnded, err
+}
+
+// askDaemon sends an operation to a certain daemon and returns the text of its result.
+func (s *Store) askDaemon(ctx context.Context, daemon string, frame *api.RelayFrame) (string, error) {
 	if !s.knowsPeer(daemon) {
-		// The dispatcher may be a daemon that has joined since the last listing.
+		// The daemon may have joined since the last listing.
 		s.listWanted.Store(true)
 	}
-	answer, err := s.callPeer(ctx, daemon, &api.RelayFrame{Operation: opState, Key: job})
+	answer, err := s.callPeer(ctx, daemon, frame)
 	if err != nil {
 		return "", err
 	}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
@@ -62,6 +63,9 @@
 	Epoch  int64
 	// AcquiredVersion is the commit version at which this process acquired the lease.
 	AcquiredVersion int64
+	// Former names earlier holders that may not have noticed yet that they lost the lease,
+	// while it is held. An empty name stands for any others.
+	Former []string
 }
 
 // Lease observes a leader lease, and acquires and renews it when possible.
@@ -79,6 +83,7 @@
 	validUntil      time.Time // the lease counts as held before this time
 	fence           table.Condition
 	acquiredVersion int64
+	forgottenBefore int64 // epoch up to which the earlier holders are forgotten
 	released        bool
 	changed         chan struct{}
 }
@@ -169,7 +174,7 @@
 	held := l.heldLocked()
 	s := Status{Held: held, Holder: l.row.Holder, Epoch: l.row.Epoch}
 	if held {
-		s.AcquiredVersion = l.acquiredVersion
+		s.AcquiredVersion, s.Former = l.acquiredVersion, slices.Clone(l.rowLocked().Former)
 	}
 	return s
 }
@@ -178,6 +183,30 @@
 	return l.acquired && !l.released && l.cfg.Now().Before(l.validUntil)
 }
 
+// ForgetFormer records that all holders before an epoch have noticed that they lost the
+// lease. The next renewal stores it.
+func (l *Lease) ForgetFormer(epoch int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.forgottenBefore = max(l.forgottenBefore, epoch)
+}
+
+// rowLocked returns the row as last read or written, without the earlier holders that are
+// forgotten.
+func (l *Lease) rowLocked() api.PlannerLease {
+	row := l.row
+	if row.Epoch <= l.forgottenBefore {
+		row.Former = nil
+	}
+	return row
+}
+
+func (l *Lease) currentRow() api.PlannerLease {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.rowLocked()
+}
+
 // FenceCondition returns the condition that each commit of the holder must include,
 // and reports whether the lease is held.
 func (l *Lease) FenceCondition() (table.Condition, bool) {
@@ -207,7 +236,7 @@
 	if !held {
 		return nil
 	}
-	row := l.row
+	row := l.currentRow()
 	row.Holder = ""
 	row.Renewal++
 	result := l.write(ctx, row)
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -125,6 +126,48 @@
 		Expect(b.Status().Held).To(BeFalse())
 	})
 
+	// Guards against a holder that does not know of an earlier one that may still act.
+	It("names the earlier holders until they are forgotten", func() {
+		c := newParticipant(store, "c", clk)
+		clk.advance(4 * time.Second)
+		b.Step(ctx)
+		Expect(b.Status().Former).To(Equal([]string{"a"}))
+		c.Step(ctx)
+		clk.advance(4 * time.Second)
+		c.Step(ctx)
+		Expect(c.Status().Former).To(Equal([]string{"a", "b"}))
+		c.ForgetFormer(c.Status().Epoch)
+		Expect(c.Status().Former).To(BeEmpty())
+		c.Step(ctx) // stores it
+		a.Step(ctx)
+		clk.advance(4 * time.Second)
+		a.Step(ctx)
+		Expect(a.Status().Held).To(BeTrue())
+		Expect(a.Status().Former).To(Equal([]string{"c"}))
+		By("a holder that has released the lease does not act any more")
+		Expect(a.Release(ctx)).To(Succeed())
+		b.Step(ctx)
+		Expect(b.Status().Held).To(BeTrue())
+		Expect(b.Status().Former).To(Equal([]string{"c"}))
+	})
+
+	It("names unknown ones when there are many", func() {
+		for i := range 12 {
+			next := newParticipant(store, "p"+strconv.Itoa(i), clk)
+			next.Step(ctx)
+			clk.advance(4 * time.Second)
+			next.Step(ctx)
+			if i < 11 {
+				continue
+			}
+			former := next.Status().Former
+			Expect(len(former)).To(BeNumerically("<=", 8))
+			Expect(former[0]).To(BeEmpty())
+			Expect(former).To(ContainElement("p10"))
+			Expect(former).NotTo(ContainElement("a"))
+		}
+	})
+
 	It("is never held by two processes when the holder stops renewing", func() {
 		acquiredAfter := time.Duration(0)
 		for d := time.Duration(0); d < 5*time.Second; d += 100 * time.Millisecond {
--- a/lease/round.go
+++ b/lease/round.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -17,7 +18,7 @@
 
 // renew writes the held row with the next renewal number.
 func (l *Lease) renew(ctx context.Context) {
-	row := l.row
+	row := l.currentRow()
 	row.Renewal = l.nextRenewal()
 	result := l.write(ctx, row)
 	switch result.Status {
@@ -119,7 +120,7 @@
 			epoch = max(epoch, f.Epoch)
 		}
 	}
-	row := api.PlannerLease{Holder: l.cfg.Holder, Incarnation: l.cfg.Incarnation, Epoch: epoch + 1, Renewal: l.nextRenewal()}
+	row := api.PlannerLease{Holder: l.cfg.Holder, Incarnation: l.cfg.Incarnation, Epoch: epoch + 1, Renewal: l.nextRenewal(), Former: formerHolders(old, l.cfg.Holder)}
 	result := l.commit(ctx, row, []table.Condition{{Key: l.fenceKey(), Version: fence.Version}},
 		[]table.Write{{Key: l.fenceKey(), Value: encode(api.PlannerFence{Epoch: row.Epoch})}})
 	version := result.Version
@@ -134,12 +135,29 @@
 	l.acquire(row, version)
 }
 
+// maxFormer bounds the earlier holders that a row names.
+const maxFormer = 8
+
+// formerHolders returns the holders before a takeover by a machine that may still act as
+// such. One that has released the lease does not, nor does an earlier process of the
+// machine.
+func formerHolders(old api.PlannerLease, self string) []string {
+	former := slices.DeleteFunc(slices.Clone(old.Former), func(name string) bool { return name == old.Holder || name == self })
+	if old.Holder != "" && old.Holder != self {
+		former = append(former, old.Holder)
+	}
+	if len(former) > maxFormer {
+		former = append([]string{""}, former[len(former)-maxFormer+1:]...)
+	}
+	return former
+}
+
 // takeOverApplied reads the row back and reports whether a takeover without an answer
 // was applied. If it is applied later, the next observation finds a row of this
 // incarnation and takes over again.
 func (l *Lease) takeOverApplied(ctx context.Context, want api.PlannerLease) (int64, bool) {
 	row, version, ok := l.read(ctx)
-	return version, ok && row == want
+	return version, ok && l.owns(row) && row.Epoch == want.Epoch && row.Renewal == want.Renewal
 }
 
 func (l *Lease) acquire(row api.PlannerLease, version int64) {
