Record the cancellation of a job that is not stored yet

Cause: its submission had not been answered, and the store applied it later; the cancellation had found no job and left nothing behind.

Change: the cancellation of an unknown job is stored on condition that the job is absent, before the 410. The dispatcher cancels the job when its row appears, and deletes the record after 30 s. A daemon stores at most 50 such records a second and 200 at once.

--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -286,3 +286,40 @@
 	}
 	return true
 }
+
+// forgetEarlyCancels deletes the cancellations of unknown jobs whose submissions can no
+// longer be applied. A later tick repeats a failed attempt.
+func (t *term) forgetEarlyCancels(now time.Time) {
+	if !t.jobsListed || t.deletingCancels {
+		return
+	}
+	expired := map[string]earlyCancel{}
+	for id, cancel := range t.earlyCancels {
+		if now.Sub(cancel.seenAt) > t.cfg.CancelRetention && len(expired) < maxExpiredJobs {
+			expired[id] = cancel
+		}
+	}
+	if len(expired) == 0 {
+		return
+	}
+	t.deletingCancels = true
+	go func() {
+		ctx, cancel := context.WithTimeout(t.ctx, commitTimeout)
+		defer cancel()
+		var deleted []string
+		for id, early := range expired {
+			key := JobsPrefix + id
+			conditions := []table.Condition{{Key: key}, {Key: key + CancelSuffix, Version: early.version}}
+			result := t.cfg.Store.Commit(ctx, conditions, []table.Write{{Key: key + CancelSuffix, Delete: true}})
+			if result.Status == table.Committed || result.Status == table.Conflict {
+				deleted = append(deleted, id)
+			}
+		}
+		t.post(func() {
+			t.deletingCancels = false
+			for _, id := range deleted {
+				delete(t.earlyCancels, id)
+			}
+		})
+	}()
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -48,6 +48,9 @@
 	// store that running tasks must survive. A successor waits at least this long
 	// before it drops the runs of a worker that it cannot reach.
 	maxLeaseOutage = 12 * time.Second
+	// defaultCancelRetention is several times the seconds by which the platform may apply a
+	// call late.
+	defaultCancelRetention = 30 * time.Second
 )
 
 // Discovery locates and decodes the rows in which workers register themselves.
@@ -75,9 +78,12 @@
 	MaxWorkerLease    time.Duration // longest lease that a worker accepts
 	MaxStopTime       time.Duration // longest time that a stop takes
 	FinishedRetention time.Duration // how long the rows of finished jobs are kept
-	Follower          table.Follower
-	Log               *zap.Logger
-	Scope             tally.Scope
+	// CancelRetention is how long the cancellation of an unknown job is kept. A submission
+	// that was not answered may be applied until then. The default is 30 s.
+	CancelRetention time.Duration
+	Follower        table.Follower
+	Log             *zap.Logger
+	Scope           tally.Scope
 }
 
 // Dispatcher runs terms while this daemon holds the lease.
@@ -98,6 +104,9 @@
 
 // New returns a dispatcher.
 func New(cfg Config) *Dispatcher {
+	if cfg.CancelRetention <= 0 {
+		cfg.CancelRetention = defaultCancelRetention
+	}
 	return &Dispatcher{cfg: cfg, log: telemetry.Named(cfg.Log, "dispatch"), scope: telemetry.ScopeOrNoop(cfg.Scope)}
 }
 
--- a/internal/dispatch/fixture_test.go
+++ b/internal/dispatch/fixture_test.go
@@ -34,6 +34,8 @@
 	discovery *dispatch.Discovery
 	// endFormerTerm asks another dispatcher to end its term.
 	endFormerTerm func(ctx context.Context, daemon string, epoch int64) (bool, error)
+	// cancelRetention is how long cancellations of unknown jobs are kept; 0 is the default.
+	cancelRetention time.Duration
 }
 
 // faultyStore is a store that fails all calls while it is down.
@@ -221,7 +223,7 @@
 	}
 	d = dispatch.New(dispatch.Config{
 		Store: f.store, Lease: leaderLease, Holder: name, EndFormerTerm: f.endFormerTerm, Workers: discovery, Client: client, Zones: &f.zones,
-		MaxWorkerLease: testWorkerLease, FinishedRetention: time.Minute,
+		MaxWorkerLease: testWorkerLease, FinishedRetention: time.Minute, CancelRetention: f.cancelRetention,
 		Follower: table.Follower{Wait: 200 * time.Millisecond, Grace: 400 * time.Millisecond, RetryDelay: 20 * time.Millisecond},
 		Log:      log.Named(name),
 	})
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -35,6 +35,7 @@
 	former    formerHolders
 
 	jobs          map[string]*jobState
+	earlyCancels  map[string]earlyCancel               // cancellations of unknown jobs
 	finished      map[string]finishedJob               // jobs that need no more work
 	presumed      map[fleet.Incarnation][]presumedLoss // losses of unreachable workers
 	silences      map[string]silence                   // when workers last fell silent or restarted, by ID
@@ -45,11 +46,13 @@
 	// reentryEnd is when workers whose entry is missing count as gone after an outage.
 	reentryEnd time.Time
 
-	changedJobs   map[string]bool // jobs whose progress is to be stored
-	committing    bool
-	commitRetryAt time.Time
-	storedCounts  map[string]int64 // last stored counts of waiting jobs
-	countedAt     time.Time
+	changedJobs map[string]bool // jobs whose progress is to be stored
+	committing  bool
+	// deletingCancels is set while cancellations of unknown jobs are deleted.
+	deletingCancels bool
+	commitRetryAt   time.Time
+	storedCounts    map[string]int64 // last stored counts of waiting jobs
+	countedAt       time.Time
 
 	unreadCalls int // calls in this tick to workers that may keep unread ends
 
@@ -86,6 +89,12 @@
 	endedAt time.Time
 }
 
+// earlyCancel is the cancellation of a job that is not known.
+type earlyCancel struct {
+	version int64 // version of its row
+	seenAt  time.Time
+}
+
 // unitKey identifies a unit of a job: one step of one occurrence.
 type unitKey struct {
 	occurrence int64
@@ -104,7 +113,7 @@
 	return &term{
 		Dispatcher: d, ctx: ctx, epoch: status.Epoch, startedAt: now, lastHeldAt: now, former: newFormerHolders(status.Former, now),
 		events: make(chan func(), eventQueueSize), done: make(chan struct{}),
-		jobs: map[string]*jobState{}, finished: map[string]finishedJob{}, workers: map[string]*workerState{},
+		jobs: map[string]*jobState{}, earlyCancels: map[string]earlyCancel{}, finished: map[string]finishedJob{}, workers: map[string]*workerState{},
 		presumed: map[fleet.Incarnation][]presumedLoss{}, silences: map[string]silence{},
 		changedJobs: map[string]bool{},
 	}
@@ -286,17 +295,17 @@
 	if update.Err != nil {
 		return
 	}
-	var cancelled []string
+	cancelled := map[string]table.Row{}
 	for _, row := range update.Rows {
 		id := strings.TrimPrefix(row.Key, JobsPrefix)
 		if job, ok := strings.CutSuffix(id, CancelSuffix); ok {
-			cancelled = append(cancelled, job)
+			cancelled[job] = row
 			continue
 		}
 		t.addJob(id, row, progress[id])
 	}
-	for _, id := range cancelled {
-		t.cancelJob(id)
+	for id, row := range cancelled {
+		t.cancelJob(id, row.Version)
 	}
 	if update.Full {
 		t.jobsListed = true
@@ -338,6 +347,9 @@
 	}
 	t.openOccurrences(j)
 	t.jobs[id] = j
+	if early, cancelled := t.earlyCancels[id]; cancelled {
+		defer t.cancelJob(id, early.version)
+	}
 	t.log.Info("Job added.", zap.String("job", id), zap.String("queue", job.Queue), zap.String("organisation", job.Organisation),
 		zap.Int64("version", row.Version), zap.String("state", string(j.tracker.State)), zap.Int("priority", job.Priority), zap.Int("steps", len(job.Steps)))
 }
@@ -351,9 +363,18 @@
 	}
 }
 
-func (t *term) cancelJob(id string) {
-	j, ok := t.jobs[id]
-	if !ok || !j.tracker.Cancel(time.Now()) {
+// cancelJob cancels a job. The cancellation of an unknown job is kept, in case that its
+// submission is applied later.
+func (t *term) cancelJob(id string, version int64) {
+	j, known := t.jobs[id]
+	if !known {
+		if _, finished := t.finished[id]; !finished {
+			t.earlyCancels[id] = earlyCancel{version: version, seenAt: time.Now()}
+		}
+		return
+	}
+	delete(t.earlyCancels, id)
+	if !j.tracker.Cancel(time.Now()) {
 		return
 	}
 	t.log.Info("Job cancelled.", zap.String("job", id), zap.Int("runs", len(j.runs)))
@@ -388,6 +409,7 @@
 			delete(t.jobs, id)
 		}
 	}
+	t.forgetEarlyCancels(now)
 	var expired []string
 	for id, finished := range t.finished {
 		if now.Sub(finished.endedAt) > t.cfg.FinishedRetention && len(expired) < maxExpiredJobs {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"github.com/samphirepath/samphirepath/internal/batch"
 	"github.com/samphirepath/samphirepath/internal/dispatch"
@@ -32,6 +33,10 @@
 	hedgeDelay = 100 * time.Millisecond
 	// dispatcherRetryDelay is the delay between two requests to the dispatcher.
 	dispatcherRetryDelay = 150 * time.Millisecond
+	// earlyCancelRate and earlyCancelBurst bound the cancellations of unknown jobs that a
+	// daemon records, per second and at once. Each leaves a row for a while.
+	earlyCancelRate  = 50
+	earlyCancelBurst = 200
 	// RetryAfter is the delay after which a refused caller should try again.
 	RetryAfter = time.Second
 )
@@ -68,8 +73,10 @@
 type Intake struct {
 	store      table.Store
 	dispatcher StateFunc
-	log        *zap.Logger
-	scope      tally.Scope
+	// earlyCancels limits the records of cancellations of unknown jobs.
+	earlyCancels *rate.Limiter
+	log          *zap.Logger
+	scope        tally.Scope
 }
 
 // StateFunc returns the state of a job as the dispatcher knows it, which may be newer
@@ -79,7 +86,7 @@
 
 // New returns an intake over a store.
 func New(store table.Store, log *zap.Logger, scope tally.Scope) *Intake {
-	return &Intake{store: store, log: telemetry.Named(log, "intake"), scope: telemetry.ScopeOrNoop(scope)}
+	return &Intake{store: store, earlyCancels: rate.NewLimiter(earlyCancelRate, earlyCancelBurst), log: telemetry.Named(log, "intake"), scope: telemetry.ScopeOrNoop(scope)}
 }
 
 // SetDispatcher sets the source of job states for when the store does not answer. It
@@ -146,7 +153,9 @@
 	return in.store.Get(ctx, key)
 }
 
-// Cancel requests the cancellation of a job. It returns Done once the request is stored.
+// Cancel requests the cancellation of a job. It returns Done once the request is stored,
+// and NoSuchJob for an unknown job once its cancellation is recorded: a submission whose
+// caller has left may still be applied, and must not run.
 func (in *Intake) Cancel(ctx context.Context, id string) Outcome {
 	outcome, cause := in.cancel(ctx, id)
 	in.log.Info("Cancellation answered.", zap.String("job", id), zap.Stringer("outcome", outcome), telemetry.ErrorField(cause))
@@ -155,16 +164,22 @@
 }
 
 func (in *Intake) cancel(ctx context.Context, id string) (Outcome, error) {
-	mayApply := false
+	mayApply, allowed := false, false
 	for {
 		row, found, err := in.get(ctx, jobKey(id))
-		if err == nil && !found {
-			return NoSuchJob, nil
+		if err == nil && !found && !allowed {
+			if allowed = in.earlyCancels.Allow(); !allowed {
+				return NotDone, errTooManyCancels
+			}
 		}
 		if err == nil {
-			result := in.commit(ctx, []table.Condition{{Key: row.Key, Version: row.Version}}, table.Write{Key: jobKey(id) + dispatch.CancelSuffix, Value: []byte{1}})
-			if result.Status == table.Committed {
+			// The version of a job that does not exist is 0.
+			result := in.commit(ctx, []table.Condition{{Key: jobKey(id), Version: row.Version}}, table.Write{Key: jobKey(id) + dispatch.CancelSuffix, Value: []byte{1}})
+			switch {
+			case result.Status == table.Committed && found:
 				return Done, nil
+			case result.Status == table.Committed:
+				return NoSuchJob, nil
 			}
 			mayApply = mayApply || result.Status == table.Unknown
 			err = result.Err
@@ -178,6 +193,9 @@
 	}
 }
 
+// errTooManyCancels means that the limit of records for unknown jobs is reached.
+var errTooManyCancels = eris.New("too many cancellations of unknown jobs")
+
 // State returns the state of a job from the store, or from the dispatcher if the store
 // does not answer within hedgeDelay and the dispatcher answers first.
 func (in *Intake) State(ctx context.Context, id string) (batch.State, Outcome) {
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"testing"
 	"time"
 
@@ -118,6 +119,19 @@
 		Expect(state).To(Equal(batch.Cancelled))
 	})
 
+	// Guards against a store that a client fills with cancellations of random jobs.
+	It("records a limited number of cancellations of unknown jobs", func(ctx SpecContext) {
+		in := intake.New(table.NewMemory(), nil, nil)
+		outcomes := map[intake.Outcome]int{}
+		for i := range 400 {
+			outcomes[in.Cancel(ctx, strconv.Itoa(i))]++
+		}
+		Expect(outcomes[intake.NoSuchJob]).To(BeNumerically("~", 200, 60))
+		Expect(outcomes[intake.NotDone]).To(BeNumerically(">", 100))
+		Expect(in.Submit(ctx, job)).To(Equal(intake.Done))
+		Expect(in.Cancel(ctx, job.ID)).To(Equal(intake.Done))
+	})
+
 	Describe("with a dispatcher", func() {
 		queryState := func(store table.Store, known batch.State) (batch.State, intake.Outcome, time.Duration) {
 			in := intake.New(store, nil, nil)
