Bound what callers and workers set where it enters

Sums and products of the largest values overflow (the due time of an occurrence, an objective, a deadline), and a job whose row is larger than the store accepts was answered with 504 after its whole deadline, since the store rejects it each time.

Change: batch.Validate checks each field and names the one that is wrong; a job that cannot be stored whole is refused with 400 at once.

Seen failing before: "rejects values out of range and names them", all 19 entries on. "computes the times of the largest values without an overflow" passes there too: it guards the new bounds.

--- a/internal/batch/batch_test.go
+++ b/internal/batch/batch_test.go
@@ -1,6 +1,8 @@
 package batch_test
 
 import (
+	"math"
+	"strings"
 	"testing"
 	"time"
 
@@ -136,6 +138,58 @@
 		Expect(restore(t)).To(Equal(t))
 	})
 
+	// Guards against values of callers that overflow sums and products of amounts and
+	// times, and against a row that the store rejects.
+	DescribeTable("rejects values out of range and names them", func(want string, change func(*batch.Job)) {
+		job := batch.Job{ID: "j", Repeats: 3, FirstAtMs: 1, EveryMs: 1, Steps: []batch.Step{{Tasks: 1}, {Tasks: 1}}}
+		Expect(batch.Validate(job)).To(BeEmpty())
+		change(&job)
+		Expect(batch.Validate(job)).To(ContainSubstring(want))
+	},
+		Entry(nil, "processors", func(j *batch.Job) { j.Steps[1].Need.MilliCPU = math.MaxInt64 }),
+		Entry(nil, "memory", func(j *batch.Job) { j.Steps[1].Need.MemoryMb = math.MaxInt64 }),
+		Entry(nil, "accelerators", func(j *batch.Job) { j.Steps[1].Need.Accelerators = -1 }),
+		Entry(nil, "estimated run time", func(j *batch.Job) { j.Steps[1].EstimateMs = math.MaxInt64 }),
+		Entry(nil, "estimated run time", func(j *batch.Job) { j.Steps[1].EstimateMs = -1 }),
+		Entry(nil, "target latency", func(j *batch.Job) { j.Steps[1].TargetLatencyMs = math.MaxInt64 }),
+		Entry(nil, "tasks on a worker", func(j *batch.Job) { j.Steps[1].MaxPerWorker = -1 }),
+		Entry(nil, "unavailable tasks", func(j *batch.Job) { j.Steps[1].MaxUnavailable = math.MaxInt64 }),
+		Entry(nil, "number of tasks", func(j *batch.Job) { j.Steps[1].Tasks = math.MinInt64 }),
+		Entry(nil, "label", func(j *batch.Job) { j.Steps[1].Label = strings.Repeat("l", 201) }),
+		Entry(nil, "rack", func(j *batch.Job) { j.Steps[1].DataRack = strings.Repeat("l", 201) }),
+		Entry(nil, "image", func(j *batch.Job) { j.Steps[1].Image = strings.Repeat("l", 201) }),
+		Entry(nil, "101 steps", func(j *batch.Job) { j.Steps[1].After = make([]int64, 101) }),
+		Entry(nil, "occurrences", func(j *batch.Job) { j.Repeats = math.MaxInt64 }),
+		Entry(nil, "first occurrence", func(j *batch.Job) { j.FirstAtMs = math.MaxInt64 }),
+		Entry(nil, "first occurrence", func(j *batch.Job) { j.FirstAtMs = -1 }),
+		Entry(nil, "interval", func(j *batch.Job) { j.EveryMs = math.MaxInt64 }),
+		Entry(nil, "interval", func(j *batch.Job) { j.Repeats, j.EveryMs = batch.MaxRepeats, batch.MaxTimeMs/1000 }),
+		Entry(nil, "bytes when stored", func(j *batch.Job) {
+			j.Spec = strings.Repeat("s", 4000)
+			for len(j.Steps) < batch.MaxSteps {
+				j.Steps = append(j.Steps, batch.Step{Tasks: 1, Label: strings.Repeat("l", 200), DataRack: strings.Repeat("r", 200), Image: strings.Repeat("i", 200), After: make([]int64, 90)})
+			}
+			for i := range j.Steps {
+				j.Steps[i].After = make([]int64, min(i, 90))
+			}
+		}),
+	)
+
+	It("computes the times of the largest values without an overflow", func() {
+		job := batch.Job{ID: "j", Repeats: 2, FirstAtMs: 1, EveryMs: batch.MaxTimeMs - 1, Stretch: 1e9, AcceptedAtMs: now.UnixMilli()}
+		for i := range batch.MaxSteps {
+			step := batch.Step{Tasks: 1, EstimateMs: batch.MaxEstimateMs}
+			if i > 0 {
+				step.After = []int64{int64(i - 1)}
+			}
+			job.Steps = append(job.Steps, step)
+		}
+		Expect(batch.Validate(job)).To(BeEmpty())
+		Expect(batch.CriticalPath(job)).To(BeNumerically(">", 0))
+		Expect(batch.Due(job, 1)).To(BeTemporally(">", now))
+		Expect(batch.Objective(job, 1)).To(BeTemporally(">", batch.Due(job, 1)))
+	})
+
 	DescribeTable("rejects invalid jobs", func(job batch.Job) {
 		Expect(batch.Validate(job)).NotTo(BeEmpty())
 	},
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -6,6 +6,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -34,6 +35,21 @@
 	MaxOpenOccurrences = 32
 )
 
+// Limits of what a caller sets. They keep sums and products of amounts and times within
+// 64 bits.
+const (
+	// MaxAmount bounds each kind of capacity that a task or a worker names.
+	MaxAmount = 1 << 40
+	// MaxEstimateMs bounds the estimated run time of a task: a year.
+	MaxEstimateMs = 365 * 24 * 60 * 60 * 1000
+	// MaxTimeMs bounds Unix times, and intervals between occurrences: the year 2248.
+	MaxTimeMs = 1 << 43
+	// MaxRepeats bounds the occurrences of a scheduled job.
+	MaxRepeats = 1 << 20
+	// MaxNameBytes bounds labels, racks and images.
+	MaxNameBytes = 200
+)
+
 // TaskRef identifies a task.
 type TaskRef struct {
 	Job        string
@@ -58,30 +74,85 @@
 		return fmt.Sprintf("a job has 1 to %d steps, this one has %d", MaxSteps, len(job.Steps))
 	}
 	total := 0
-	for i, step := range job.Steps {
-		if step.Tasks < 1 {
-			return fmt.Sprintf("step %d has no tasks", i)
-		}
-		if step.Tasks > MaxTasks {
-			return fmt.Sprintf("step %d has %d tasks, the limit of a job is %d", i, step.Tasks, MaxTasks)
-		}
-		total += step.Tasks
-		if step.Need.MilliCPU < 0 || step.Need.MemoryMb < 0 || step.Need.Accelerators < 0 {
-			return fmt.Sprintf("step %d asks for a negative amount", i)
-		}
-		if slices.ContainsFunc(step.After, func(after int64) bool { return after < 0 || after >= int64(i) }) {
-			return fmt.Sprintf("step %d comes after a step that is not an earlier one", i)
+	for i := range job.Steps {
+		if problem := validateStep(&job.Steps[i], i); problem != "" {
+			return fmt.Sprintf("step %d: %s", i, problem)
 		}
+		total += job.Steps[i].Tasks
 	}
 	if total > MaxTasks {
 		return fmt.Sprintf("the job has %d tasks, the limit is %d", total, MaxTasks)
 	}
-	if job.Repeats < 0 || (job.Repeats > 1 && job.EveryMs < 0) {
-		return "the schedule has a negative count or interval"
+	if problem := validateSchedule(job); problem != "" {
+		return problem
+	}
+	value, err := EncodeJob(job)
+	if err != nil {
+		return err.Error()
+	}
+	if len(value) > MaxRowBytes {
+		return fmt.Sprintf("the job takes %d bytes when stored, the limit is %d", len(value), MaxRowBytes)
+	}
+	return ""
+}
+
+// validateStep returns why the step at an index cannot be accepted, or "".
+func validateStep(step *Step, index int) string {
+	if step.Tasks < 1 || step.Tasks > MaxTasks {
+		return outOfRange("the number of tasks", int64(step.Tasks), 1, MaxTasks)
+	}
+	for _, bounded := range []struct {
+		name  string
+		value int64
+		limit int64
+	}{
+		{"the need of processors", step.Need.MilliCPU, MaxAmount},
+		{"the need of memory", step.Need.MemoryMb, MaxAmount},
+		{"the need of accelerators", step.Need.Accelerators, MaxAmount},
+		{"the estimated run time", step.EstimateMs, MaxEstimateMs},
+		{"the target latency", step.TargetLatencyMs, MaxEstimateMs},
+		{"the limit of tasks on a worker", int64(step.MaxPerWorker), math.MaxInt32},
+		{"the limit of unavailable tasks", int64(step.MaxUnavailable), math.MaxInt32},
+	} {
+		if bounded.value < 0 || bounded.value > bounded.limit {
+			return outOfRange(bounded.name, bounded.value, 0, bounded.limit)
+		}
+	}
+	for name, text := range map[string]string{"the label": step.Label, "the rack of the data": step.DataRack, "the image": step.Image} {
+		if len(text) > MaxNameBytes {
+			return fmt.Sprintf("%s has %d bytes, the limit is %d", name, len(text), MaxNameBytes)
+		}
+	}
+	if len(step.After) > MaxSteps {
+		return fmt.Sprintf("it comes after %d steps, the limit is %d", len(step.After), MaxSteps)
+	}
+	if slices.ContainsFunc(step.After, func(after int64) bool { return after < 0 || after >= int64(index) }) {
+		return "it comes after a step that is not an earlier one"
 	}
 	return ""
 }
 
+// validateSchedule returns why the schedule of a job cannot be accepted, or "".
+func validateSchedule(job Job) string {
+	switch {
+	case job.Repeats < 0 || job.Repeats > MaxRepeats:
+		return outOfRange("the number of occurrences", job.Repeats, 0, MaxRepeats)
+	case job.Repeats == 0:
+		return ""
+	case job.FirstAtMs < 0 || job.FirstAtMs > MaxTimeMs:
+		return outOfRange("the time of the first occurrence", job.FirstAtMs, 0, MaxTimeMs)
+	case job.Repeats == 1:
+		return ""
+	case job.EveryMs < 0 || job.EveryMs > (MaxTimeMs-job.FirstAtMs)/(job.Repeats-1):
+		return outOfRange("the interval between the occurrences", job.EveryMs, 0, (MaxTimeMs-job.FirstAtMs)/(job.Repeats-1))
+	}
+	return ""
+}
+
+func outOfRange(name string, value, smallest, largest int64) string {
+	return fmt.Sprintf("%s is %d, the range is %d to %d", name, value, smallest, largest)
+}
+
 // Due returns the earliest start of an occurrence.
 func Due(job Job, occurrence int64) time.Time {
 	if job.Repeats == 0 {
@@ -132,12 +203,15 @@
 	return time.Duration(longest) * time.Millisecond
 }
 
+// maxObjective bounds the time allowed for the critical path of an occurrence, in ns.
+const maxObjective = 1 << 62
+
 // Objective returns the time by which an occurrence should be completed.
 func Objective(job Job, occurrence int64) time.Time {
 	start := time.UnixMilli(job.AcceptedAtMs)
 	if job.Repeats > 0 {
 		start = Due(job, occurrence)
 	}
-	allowed := time.Duration(float64(CriticalPath(job)) * job.Stretch)
+	allowed := time.Duration(min(float64(CriticalPath(job))*job.Stretch, maxObjective))
 	return start.Add(allowed + time.Duration(job.TargetMs)*time.Millisecond)
 }
