Hold a job whose progress the store rejects

Change: table.Rejected is the outcome of a commit that the store does not accept as it is. After it the dispatcher stores the progress of each job of the commit alone; the one that is rejected is held, counted and logged, and tried again every 5 s. Its runs without a stored record are dropped. A submission that is rejected is answered as not stored at once. The stand-in for the store now has the limits of the platform's: 64 KiB a value, 100 entries and 1 MB a call.

Seen failing before (with the outcome taken for unknown, as it was): dispatch "a job whose progress the store rejects is held, while all others go on" times out after 3 s. After: it passes.

--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -31,6 +31,9 @@
 	commitTimeout = 2500 * time.Millisecond
 	// commitRetryDelay is the delay after a failed commit.
 	commitRetryDelay = 60 * time.Millisecond
+	// heldRetryDelay is the delay between two attempts to store the progress of a job that
+	// the store does not accept.
+	heldRetryDelay = 5 * time.Second
 	// countsInterval is the minimum time between two writes of the counts of waiting
 	// jobs. Callers accept counts that are 2 s old.
 	countsInterval = 700 * time.Millisecond
@@ -65,9 +68,9 @@
 	if !held {
 		return
 	}
-	commit := t.collectProgress()
+	commit := t.collectProgress(now)
 	conditions, writes := append([]table.Condition{fence}, commit.conditions...), commit.writes
-	if countsChanged {
+	if countsChanged && !commit.alone(t) {
 		value, err := batch.EncodeCounts(counts)
 		switch {
 		case err != nil:
@@ -102,18 +105,29 @@
 }
 
 // collectProgress returns the changed progress that the next commit stores, and takes its
-// jobs from changedJobs.
-func (t *term) collectProgress() *progressCommit {
+// jobs from changedJobs. A job that was in a commit which the store rejected is alone in
+// its commit.
+func (t *term) collectProgress(now time.Time) *progressCommit {
 	commit := &progressCommit{jobs: map[string]*jobCommit{}}
+	alone := false
+	for id := range t.changedJobs {
+		if j := t.jobs[id]; j != nil && j.suspect && !now.Before(j.heldUntil) {
+			alone = true
+		}
+	}
 	for id := range t.changedJobs {
 		if commit.full() {
 			break
 		}
-		delete(t.changedJobs, id)
 		j := t.jobs[id]
 		if j == nil {
+			delete(t.changedJobs, id)
 			continue
 		}
+		if now.Before(j.heldUntil) || j.suspect != alone || alone && len(commit.jobs) > 0 {
+			continue
+		}
+		delete(t.changedJobs, id)
 		groups, revision, err := j.nextRows()
 		if err != nil {
 			t.log.Error("Failed to encode the progress of a job.", zap.String("job", id), telemetry.ErrorField(err))
@@ -167,6 +181,10 @@
 			j.backlog = nil
 		}
 	}
+	if result.Status == table.Rejected {
+		t.handleRejected(jobs, result.Err)
+		return
+	}
 	if result.Status != table.Conflict {
 		t.log.Warn("Failed to store the progress of jobs.", zap.Int("jobs", len(jobs)), zap.Bool("unknown", result.Status == table.Unknown), telemetry.ErrorField(result.Err))
 		t.commitRetryAt = time.Now().Add(commitRetryDelay)
@@ -188,12 +206,53 @@
 	t.log.Info("Commit of job progress conflicted; it will be repeated.", zap.Strings("rows", result.Conflicts))
 }
 
+// handleRejected finds the job whose progress the store does not accept, by storing that of
+// each job of the commit alone, and holds it: it gets no new runs, and is tried again from
+// time to time, while all others go on.
+func (t *term) handleRejected(jobs map[string]*jobCommit, cause error) {
+	now := time.Now()
+	t.scope.Counter("commits_rejected").Inc(1)
+	t.commitRetryAt = now.Add(commitRetryDelay)
+	for id := range jobs {
+		j := t.jobs[id]
+		if j == nil {
+			continue
+		}
+		if j.suspect || len(jobs) == 1 {
+			t.holdJob(j, now, cause)
+		}
+		j.suspect = true
+	}
+	if len(jobs) > 1 {
+		t.log.Warn("Store rejected the progress of jobs; each will be stored alone.", zap.Int("jobs", len(jobs)), telemetry.ErrorField(cause))
+	}
+}
+
+// holdJob holds a job whose progress the store does not accept. Runs whose record is not
+// stored are dropped, so that they occupy no worker.
+func (t *term) holdJob(j *jobState, now time.Time, cause error) {
+	if j.heldUntil.IsZero() {
+		t.scope.Counter("jobs_held").Inc(1)
+		t.log.Error("Job held because the store does not accept its progress.", zap.String("job", j.tracker.Job.ID), zap.Int("runs", len(j.runs)), telemetry.ErrorField(cause))
+	}
+	j.heldUntil = now.Add(heldRetryDelay)
+	for _, r := range j.runs {
+		if r.phase == phaseCommitting {
+			t.dropRun(r, "progress not stored")
+		}
+	}
+}
+
 // handleStored applies the commit of rows of a job.
 func (t *term) handleStored(id string, part *jobCommit, version int64) {
 	j := t.jobs[id]
 	if j == nil {
 		return
 	}
+	if !j.heldUntil.IsZero() {
+		t.log.Info("Held job goes on.", zap.String("job", id))
+	}
+	j.suspect, j.heldUntil = false, time.Time{}
 	if !j.applyStored(part, version) {
 		t.changedJobs[id] = true
 		return
--- a/internal/dispatch/fixture_test.go
+++ b/internal/dispatch/fixture_test.go
@@ -56,6 +56,13 @@
 	// accepts all.
 	maxRowBytes   int
 	rejectedCount int
+	rejectedKey   string // key of a row with which the store rejects each commit
+}
+
+func (s *faultyStore) setRejectedKey(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rejectedKey = key
 }
 
 // rejected returns the number of commits that were rejected because of a large row.
@@ -65,10 +72,12 @@
 	return s.rejectedCount
 }
 
-func (s *faultyStore) tooLarge(writes []table.Write) bool {
+func (s *faultyStore) rejects(writes []table.Write) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.maxRowBytes == 0 || !slices.ContainsFunc(writes, func(w table.Write) bool { return len(w.Value) > s.maxRowBytes }) {
+	if !slices.ContainsFunc(writes, func(w table.Write) bool {
+		return s.maxRowBytes > 0 && len(w.Value) > s.maxRowBytes || s.rejectedKey != "" && w.Key == s.rejectedKey
+	}) {
 		return false
 	}
 	s.rejectedCount++
@@ -131,8 +140,8 @@
 	if err := s.fail(); err != nil {
 		return table.CommitResult{Status: table.Unavailable, Err: err}
 	}
-	if s.tooLarge(writes) {
-		return table.CommitResult{Status: table.Unknown, Err: fmt.Errorf("the store answered 400")}
+	if s.rejects(writes) {
+		return table.CommitResult{Status: table.Rejected, Err: fmt.Errorf("the store answered 400")}
 	}
 	s.mu.Lock()
 	delay := s.commitDelay
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -115,7 +115,7 @@
 // demands collects the startable tasks and reports whether any of them are urgent.
 func (t *term) demands(p *planInput, now time.Time) (urgent bool) {
 	for _, j := range t.jobs {
-		if j.tracker.State.Final() {
+		if j.tracker.State.Final() || !j.heldUntil.IsZero() {
 			continue
 		}
 		for _, unit := range j.tracker.Units {
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -124,6 +124,16 @@
 	return len(rows)
 }
 
+// alone reports whether the commit has a job that must be alone in it.
+func (c *progressCommit) alone(t *term) bool {
+	for id := range c.jobs {
+		if j := t.jobs[id]; j != nil && j.suspect {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *progressCommit) full() bool {
 	return len(c.writes) >= maxCommitRows || c.size >= maxCommitBytes
 }
--- a/internal/dispatch/progress_test.go
+++ b/internal/dispatch/progress_test.go
@@ -52,3 +52,27 @@
 		Eventually(func() int { return f.progressRows("j") }, 2*time.Second).Should(Equal(1))
 	})
 })
+
+// Guards against one job whose progress the store does not accept and that stops all others,
+// since the commit with it is repeated for ever.
+var _ = Describe("a job whose progress the store rejects", func() {
+	It("is held, while all others go on", func() {
+		f := newFixture(2)
+		f.startDispatcher("a")
+		f.store.setRejectedKey("progress/bad")
+		f.submit(batch.Job{ID: "bad", Spec: `{"ms":50}`, Steps: []batch.Step{task(1)}})
+		for _, id := range []string{"j", "k", "l"} {
+			f.submit(batch.Job{ID: id, Spec: `{"ms":50}`, Steps: []batch.Step{task(1), task(1)}})
+		}
+		for _, id := range []string{"j", "k", "l"} {
+			Eventually(f.state(id)).WithTimeout(timeout).Should(Equal(batch.Completed))
+		}
+		Expect(f.starts()["bad.0.0.0"]).To(BeZero())
+		rejected := f.store.rejected()
+		f.submit(batch.Job{ID: "later", Spec: `{"ms":50}`, Steps: []batch.Step{{Tasks: 2, Gang: true, Need: batch.Need{Accelerators: 8}, EstimateMs: 50}}})
+		Eventually(f.state("later")).WithTimeout(timeout).Should(Equal(batch.Completed), "the held job occupies no worker")
+		Expect(f.store.rejected()).To(BeNumerically("<=", rejected+1))
+		f.store.setRejectedKey("")
+		Eventually(f.state("bad")).WithTimeout(8 * time.Second).Should(Equal(batch.Completed))
+	})
+})
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -74,6 +74,10 @@
 	revision       int64
 	storedRevision int64
 	finalRevision  int64 // first revision with a final state; 0 while it has none
+	// suspect means that the store has rejected a commit with progress of the job, which
+	// must be alone in the next one. heldUntil is set while the store does not accept it.
+	suspect        bool
+	heldUntil      time.Time
 	callbacks      []commitCallback
 	startableSince map[unitKey]time.Time
 	failedWorkers  map[unitKey]map[string]bool // IDs of the workers on which a task of the unit has failed
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -120,6 +120,10 @@
 		switch result.Status {
 		case table.Committed, table.Conflict:
 			return Done, attempt, nil
+		case table.Rejected:
+			if !mayApply {
+				return NotDone, attempt, result.Err
+			}
 		case table.Unknown:
 			mayApply = true
 		case table.Unavailable:
@@ -180,6 +184,8 @@
 				return Done, nil
 			case result.Status == table.Committed:
 				return NoSuchJob, nil
+			case result.Status == table.Rejected && !mayApply:
+				return NotDone, result.Err
 			}
 			mayApply = mayApply || result.Status == table.Unknown
 			err = result.Err
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -77,6 +77,8 @@
 		Entry("stored", nil, false, intake.Done, true),
 		Entry("refused once", []table.CommitStatus{table.Unavailable}, false, intake.Done, true),
 		Entry("refused always", repeated(table.Unavailable), false, intake.NotDone, false),
+		Entry("rejected", repeated(table.Rejected), false, intake.NotDone, false),
+		Entry("answer lost, then rejected", append([]table.CommitStatus{table.Unknown}, repeated(table.Rejected)...), false, intake.Unknown, false),
 		Entry("answer lost, stored", []table.CommitStatus{table.Unknown}, true, intake.Done, true),
 		Entry("answer lost, not stored", []table.CommitStatus{table.Unknown}, false, intake.Done, true),
 		Entry("answers lost always", repeated(table.Unknown), false, intake.Unknown, false),
--- a/internal/relay/frames.go
+++ b/internal/relay/frames.go
@@ -119,7 +119,7 @@
 
 func parseResult(frame *api.RelayFrame) table.CommitResult {
 	result := table.CommitResult{Status: table.CommitStatus(frame.Status), Version: frame.Version, Conflicts: frame.Keys}
-	if result.Status < table.Committed || result.Status > table.Unknown {
+	if result.Status < table.Committed || result.Status > table.Rejected {
 		result.Status = table.Unknown
 	}
 	if frame.Failure != "" {
--- a/internal/relay/store.go
+++ b/internal/relay/store.go
@@ -269,7 +269,7 @@
 		start := time.Now()
 		result := s.direct.Commit(ctx, conditions, writes)
 		switch result.Status {
-		case table.Committed, table.Conflict:
+		case table.Committed, table.Conflict, table.Rejected:
 			return result
 		case table.Unknown:
 			if showsFailure(ctx, start) {
--- a/internal/standinfleet/store.go
+++ b/internal/standinfleet/store.go
@@ -53,8 +53,14 @@
 // applyDelay is the delay of ApplyLate.
 const applyDelay = 300 * time.Millisecond
 
-// maxRowsPerAnswer limits the rows in one answer, as the platform does.
-const maxRowsPerAnswer = 500
+// Limits of the platform's store: rows in an answer, entries and bytes of a transaction,
+// and bytes of a value.
+const (
+	maxRowsPerAnswer = 500
+	maxEntries       = 100
+	maxCallBytes     = 1_000_000
+	maxRowBytes      = 64 << 10
+)
 
 // Store simulates the metadata store in memory.
 type Store struct {
@@ -157,7 +163,8 @@
 		Writes     []wireRow `json:"puts"`
 		Deletions  []wireRow `json:"remove"`
 	}
-	if err := json.NewDecoder(r.Body).Decode(&tx); err != nil {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxCallBytes+1))
+	if err != nil || len(body) > maxCallBytes || json.Unmarshal(body, &tx) != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -177,9 +184,14 @@
 			partitions[row.Partition] = true
 		}
 	}
-	if len(partitions) > 1 || len(conditions)+len(writes)+len(deletions) > 100 {
+	if len(partitions) > 1 || len(conditions)+len(writes)+len(deletions) > maxEntries {
 		return http.StatusBadRequest, map[string]any{"error": "too many parts or entries"}
 	}
+	for _, w := range writes {
+		if len(w.Value) > maxRowBytes {
+			return http.StatusBadRequest, map[string]any{"error": "the value of " + w.Table + "/" + w.Key + " is too large"}
+		}
+	}
 	current := []wireRow{}
 	conditionsHold := true
 	for _, c := range conditions {
--- a/lease/round.go
+++ b/lease/round.go
@@ -27,7 +27,7 @@
 		l.extendValidity(row)
 	case table.Conflict, table.Unknown:
 		l.readBack(ctx)
-	case table.Unavailable:
+	case table.Unavailable, table.Rejected:
 		l.cfg.Log.Warn("Lease renewal failed.", zap.Int64("epoch", row.Epoch), zap.Error(result.Err))
 	}
 }
--- a/table/table.go
+++ b/table/table.go
@@ -45,6 +45,9 @@
 	// Unknown means that there was no answer: the commit may have taken effect or may
 	// still do so.
 	Unknown
+	// Rejected means that the store does not accept the commit as it is, for example
+	// because a row is too large. It did not take effect, and repeating it is useless.
+	Rejected
 )
 
 // CommitResult is the result of a commit.
@@ -52,7 +55,7 @@
 	Status    CommitStatus
 	Version   int64    // commit version when committed
 	Conflicts []string // keys whose condition did not hold
-	Err       error    // cause when the status is Unavailable or Unknown
+	Err       error    // cause when the status is Unavailable, Unknown or Rejected
 }
 
 // Store is a transactional table service. Reads are linearizable with commits.
