Let a dispatcher without progress lose its lease

A term that hangs kept its lease for good, and the same job would have stalled the next term too.

Change: the lease is renewed, and acquired, only while the event loop of the running term has gone round within 4 s. The daemon logs and records the job that was being placed. A job on which two terms have stalled gets no new runs; it is logged and counted, and can be cancelled.

--- a/api/api.gen.go
+++ b/api/api.gen.go
@@ -350,6 +350,11 @@
 	Workers []BatchWorker `cbor:"4,keyasint,omitempty" json:"workers,omitempty"`
 }
 
+// BatchStall Row stalls/{id}: how often a dispatcher made no progress while it planned the job.
+type BatchStall struct {
+	Stalls int `cbor:"1,keyasint,omitempty" json:"stalls,omitempty"`
+}
+
 // BatchStep Step of a batch job: identical tasks that can start once the earlier steps named in after are done.
 type BatchStep struct {
 	// After Indices of the earlier steps that must be done first.
--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -311,7 +311,9 @@
 		return
 	}
 	var progress []table.Write
+	stalled := map[string]bool{}
 	for _, id := range ids {
+		stalled[id] = t.stalls[id] > 0
 		progress = append(progress, table.Write{Key: ProgressPrefix + id, Delete: true})
 	}
 	t.committing = true
@@ -320,7 +322,7 @@
 		defer cancel()
 		// The job rows are deleted first: progress without a job is ignored, but a job
 		// without progress would run again.
-		deleted := t.deleteJobs(ctx, ids) && t.cfg.Store.Commit(ctx, []table.Condition{fence}, progress).Status == table.Committed
+		deleted := t.deleteJobs(ctx, ids, stalled) && t.cfg.Store.Commit(ctx, []table.Condition{fence}, progress).Status == table.Committed
 		t.post(func() {
 			t.committing = false
 			if !deleted {
@@ -336,12 +338,15 @@
 
 // deleteJobs deletes the rows of jobs and reports whether it deleted all. It uses one
 // commit for each job because the jobs may be in different partitions of the store.
-func (t *term) deleteJobs(ctx context.Context, ids []string) bool {
+func (t *term) deleteJobs(ctx context.Context, ids []string, stalled map[string]bool) bool {
 	for _, id := range ids {
 		writes := []table.Write{{Key: JobsPrefix + id, Delete: true}, {Key: JobsPrefix + id + CancelSuffix, Delete: true}}
 		if t.cfg.Store.Commit(ctx, nil, writes).Status != table.Committed {
 			return false
 		}
+		if stalled[id] && t.cfg.Store.Commit(ctx, nil, []table.Write{{Key: StallsPrefix + id, Delete: true}}).Status != table.Committed {
+			return false
+		}
 	}
 	return true
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -14,6 +14,7 @@
 
 	"github.com/samphirepath/samphirepath/internal/batch"
 	"github.com/samphirepath/samphirepath/internal/fleet"
+	"github.com/samphirepath/samphirepath/internal/placement"
 	"github.com/samphirepath/samphirepath/internal/telemetry"
 	"github.com/samphirepath/samphirepath/lease"
 	"github.com/samphirepath/samphirepath/table"
@@ -27,6 +28,7 @@
 	ProgressPrefix = "progress/"
 	CountsPrefix   = "counts/"
 	PendingKey     = CountsPrefix + "pending" // number of waiting jobs of each queue
+	StallsPrefix   = "stalls/"
 	MarkPrefix     = "marks/"
 	CommitMarkKey  = MarkPrefix + "commit" // identifier of the last commit of progress
 	LeasePrefix    = "leader/"
@@ -81,9 +83,14 @@
 	// CancelRetention is how long the cancellation of an unknown job is kept. A submission
 	// that was not answered may be applied until then. The default is 30 s.
 	CancelRetention time.Duration
-	Follower        table.Follower
-	Log             *zap.Logger
-	Scope           tally.Scope
+	// StallLimit is the time without progress after which a term counts as stalled. The
+	// default is 4 s.
+	StallLimit time.Duration
+	// Plan places the waiting tasks. The default is placement.Plan.
+	Plan     func(placement.Snapshot) placement.Result
+	Follower table.Follower
+	Log      *zap.Logger
+	Scope    tally.Scope
 }
 
 // Dispatcher runs terms while this daemon holds the lease.
@@ -107,6 +114,12 @@
 	if cfg.CancelRetention <= 0 {
 		cfg.CancelRetention = defaultCancelRetention
 	}
+	if cfg.StallLimit <= 0 {
+		cfg.StallLimit = defaultStallLimit
+	}
+	if cfg.Plan == nil {
+		cfg.Plan = placement.Plan
+	}
 	return &Dispatcher{cfg: cfg, log: telemetry.Named(cfg.Log, "dispatch"), scope: telemetry.ScopeOrNoop(cfg.Scope)}
 }
 
@@ -200,6 +213,7 @@
 	d.current.Store(t)
 	defer close(t.done)
 	defer d.current.Store(nil)
+	go t.watchProgress()
 	if status.Epoch < d.minEpoch.Load() {
 		return
 	}
--- a/internal/dispatch/fixture_test.go
+++ b/internal/dispatch/fixture_test.go
@@ -17,6 +17,7 @@
 	"github.com/samphirepath/samphirepath/internal/batch"
 	"github.com/samphirepath/samphirepath/internal/dispatch"
 	"github.com/samphirepath/samphirepath/internal/fleet"
+	"github.com/samphirepath/samphirepath/internal/placement"
 	"github.com/samphirepath/samphirepath/internal/standinfleet"
 	"github.com/samphirepath/samphirepath/lease"
 	"github.com/samphirepath/samphirepath/platform"
@@ -36,6 +37,9 @@
 	endFormerTerm func(ctx context.Context, daemon string, epoch int64) (bool, error)
 	// cancelRetention is how long cancellations of unknown jobs are kept; 0 is the default.
 	cancelRetention time.Duration
+	// stallLimit and plan replace the defaults if they are set.
+	stallLimit time.Duration
+	plan       func(placement.Snapshot) placement.Result
 }
 
 // faultyStore is a store that fails all calls while it is down.
@@ -219,7 +223,7 @@
 // startDispatcher starts a dispatcher with the given name, and returns it with a
 // function that kills it.
 func (f *fixture) startDispatcher(name string) (d *dispatch.Dispatcher, kill func()) {
-	leaderLease, err := lease.New(lease.Config{Store: f.store, Prefix: dispatch.LeasePrefix, Holder: name, Incarnation: name,
+	leaderLease, err := lease.New(lease.Config{Store: f.store, Prefix: dispatch.LeasePrefix, Holder: name, Incarnation: name, Healthy: func() bool { return d.Progressing() },
 		LeaseTime: testLease, RenewEvery: testLease / 5, PollEvery: testLease / 5})
 	Expect(err).NotTo(HaveOccurred())
 	log := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), zapcore.AddSync(GinkgoWriter), zapcore.InfoLevel))
@@ -232,7 +236,7 @@
 	}
 	d = dispatch.New(dispatch.Config{
 		Store: f.store, Lease: leaderLease, Holder: name, EndFormerTerm: f.endFormerTerm, Workers: discovery, Client: client, Zones: &f.zones,
-		MaxWorkerLease: testWorkerLease, FinishedRetention: time.Minute, CancelRetention: f.cancelRetention,
+		MaxWorkerLease: testWorkerLease, FinishedRetention: time.Minute, CancelRetention: f.cancelRetention, StallLimit: f.stallLimit, Plan: f.plan,
 		Follower: table.Follower{Wait: 200 * time.Millisecond, Grace: 400 * time.Millisecond, RetryDelay: 20 * time.Millisecond},
 		Log:      log.Named(name),
 	})
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -68,7 +68,9 @@
 	if len(p.Demands) == 0 {
 		return
 	}
-	result := placement.Plan(p.Snapshot)
+	p.Observe = func(key placement.StepKey) { t.planning.Store(&key.Job) }
+	result := t.cfg.Plan(p.Snapshot)
+	t.planning.Store(nil)
 	started := 0
 	for _, placed := range result.Placements {
 		started += len(placed.Tasks)
@@ -115,7 +117,7 @@
 // demands collects the startable tasks and reports whether any of them are urgent.
 func (t *term) demands(p *planInput, now time.Time) (urgent bool) {
 	for _, j := range t.jobs {
-		if j.tracker.State.Final() || !j.heldUntil.IsZero() {
+		if j.tracker.State.Final() || !j.heldUntil.IsZero() || t.stalls[j.tracker.Job.ID] >= maxStalls {
 			continue
 		}
 		for _, unit := range j.tracker.Units {
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -56,6 +57,10 @@
 
 	unreadCalls int // calls in this tick to workers that may keep unread ends
 
+	stalls   map[string]int         // how often a term has stalled on a job, by job
+	planning atomic.Pointer[string] // job that is being placed
+	roundAt  atomic.Int64           // when the event loop last went round, since startedAt, in ns
+
 	planNeeded   bool
 	lastPlanAt   time.Time
 	planDuration time.Duration
@@ -138,12 +143,17 @@
 		t.log.Warn("Failed to read the progress of the jobs.", telemetry.ErrorField(err))
 		return "progress not read"
 	}
+	if t.stalls, err = t.loadStalls(); err != nil {
+		t.log.Warn("Failed to read the jobs on which a dispatcher has stalled.", telemetry.ErrorField(err))
+		return "stalls not read"
+	}
 	t.askFormerHolders()
 	t.follow(JobsPrefix, 0, func(update table.Update) { t.handleJobUpdate(update, progress) })
 	t.follow(t.cfg.Workers.Prefix, minWorkerReadInterval, t.handleWorkerUpdate)
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
 	for t.endReason == "" {
+		t.roundAt.Store(int64(time.Since(t.startedAt)))
 		select {
 		case <-t.ctx.Done():
 			return "stopping"
@@ -351,6 +361,10 @@
 	}
 	t.openOccurrences(j)
 	t.jobs[id] = j
+	if n := t.stalls[id]; n >= maxStalls {
+		t.scope.Counter("jobs_set_aside").Inc(1)
+		t.log.Error("Job set aside because the dispatcher has stalled on it.", zap.String("job", id), zap.Int("stalls", n))
+	}
 	if early, cancelled := t.earlyCancels[id]; cancelled {
 		defer t.cancelJob(id, early.version)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -105,14 +105,16 @@
 
 // New returns a daemon that is not running yet.
 func New(settings Settings, deps Dependencies) (*Node, error) {
+	n := &Node{settings: settings, deps: deps, log: telemetry.Named(deps.Log, "node"), outOfService: map[string]string{}}
 	leaderLease, err := lease.New(lease.Config{
 		Store: deps.Store, Prefix: dispatch.LeasePrefix, Holder: settings.Name, Incarnation: settings.Name,
-		LeaseTime: leaseTime, RenewEvery: leaseRenew, PollEvery: leasePoll, TakeoverDelay: takeoverDelay(settings), Log: telemetry.Named(deps.Log, "lease"),
+		LeaseTime: leaseTime, RenewEvery: leaseRenew, PollEvery: leasePoll, TakeoverDelay: takeoverDelay(settings),
+		Healthy: func() bool { return n.dispatcher.Progressing() }, Log: telemetry.Named(deps.Log, "lease"),
 	})
 	if err != nil {
 		return nil, err
 	}
-	n := &Node{settings: settings, deps: deps, log: telemetry.Named(deps.Log, "node"), lease: leaderLease, outOfService: map[string]string{}}
+	n.lease = leaderLease
 	n.dispatcher = dispatch.New(dispatch.Config{
 		Store: deps.Store, Lease: leaderLease, Holder: settings.Name, EndFormerTerm: deps.Store.EndTermBefore, Workers: deps.Workers, Client: deps.Client, Zones: deps.Current,
 		MaxWorkerLease: settings.MaxWorkerLease, MaxStopTime: settings.MaxStopTime, FinishedRetention: settings.FinishedRetention, Follower: n.follower(""),
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -116,6 +116,8 @@
 	Workers []Worker
 	Demands []Demand
 	Groups  []EvictionGroup
+	// Observe is called with each demand before it is placed. It may be nil.
+	Observe func(StepKey)
 }
 
 // Placement assigns tasks of a demand to workers.
@@ -163,6 +165,9 @@
 func Plan(snapshot Snapshot) Result {
 	p := newPlanner(snapshot)
 	for _, d := range p.order() {
+		if p.Observe != nil {
+			p.Observe(p.Demands[d].Key)
+		}
 		p.place(d)
 	}
 	return p.result
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -50,6 +50,10 @@
 	// TakeoverDelay delays the acquisition of a lease that is free, released or held by
 	// another incarnation, so that machines with more capacity acquire it first.
 	TakeoverDelay time.Duration
+	// Healthy reports whether this process still does the work of a holder. While it does
+	// not, it neither renews nor acquires the lease, so that another process takes over.
+	// The default is always healthy.
+	Healthy func() bool
 	// Now returns the current time. Steps of the time of day must not affect it. The
 	// default also counts the time that the machine was suspended.
 	Now func() time.Time
@@ -119,6 +123,9 @@
 	if cfg.Now == nil {
 		cfg.Now = newClock()
 	}
+	if cfg.Healthy == nil {
+		cfg.Healthy = func() bool { return true }
+	}
 	if cfg.Log == nil {
 		cfg.Log = zap.NewNop()
 	}
@@ -160,6 +167,10 @@
 	ctx, cancel := context.WithTimeout(ctx, l.cfg.LeaseTime)
 	defer cancel()
 	if l.Status().Held {
+		if !l.cfg.Healthy() {
+			l.cfg.Log.Warn("Lease not renewed because its holder makes no progress.", zap.Int64("epoch", l.Status().Epoch))
+			return
+		}
 		l.renew(ctx)
 		return
 	}
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -151,6 +151,34 @@
 		Expect(b.Status().Former).To(Equal([]string{"c"}))
 	})
 
+	// Guards against a holder that does no work any more and keeps the lease.
+	It("is left by a holder that makes no progress", func() {
+		healthy := true
+		h, err := lease.New(lease.Config{Store: store, Prefix: "planner/z/", Holder: "h", Incarnation: "h-1", Now: func() time.Time { return clk.now }, Healthy: func() bool { return healthy }})
+		Expect(err).NotTo(HaveOccurred())
+		h.Step(ctx)
+		clk.advance(4 * time.Second)
+		h.Step(ctx)
+		Expect(h.Status().Held).To(BeTrue())
+		healthy = false
+		b.Step(ctx)
+		for range 4 {
+			clk.advance(time.Second)
+			h.Step(ctx)
+			b.Step(ctx)
+		}
+		Expect(h.Status().Held).To(BeFalse())
+		Expect(b.Status().Held).To(BeTrue())
+		clk.advance(4 * time.Second)
+		h.Step(ctx)
+		clk.advance(4 * time.Second)
+		h.Step(ctx)
+		Expect(h.Status().Held).To(BeFalse(), "it does not acquire the lease either")
+		healthy = true
+		h.Step(ctx)
+		Expect(h.Status().Held).To(BeTrue())
+	})
+
 	It("names unknown ones when there are many", func() {
 		for i := range 12 {
 			next := newParticipant(store, "p"+strconv.Itoa(i), clk)
--- a/lease/round.go
+++ b/lease/round.go
@@ -100,6 +100,9 @@
 	}
 	l.observeVersion(version)
 	l.markNotHeld(row)
+	if !l.cfg.Healthy() {
+		return
+	}
 	unchanged := l.cfg.Now().Sub(l.observed.since)
 	free := version == 0 || row.Holder == ""
 	if l.owns(row) || free && unchanged >= l.cfg.TakeoverDelay || unchanged >= l.cfg.LeaseTime+l.cfg.TakeoverDelay {
