--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -213,7 +213,7 @@
 	d.current.Store(t)
 	defer close(t.done)
 	defer d.current.Store(nil)
-	go t.watchProgress()
+	go t.watchProgress() //nolint:contextcheck // as t.run
 	if status.Epoch < d.minEpoch.Load() {
 		return
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -174,6 +174,7 @@
 }
 
 func newPlanner(snapshot Snapshot) *planner {
+	snapshot = boundAmounts(snapshot)
 	p := &planner{Snapshot: snapshot, evicted: map[int]bool{}, byRack: map[string][]int{}}
 	p.workers = make([]workerState, len(snapshot.Workers))
 	p.byWorker = make([][]int, len(snapshot.Workers))
@@ -383,8 +384,8 @@
 // leftover returns the capacity that a task would leave free on a worker, in
 // cores.
 func leftover(free, need batch.Need) float64 {
-	cores := float64(free.MilliCPU-need.MilliCPU) / 1000
-	return AcceleratorWeight*float64(free.Accelerators-need.Accelerators) + cores
+	cores := (float64(free.MilliCPU) - float64(need.MilliCPU)) / 1000
+	return AcceleratorWeight*(float64(free.Accelerators)-float64(need.Accelerators)) + cores
 }
 
 func eligible(worker *Worker, demand *Demand) bool {
@@ -477,7 +478,7 @@
 	if step.BestEffort {
 		need.MilliCPU = 0
 	}
-	return need
+	return batch.Need{MilliCPU: max(0, need.MilliCPU), MemoryMb: max(0, need.MemoryMb), Accelerators: max(0, need.Accelerators)}
 }
 
 // Covers reports whether have is enough for need.
