Let the soak draw odd entries, edge sizes, double faults and loss of power

New kinds of faults: odd entries among those of the workers; jobs without any charged need, with a tiny one, and with 130 or 700 tasks (more than a row of progress or an answer of a worker holds); a zone that loses power while the store does not answer; two cuts of the store back to back; a daemon that is killed again while it takes over.

--- a/test/soak/callers.go
+++ b/test/soak/callers.go
@@ -28,6 +28,7 @@
 	cancelShare  = 0.1  // share of the accepted jobs that are cancelled
 	failShare    = 0.05 // share of the jobs whose tasks always fail
 	crashShare   = 0.1  // share of the jobs that crash workers, while such jobs come
+	edgeShare    = 0.15 // share of the jobs that have edge sizes, while such jobs come
 	repeatShare  = 0.1  // share of the accepted jobs that are submitted once more
 	abandonShare = 0.5  // share of the refused submissions that are not retried
 )
@@ -86,7 +87,12 @@
 	defer client.CloseIdleConnections()
 	daemonIndex := random.IntN(len(c.cluster.daemons))
 	for ctx.Err() == nil {
-		j := newJob(random, c.cluster.crashingJobs.Load() > 0 && random.Float64() < crashShare)
+		var j *job
+		if c.cluster.edgeJobs.Load() > 0 && random.Float64() < edgeShare {
+			j = newEdgeJob(random)
+		} else {
+			j = newJob(random, c.cluster.crashingJobs.Load() > 0 && random.Float64() < crashShare)
+		}
 		c.mu.Lock()
 		c.jobs = append(c.jobs, j)
 		c.mu.Unlock()
@@ -200,6 +206,42 @@
 	GPU        int   `json:"gpu,omitempty"`
 	EstimateMs int   `json:"estimate_ms"`
 	After      []int `json:"after,omitempty"`
+	Gang       bool  `json:"gang,omitempty"`
+	SameRack   bool  `json:"same_rack,omitempty"`
+	BestEffort bool  `json:"fills,omitempty"`
+	Checkpoint bool  `json:"checkpoint,omitempty"`
+}
+
+// edgeSteps are steps without any charged need, with a tiny one, and with more tasks than a
+// row of progress or an answer of a worker holds.
+var edgeSteps = []step{
+	{Count: 3, CPU: 500, EstimateMs: 300, Gang: true, SameRack: true, BestEffort: true},
+	{Count: 2, EstimateMs: 300, Gang: true},
+	{Count: 5, CPU: 1, EstimateMs: 300, Gang: true, SameRack: true},
+	{Count: 700, CPU: 20, EstimateMs: 300, Checkpoint: true},
+	{Count: 130, CPU: 20, EstimateMs: 300, Checkpoint: true},
+}
+
+// newEdgeJob returns a job with one of edgeSteps.
+func newEdgeJob(random *rand.Rand) *job {
+	j := &job{id: fmt.Sprintf("%016x", random.Uint64()), pathPrefix: queues[random.IntN(len(queues))].pathPrefix}
+	s := edgeSteps[random.IntN(len(edgeSteps))]
+	for i := range s.Count {
+		j.tasks = append(j.tasks, fmt.Sprintf("%s.0.0.%d", j.id, i))
+	}
+	j.encode(map[string]any{"ms": s.EstimateMs}, []step{s})
+	return j
+}
+
+// encode sets the body of a job.
+func (j *job) encode(spec map[string]any, steps []step) {
+	text, err := json.Marshal(spec)
+	if err != nil {
+		panic(err) // cannot happen: the map holds only numbers, strings and a struct of numbers
+	}
+	if j.body, err = json.Marshal(map[string]any{"spec": string(text), "steps": steps}); err != nil {
+		panic(err) // cannot happen: the value consists of maps, slices and structs of numbers and strings
+	}
 }
 
 // newJob returns a random job. The tasks of failShare of the jobs always fail.
@@ -229,13 +271,7 @@
 	if len(steps) > 1 {
 		delete(spec, "need")
 	}
-	text, err := json.Marshal(spec)
-	if err != nil {
-		panic(err) // cannot happen: the map holds only numbers, strings and a struct of numbers
-	}
-	if j.body, err = json.Marshal(map[string]any{"spec": string(text), "steps": steps}); err != nil {
-		panic(err) // cannot happen: the value consists of maps, slices and structs of numbers and strings
-	}
+	j.encode(spec, steps)
 	return j
 }
 
--- a/test/soak/cluster.go
+++ b/test/soak/cluster.go
@@ -62,6 +62,7 @@
 	workers     []*worker
 	// crashingJobs counts the faults during which callers submit jobs that crash workers.
 	crashingJobs atomic.Int32
+	edgeJobs     atomic.Int32 // counts the faults during which callers submit jobs of edge sizes
 
 	mu                   sync.Mutex
 	configurationVersion int64 // last version written
@@ -130,6 +131,49 @@
 	cl.store.Put("op", "", "config", value)
 }
 
+// oddEntries are entries among those of the workers that are not from a worker.
+var oddEntries = []string{
+	`{"backend":"gpu","address":"127.0.0.1:9","zone":"zone-0","version":"v1","slots":8,"state":"ready","cold_ms":0,"seq":1,"labels":["a","r0"],"clock_ms":1,"born":1,` +
+		`"capacity":{"cpu":9223372036854775807,"mem_mb":9223372036854775807,"gpu":9223372036854775807}}`,
+	`{"backend":"gpu","address":"127.0.0.1:99999","zone":"zone-0","version":"v1","slots":8,"state":"ready","cold_ms":0,"seq":1,"capacity":{"cpu":64000,"mem_mb":131072,"gpu":8}}`,
+	`{"labels":` + strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000) + `}`,
+	"\x00\xff",
+}
+
+// writeOddEntries writes oddEntries until the returned function is called.
+func (cl *cluster) writeOddEntries() (remove func()) {
+	for i, entry := range oddEntries {
+		cl.store.Put("servers", "", fmt.Sprintf("odd-%d", i), []byte(entry))
+	}
+	return func() {
+		for i := range oddEntries {
+			cl.store.Remove("servers", "", fmt.Sprintf("odd-%d", i))
+		}
+	}
+}
+
+// losePower kills the daemons and crashes the workers of a zone while the store does not
+// answer, until the returned function is called.
+func (cl *cluster) losePower(zone string) (restore func()) {
+	heals := []func(){cl.storeFaults.add(standinfleet.NoAnswer, 1)}
+	for i, d := range cl.daemons {
+		if cl.zone(i) == zone {
+			d.kill()
+			heals = append(heals, d.allowStart)
+		}
+	}
+	for _, w := range cl.workers {
+		if w.zone == zone {
+			heals = append(heals, w.crash())
+		}
+	}
+	return func() {
+		for _, heal := range heals {
+			heal()
+		}
+	}
+}
+
 // run runs the proxies, workers and daemons until ctx ends.
 func (cl *cluster) run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -116,8 +116,40 @@
 		return func() { cl.crashingJobs.Add(-1) }
 	}},
 	{"worker shrinks", oneWorker, 3 * time.Second, 9 * time.Second, func(cl *cluster, i int) func() { return cl.worker(i).shrink() }},
+	{"odd worker entries", operatorOnly, 2 * time.Second, 6 * time.Second, func(cl *cluster, _ int) func() { return cl.writeOddEntries() }},
+	{"jobs of edge sizes", operatorOnly, 2 * time.Second, 5 * time.Second, func(cl *cluster, _ int) func() {
+		cl.edgeJobs.Add(1)
+		return func() { cl.edgeJobs.Add(-1) }
+	}},
+	{"zone without power and store away", oneDaemon, time.Second, 4 * time.Second, func(cl *cluster, i int) func() { return cl.losePower(cl.zone(i)) }},
+	{"store unreachable twice", oneDaemon, 2 * time.Second, 4 * time.Second, func(cl *cluster, i int) func() {
+		link := cl.daemon(i).storeLink
+		remove := link.add(faultproxy.Faults{Cut: true})
+		return func() {
+			remove()
+			time.AfterFunc(secondCut, link.add(faultproxy.Faults{Cut: true}))
+		}
+	}},
+	{"kill twice", oneDaemon, 300 * time.Millisecond, 2 * time.Second, func(cl *cluster, i int) func() {
+		d := cl.daemon(i)
+		d.kill()
+		return func() {
+			d.allowStart()
+			time.AfterFunc(secondKill, func() {
+				d.kill()
+				d.allowStart()
+			})
+		}
+	}},
 }
 
+// secondCut is how long the second of two cuts lasts, and secondKill is the time from the
+// end of a kill to the next one, in which the daemon may have taken over.
+const (
+	secondCut  = 2 * time.Second
+	secondKill = 1200 * time.Millisecond
+)
+
 func storeLink(faults faultproxy.Faults) func(*cluster, int) func() {
 	return func(cl *cluster, i int) func() { return cl.daemon(i).storeLink.add(faults) }
 }
