Acknowledge stored ends once

What callers would see: a task that has ended runs again, or its job is completed late, after a worker has restarted under its identifier.

Cause: each call acknowledged all stored ends again. A new incarnation numbers its ends from 1, so the first call after its start made it forget ends that nobody had read.

Change: ends are acknowledged until one such call is answered; later calls acknowledge none.

Seen failing before: dispatch "a worker that restarts under its identifier between two calls" (the job is not completed in 5 s).

--- a/internal/dispatch/ends_test.go
+++ b/internal/dispatch/ends_test.go
@@ -47,3 +47,19 @@
 		expectOneRunEach(f)
 	})
 })
+
+// Guards against an end that is forgotten unread: a worker that has restarted numbers its
+// ends anew, and the next call acknowledged those of its earlier incarnation once more.
+var _ = Describe("a worker that restarts under its identifier between two calls", func() {
+	It("keeps the ends of the new incarnation until they are read", func() {
+		f := newFixture(1)
+		f.startDispatcher("a")
+		f.submit(batch.Job{ID: "before", Spec: `{"ms":10}`, Steps: []batch.Step{{Tasks: 5, Need: batch.Need{Accelerators: 1}, EstimateMs: 10}}})
+		Eventually(f.state("before")).WithTimeout(timeout).Should(Equal(batch.Completed))
+		time.Sleep(800 * time.Millisecond) // the ends are acknowledged
+		f.workers[0].Restart()
+		f.submit(batch.Job{ID: "j", Spec: `{"ms":0}`, Steps: []batch.Step{task(1)}})
+		Eventually(f.state("j")).WithTimeout(5 * time.Second).Should(Equal(batch.Completed))
+		Expect(f.starts()["j.0.0.0"]).To(Equal(1))
+	})
+})
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -21,7 +21,11 @@
 	if len(w.runs) == 0 && !t.needsCall(w, now) {
 		return
 	}
-	order := fleet.LeaseRenewal{Fence: w.fence, AckedEnds: w.storedEnd}
+	order := fleet.LeaseRenewal{Fence: w.fence}
+	if w.storedEnd > w.ackedEnd {
+		// Ends are acknowledged once: a restarted worker numbers its ends anew.
+		order.AckedEnds = w.storedEnd
+	}
 	probe = probe || w.lastAnswered.IsZero()
 	if w.misses == 0 && !w.lastAnswered.IsZero() {
 		order.Deadline = t.extendLease(w, now)
