Split what grew in the dispatcher, and name it

Cancellations and held jobs have files of their own; storeAlone replaces a second meaning of "suspect". A stall is a step of the event loop that takes longer than the limit, so that a long queue of events is none.

--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -31,9 +31,6 @@
 	commitTimeout = 2500 * time.Millisecond
 	// commitRetryDelay is the delay after a failed commit.
 	commitRetryDelay = 60 * time.Millisecond
-	// heldRetryDelay is the delay between two attempts to store the progress of a job that
-	// the store does not accept.
-	heldRetryDelay = 5 * time.Second
 	// countsInterval is the minimum time between two writes of the counts of waiting
 	// jobs. Callers accept counts that are 2 s old.
 	countsInterval = 700 * time.Millisecond
@@ -70,7 +67,7 @@
 	}
 	commit := t.collectProgress(now)
 	conditions, writes := append([]table.Condition{fence}, commit.conditions...), commit.writes
-	if countsChanged && !commit.alone(t) {
+	if countsChanged && !commit.single {
 		value, err := batch.EncodeCounts(counts)
 		switch {
 		case err != nil:
@@ -109,10 +106,9 @@
 // its commit.
 func (t *term) collectProgress(now time.Time) *progressCommit {
 	commit := &progressCommit{jobs: map[string]*jobCommit{}}
-	alone := false
 	for id := range t.changedJobs {
-		if j := t.jobs[id]; j != nil && j.suspect && !now.Before(j.heldUntil) {
-			alone = true
+		if j := t.jobs[id]; j != nil && j.storeAlone && !now.Before(j.heldUntil) {
+			commit.single = true
 		}
 	}
 	for id := range t.changedJobs {
@@ -124,7 +120,7 @@
 			delete(t.changedJobs, id)
 			continue
 		}
-		if now.Before(j.heldUntil) || j.suspect != alone || alone && len(commit.jobs) > 0 {
+		if now.Before(j.heldUntil) || j.storeAlone != commit.single || commit.single && len(commit.jobs) > 0 {
 			continue
 		}
 		delete(t.changedJobs, id)
@@ -206,43 +202,6 @@
 	t.log.Info("Commit of job progress conflicted; it will be repeated.", zap.Strings("rows", result.Conflicts))
 }
 
-// handleRejected finds the job whose progress the store does not accept, by storing that of
-// each job of the commit alone, and holds it: it gets no new runs, and is tried again from
-// time to time, while all others go on.
-func (t *term) handleRejected(jobs map[string]*jobCommit, cause error) {
-	now := time.Now()
-	t.scope.Counter("commits_rejected").Inc(1)
-	t.commitRetryAt = now.Add(commitRetryDelay)
-	for id := range jobs {
-		j := t.jobs[id]
-		if j == nil {
-			continue
-		}
-		if j.suspect || len(jobs) == 1 {
-			t.holdJob(j, now, cause)
-		}
-		j.suspect = true
-	}
-	if len(jobs) > 1 {
-		t.log.Warn("Store rejected the progress of jobs; each will be stored alone.", zap.Int("jobs", len(jobs)), telemetry.ErrorField(cause))
-	}
-}
-
-// holdJob holds a job whose progress the store does not accept. Runs whose record is not
-// stored are dropped, so that they occupy no worker.
-func (t *term) holdJob(j *jobState, now time.Time, cause error) {
-	if j.heldUntil.IsZero() {
-		t.scope.Counter("jobs_held").Inc(1)
-		t.log.Error("Job held because the store does not accept its progress.", zap.String("job", j.tracker.Job.ID), zap.Int("runs", len(j.runs)), telemetry.ErrorField(cause))
-	}
-	j.heldUntil = now.Add(heldRetryDelay)
-	for _, r := range j.runs {
-		if r.phase == phaseCommitting {
-			t.dropRun(r, "progress not stored")
-		}
-	}
-}
-
 // handleStored applies the commit of rows of a job.
 func (t *term) handleStored(id string, part *jobCommit, version int64) {
 	j := t.jobs[id]
@@ -252,7 +211,7 @@
 	if !j.heldUntil.IsZero() {
 		t.log.Info("Held job goes on.", zap.String("job", id))
 	}
-	j.suspect, j.heldUntil = false, time.Time{}
+	j.storeAlone, j.heldUntil = false, time.Time{}
 	if !j.applyStored(part, version) {
 		t.changedJobs[id] = true
 		return
@@ -350,40 +309,3 @@
 	}
 	return true
 }
-
-// forgetEarlyCancels deletes the cancellations of unknown jobs whose submissions can no
-// longer be applied. A later tick repeats a failed attempt.
-func (t *term) forgetEarlyCancels(now time.Time) {
-	if !t.jobsListed || t.deletingCancels {
-		return
-	}
-	expired := map[string]earlyCancel{}
-	for id, cancel := range t.earlyCancels {
-		if now.Sub(cancel.seenAt) > t.cfg.CancelRetention && len(expired) < maxExpiredJobs {
-			expired[id] = cancel
-		}
-	}
-	if len(expired) == 0 {
-		return
-	}
-	t.deletingCancels = true
-	go func() {
-		ctx, cancel := context.WithTimeout(t.ctx, commitTimeout)
-		defer cancel()
-		var deleted []string
-		for id, early := range expired {
-			key := JobsPrefix + id
-			conditions := []table.Condition{{Key: key}, {Key: key + CancelSuffix, Version: early.version}}
-			result := t.cfg.Store.Commit(ctx, conditions, []table.Write{{Key: key + CancelSuffix, Delete: true}})
-			if result.Status == table.Committed || result.Status == table.Conflict {
-				deleted = append(deleted, id)
-			}
-		}
-		t.post(func() {
-			t.deletingCancels = false
-			for _, id := range deleted {
-				delete(t.earlyCancels, id)
-			}
-		})
-	}()
-}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -83,7 +83,7 @@
 	// CancelRetention is how long the cancellation of an unknown job is kept. A submission
 	// that was not answered may be applied until then. The default is 30 s.
 	CancelRetention time.Duration
-	// StallLimit is the time without progress after which a term counts as stalled. The
+	// StallLimit is how long a step of a term may take until the term counts as stalled. The
 	// default is 4 s.
 	StallLimit time.Duration
 	// Plan places the waiting tasks. The default is placement.Plan.
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -29,6 +29,7 @@
 	writes     []table.Write
 	size       int // bytes of all values
 	jobs       map[string]*jobCommit
+	single     bool // the commit has one job, which the store may not accept
 }
 
 // jobCommit is the part of a commit that belongs to one job.
@@ -124,16 +125,6 @@
 	return len(rows)
 }
 
-// alone reports whether the commit has a job that must be alone in it.
-func (c *progressCommit) alone(t *term) bool {
-	for id := range c.jobs {
-		if j := t.jobs[id]; j != nil && j.suspect {
-			return true
-		}
-	}
-	return false
-}
-
 func (c *progressCommit) full() bool {
 	return len(c.writes) >= maxCommitRows || c.size >= maxCommitBytes
 }
--- a/internal/dispatch/stall.go
+++ b/internal/dispatch/stall.go
@@ -34,9 +34,9 @@
 	return t == nil || !t.stalled()
 }
 
-// stalled reports whether the event loop has not gone round for the stall limit.
+// stalled reports whether a step of the event loop takes longer than the stall limit.
 func (t *term) stalled() bool {
-	return time.Since(t.startedAt)-time.Duration(t.roundAt.Load()) > t.cfg.StallLimit
+	return time.Since(t.startedAt)-time.Duration(t.stepAt.Load()) > t.cfg.StallLimit
 }
 
 // watchProgress records the job on which the term stalls, until the term ends.
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -59,7 +59,7 @@
 
 	stalls   map[string]int         // how often a term has stalled on a job, by job
 	planning atomic.Pointer[string] // job that is being placed
-	roundAt  atomic.Int64           // when the event loop last went round, since startedAt, in ns
+	stepAt   atomic.Int64           // when the event loop last started a step, since startedAt, in ns
 
 	planNeeded   bool
 	lastPlanAt   time.Time
@@ -79,9 +79,9 @@
 	revision       int64
 	storedRevision int64
 	finalRevision  int64 // first revision with a final state; 0 while it has none
-	// suspect means that the store has rejected a commit with progress of the job, which
-	// must be alone in the next one. heldUntil is set while the store does not accept it.
-	suspect        bool
+	// storeAlone means that the store has rejected a commit with progress of the job, which
+	// is alone in the next one. heldUntil is set while the store does not accept it.
+	storeAlone     bool
 	heldUntil      time.Time
 	callbacks      []commitCallback
 	startableSince map[unitKey]time.Time
@@ -98,12 +98,6 @@
 	endedAt time.Time
 }
 
-// earlyCancel is the cancellation of a job that is not known.
-type earlyCancel struct {
-	version int64 // version of its row
-	seenAt  time.Time
-}
-
 // unitKey identifies a unit of a job: one step of one occurrence.
 type unitKey struct {
 	occurrence int64
@@ -153,7 +147,6 @@
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
 	for t.endReason == "" {
-		t.roundAt.Store(int64(time.Since(t.startedAt)))
 		select {
 		case <-t.ctx.Done():
 			return "stopping"
@@ -172,6 +165,7 @@
 // handle runs one step of the event loop. An internal error ends the term, because its
 // state may be inconsistent; the next term restores it from the stored rows.
 func (t *term) handle(step func()) {
+	t.stepAt.Store(int64(time.Since(t.startedAt)))
 	done := false
 	defer func() {
 		if !done {
@@ -381,25 +375,6 @@
 	}
 }
 
-// cancelJob cancels a job. The cancellation of an unknown job is kept, in case that its
-// submission is applied later.
-func (t *term) cancelJob(id string, version int64) {
-	j, known := t.jobs[id]
-	if !known {
-		if _, finished := t.finished[id]; !finished {
-			t.earlyCancels[id] = earlyCancel{version: version, seenAt: time.Now()}
-		}
-		return
-	}
-	delete(t.earlyCancels, id)
-	if !j.tracker.Cancel(time.Now()) {
-		return
-	}
-	t.log.Info("Job cancelled.", zap.String("job", id), zap.Int("runs", len(j.runs)))
-	t.markChanged(j)
-	t.stopJobRuns(j, "cancelled")
-}
-
 // updateJobState completes the occurrences of a job that are done after a change of its
 // tasks, opens the next ones, and stops its runs if it has failed.
 func (t *term) updateJobState(j *jobState) {
