Tell that a job is completed while other zones keep its ends

Change: completed is also told while workers in other zones than the dispatcher's keep all ends that are not stored; one member's end represents a gang. The loss of a zone takes the dispatcher or the worker, not both, and the next dispatcher reads the ends before it starts anything. failed is told only when stored: losses of workers are kept nowhere else.

--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -220,21 +220,50 @@
 }
 
 // knownState returns the state of a job, or "" if it is not certain. A final state is
-// certain once it is stored. Before, the daemon and the workers that keep the ends may be
-// lost together, with a zone, and the next dispatcher would run the tasks again.
+// certain once it is stored, or if the next dispatcher finds it too after the loss of a
+// zone.
 func (t *term) knownState(id string) batch.State {
 	if finished, known := t.finished[id]; known {
 		return finished.state
 	}
 	j := t.jobs[id]
-	if j == nil || !t.jobsListed || j.storedRevision < j.finalRevision {
+	if j == nil || !t.jobsListed || j.storedRevision < j.finalRevision && !t.keptElsewhere(j) {
 		return ""
 	}
 	return j.tracker.State
 }
 
+// keptElsewhere reports whether workers in other zones than this daemon's keep all ends by
+// which a job is completed and that are not stored. The end of one member represents a
+// gang. Losses of workers, by which a job may fail, are kept nowhere else.
+func (t *term) keptElsewhere(j *jobState) bool {
+	if j.tracker.State != batch.Completed || t.cfg.Zone == "" {
+		return false
+	}
+	gangs := map[*batch.Unit]bool{} // whether an end of the gang is kept
+	for _, end := range j.unstoredEnds {
+		w := end.worker
+		kept := w.listed && w.misses == 0 && !w.info.Draining && w.info.StartedMs == end.startedMs && w.info.Zone != t.cfg.Zone
+		if end.gang != nil {
+			gangs[end.gang] = gangs[end.gang] || kept && end.done
+			continue
+		}
+		if !kept {
+			return false
+		}
+	}
+	for _, kept := range gangs {
+		if !kept {
+			return false
+		}
+	}
+	return true
+}
+
 func (t *term) markStored(j *jobState, revision int64) {
-	j.storedRevision = max(j.storedRevision, revision)
+	if j.storedRevision = max(j.storedRevision, revision); j.storedRevision == j.revision {
+		j.unstoredEnds = nil
+	}
 	callbacks := j.callbacks
 	j.callbacks = nil
 	for _, callback := range callbacks {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -71,6 +71,7 @@
 	Store  table.Watcher
 	Lease  *lease.Lease
 	Holder string // name of this daemon in the lease
+	Zone   string // zone of this daemon
 	// EndFormerTerm asks another daemon to end its term if that has a lower epoch, and
 	// reports whether none runs or will run there any more.
 	EndFormerTerm     func(ctx context.Context, daemon string, epoch int64) (bool, error)
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -89,9 +89,18 @@
 	suspectSince   map[unitKey]time.Time       // when tasks under suspicion became startable again
 	runs           map[batch.RunRef]*run
 	nextDue        time.Time // when the next occurrence is due
+	unstoredEnds   []unstoredEnd
 	endLogged      bool
 }
 
+// unstoredEnd is an end that an incarnation of a worker keeps until it is stored.
+type unstoredEnd struct {
+	worker    *workerState
+	startedMs int64
+	gang      *batch.Unit // unit of the run if that is a gang
+	done      bool
+}
+
 // finishedJob is a job that has ended, whose end is stored and whose runs are gone.
 type finishedJob struct {
 	state   batch.State
