--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/samphirepath/samphirepath/internal/batch"
 	"github.com/samphirepath/samphirepath/internal/fleet"
@@ -141,15 +142,14 @@
 
 // run processes events until the term ends, and returns the reason.
 func (t *term) run() string {
-	progress, err := t.loadProgress()
-	if err != nil {
+	var progress map[string]storedProgress
+	var reads errgroup.Group
+	reads.Go(func() (err error) { progress, err = t.loadProgress(); return err })
+	reads.Go(func() (err error) { t.stalls, err = t.loadStalls(); return err })
+	if err := reads.Wait(); err != nil {
 		t.log.Warn("Failed to read the progress of the jobs.", telemetry.ErrorField(err))
 		return "progress not read"
 	}
-	if t.stalls, err = t.loadStalls(); err != nil {
-		t.log.Warn("Failed to read the jobs on which a dispatcher has stalled.", telemetry.ErrorField(err))
-		return "stalls not read"
-	}
 	t.askFormerHolders()
 	t.follow(JobsPrefix, 0, func(update table.Update) { t.handleJobUpdate(update, progress) })
 	t.follow(t.cfg.Workers.Prefix, minWorkerReadInterval, t.handleWorkerUpdate)
