Log what tells the causes of a replaced run apart

The logs told why a run was given up, but neither until when a former dispatcher may have renewed the lease of its worker, nor that a run which was given up was alive.

- An unreachable worker whose lease has expired is logged with whether it has answered this term, the age of the term and the former holders.
- A run that was given up and is reported later, running or ended, is logged and counted, with the reason and whether it was replaced.
- A term logs when it goes on without its lease, and at its end when it last held that and last extended the lease of a worker.

The time without a lease is part of the dispatcher's configuration, so that tests can shorten it. No decision changes.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -45,11 +45,9 @@
 	maxPlanInterval = 400 * time.Millisecond
 	// tickEvery is the interval of the checks that no event triggers.
 	tickEvery = 100 * time.Millisecond
-	// maxLeaseOutage is how long a holder that cannot renew its lease at the store
-	// continues to renew the leases of workers. It is longer than the outages of the
-	// store that running tasks must survive. A successor waits at least this long
-	// before it drops the runs of a worker that it cannot reach.
-	maxLeaseOutage = 12 * time.Second
+	// defaultLeaseOutage is longer than the outages of the store that running tasks must
+	// survive.
+	defaultLeaseOutage = 12 * time.Second
 	// defaultCancelRetention is several times the seconds by which the platform may apply a
 	// call late.
 	defaultCancelRetention = 30 * time.Second
@@ -74,11 +72,16 @@
 	Zone   string // zone of this daemon
 	// EndFormerTerm asks another daemon to end its term if that has a lower epoch, and
 	// reports whether none runs or will run there any more.
-	EndFormerTerm     func(ctx context.Context, daemon string, epoch int64) (bool, error)
-	Workers           Discovery
-	Client            fleet.Client
-	Zones             Zones
-	MaxWorkerLease    time.Duration // longest lease that a worker accepts
+	EndFormerTerm  func(ctx context.Context, daemon string, epoch int64) (bool, error)
+	Workers        Discovery
+	Client         fleet.Client
+	Zones          Zones
+	MaxWorkerLease time.Duration // longest lease that a worker accepts
+	// LeaseOutage is how long a holder that cannot renew its lease at the store continues to
+	// renew the leases of workers. A successor waits at least this long before it drops the
+	// runs of a worker that it cannot reach, so all daemons need the same value. The default
+	// is 12 s.
+	LeaseOutage       time.Duration
 	MaxStopTime       time.Duration // longest time that a stop takes
 	FinishedRetention time.Duration // how long the rows of finished jobs are kept
 	// CancelRetention is how long the cancellation of an unknown job is kept. A submission
@@ -118,6 +121,9 @@
 	if cfg.StallLimit <= 0 {
 		cfg.StallLimit = defaultStallLimit
 	}
+	if cfg.LeaseOutage <= 0 {
+		cfg.LeaseOutage = defaultLeaseOutage
+	}
 	if cfg.Plan == nil {
 		cfg.Plan = placement.Plan
 	}
@@ -220,5 +226,7 @@
 	}
 	d.log.Info("Term started.", zap.Int64("epoch", status.Epoch), zap.Strings("former", status.Former))
 	reason := t.run() //nolint:contextcheck // the term stores its context, because results of calls return through its event queue
-	d.log.Info("Term ended.", zap.Int64("epoch", status.Epoch), zap.String("reason", reason))
+	now := time.Now()
+	d.log.Info("Term ended.", zap.Int64("epoch", status.Epoch), zap.String("reason", reason),
+		zap.Duration("since_lease", now.Sub(t.lastHeldAt)), zap.Duration("since_last_extension", sinceOrZero(t.lastExtension, now)))
 }
--- a/internal/dispatch/fixture_test.go
+++ b/internal/dispatch/fixture_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net/http/httptest"
@@ -40,7 +41,11 @@
 	daemonZone      string // zone of the dispatchers; that of the workers is z1
 	// stallLimit and plan replace the defaults if they are set.
 	stallLimit time.Duration
-	plan       func(placement.Snapshot) placement.Result
+	// workerLease, leaseOutage and leaseClock replace the defaults if they are set.
+	workerLease time.Duration
+	leaseOutage time.Duration
+	leaseClock  func() time.Time
+	plan        func(placement.Snapshot) placement.Result
 }
 
 // faultyStore is a store that fails all calls while it is down.
@@ -225,7 +230,7 @@
 // function that kills it.
 func (f *fixture) startDispatcher(name string) (d *dispatch.Dispatcher, kill func()) {
 	leaderLease, err := lease.New(lease.Config{Store: f.store, Prefix: dispatch.LeasePrefix, Holder: name, Incarnation: name, Healthy: func() bool { return d.Progressing() },
-		LeaseTime: testLease, RenewEvery: testLease / 5, PollEvery: testLease / 5})
+		LeaseTime: testLease, RenewEvery: testLease / 5, PollEvery: testLease / 5, Now: f.leaseClock})
 	Expect(err).NotTo(HaveOccurred())
 	log := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), zapcore.AddSync(GinkgoWriter), zapcore.InfoLevel))
 	discovery, client := platform.Discovery(), fleet.Client(platform.NewWorkers())
@@ -237,7 +242,7 @@
 	}
 	d = dispatch.New(dispatch.Config{
 		Store: f.store, Lease: leaderLease, Holder: name, Zone: f.daemonZone, EndFormerTerm: f.endFormerTerm, Workers: discovery, Client: client, Zones: &f.zones,
-		MaxWorkerLease: testWorkerLease, FinishedRetention: time.Minute, CancelRetention: f.cancelRetention, StallLimit: f.stallLimit, Plan: f.plan,
+		MaxWorkerLease: cmp.Or(f.workerLease, testWorkerLease), LeaseOutage: f.leaseOutage, FinishedRetention: time.Minute, CancelRetention: f.cancelRetention, StallLimit: f.stallLimit, Plan: f.plan,
 		Follower: table.Follower{Wait: 200 * time.Millisecond, Grace: 400 * time.Millisecond, RetryDelay: 20 * time.Millisecond},
 		Log:      log.Named(name),
 	})
--- a/internal/dispatch/former.go
+++ b/internal/dispatch/former.go
@@ -18,14 +18,15 @@
 )
 
 // formerHolders are the earlier holders of the leader lease whose terms may still run.
-// They renew the leases of workers for up to maxLeaseOutage without the leader lease.
+// They renew the leases of workers for up to Config.LeaseOutage without the leader lease.
 type formerHolders struct {
+	outage  time.Duration // Config.LeaseOutage
 	running map[string]bool
 	endedAt time.Time // when the last one is known to have ended; zero while one may run
 }
 
-func newFormerHolders(names []string, now time.Time) formerHolders {
-	former := formerHolders{running: map[string]bool{}}
+func newFormerHolders(names []string, outage time.Duration, now time.Time) formerHolders {
+	former := formerHolders{outage: outage, running: map[string]bool{}}
 	for _, name := range names {
 		former.running[name] = true
 	}
@@ -39,7 +40,7 @@
 // former holder, given the start of the term.
 func (f *formerHolders) lastRenewal(start time.Time) time.Time {
 	if f.endedAt.IsZero() {
-		return start.Add(maxLeaseOutage)
+		return start.Add(f.outage)
 	}
 	return f.endedAt
 }
@@ -66,7 +67,7 @@
 
 func (t *term) askFormerHolder(name string, epoch int64) {
 	defer telemetry.LogPanic(t.log, "request to a former dispatcher", zap.String("daemon", name))
-	ctx, cancel := context.WithTimeout(t.ctx, maxLeaseOutage)
+	ctx, cancel := context.WithTimeout(t.ctx, t.cfg.LeaseOutage)
 	defer cancel()
 	for ctx.Err() == nil {
 		if t.formerTermEnded(ctx, name, epoch) {
@@ -94,8 +95,8 @@
 // endFormerHolders forgets the former holders in the lease once none of them can renew the
 // lease of a worker any more.
 func (t *term) endFormerHolders(now time.Time, status lease.Status) {
-	if t.former.endedAt.IsZero() && now.Sub(t.startedAt) > maxLeaseOutage {
-		t.former.endedAt = t.startedAt.Add(maxLeaseOutage)
+	if t.former.endedAt.IsZero() && now.Sub(t.startedAt) > t.cfg.LeaseOutage {
+		t.former.endedAt = t.startedAt.Add(t.cfg.LeaseOutage)
 	}
 	if !t.former.endedAt.IsZero() && status.Held && status.Epoch == t.epoch && len(status.Former) > 0 {
 		t.cfg.Lease.ForgetFormer(t.epoch)
--- a/internal/dispatch/losses.go
+++ b/internal/dispatch/losses.go
@@ -86,6 +86,7 @@
 	}
 	j := r.job
 	loss := batch.Loss{Lifetime: r.lifetime(), Presumed: evidence == lossLeaseExpired, Widespread: t.widespread(r)}
+	t.noteGivenUp(r, evidence)
 	t.removeRun(r)
 	changed := j.tracker.Lose(r.ref, loss, r.checkpoint, time.Now())
 	fields := []zap.Field{zap.Stringer("task", r.ref.TaskRef), zap.Int64("run", r.ref.Run), zap.String("worker", r.worker.info.ID), zap.String("evidence", evidence),
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -241,6 +241,7 @@
 			t.updateRun(known, r)
 			continue
 		}
+		t.reportAlive(w, r.Run, "")
 		t.log.Warn("Stopping a run that no job records.", zap.String("worker", w.info.ID), zap.Stringer("task", r.Run.TaskRef), zap.Int64("run", r.Run.Run))
 		t.sendStop(w, r.Run)
 	}
@@ -269,6 +270,7 @@
 		return
 	}
 	w.lastEnd = end.Number
+	t.reportAlive(w, end.Run, end.Reason)
 	a := &endAck{endNumber: end.Number, startedMs: w.info.StartedMs}
 	w.pendingAcks = append(w.pendingAcks, a)
 	j := t.jobs[end.Run.Job]
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -216,6 +216,7 @@
 	t.log.Info("Run dropped.", zap.Stringer("task", r.ref.TaskRef), zap.Int64("run", r.ref.Run), zap.String("worker", r.worker.info.ID), zap.String("reason", reason),
 		zap.Int64("lifetime_ms", r.lifetime().Milliseconds()))
 	t.scope.Counter("runs_given_up").Inc(1)
+	t.noteGivenUp(r, reason)
 	t.removeRun(r)
 	if r.job.tracker.Drop(r.ref, r.checkpoint) {
 		t.updateJobState(r.job)
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -41,6 +41,7 @@
 	finished      map[string]finishedJob               // jobs that need no more work
 	presumed      map[fleet.Incarnation][]presumedLoss // losses of unreachable workers
 	silences      map[string]silence                   // when workers last fell silent or restarted, by ID
+	givenUp       map[batch.RunRef]givenUpRun          // runs that were taken for gone
 	workers       map[string]*workerState
 	jobsListed    bool // a full listing of the jobs has been applied
 	workersListed bool // a full listing of the workers has been applied
@@ -66,6 +67,9 @@
 	lastPlanAt   time.Time
 	planDuration time.Duration
 	lastHeldAt   time.Time // when a tick last found the lease held
+	// lastExtension is when the lease of a worker was last extended.
+	lastExtension time.Time
+	outageLogged  bool // the current outage of the lease was logged
 }
 
 // jobState is a job and its progress as the term knows it.
@@ -124,10 +128,10 @@
 	now := time.Now()
 	d.maxFence = max(d.maxFence+1, status.Epoch<<fenceBits)
 	return &term{
-		Dispatcher: d, ctx: ctx, epoch: status.Epoch, startedAt: now, lastHeldAt: now, former: newFormerHolders(status.Former, now),
+		Dispatcher: d, ctx: ctx, epoch: status.Epoch, startedAt: now, lastHeldAt: now, former: newFormerHolders(status.Former, d.cfg.LeaseOutage, now),
 		events: make(chan func(), eventQueueSize), done: make(chan struct{}),
 		jobs: map[string]*jobState{}, earlyCancels: map[string]earlyCancel{}, finished: map[string]finishedJob{}, workers: map[string]*workerState{},
-		presumed: map[fleet.Incarnation][]presumedLoss{}, silences: map[string]silence{},
+		presumed: map[fleet.Incarnation][]presumedLoss{}, silences: map[string]silence{}, givenUp: map[batch.RunRef]givenUpRun{},
 		changedJobs: map[string]bool{},
 	}
 }
@@ -237,13 +241,17 @@
 	status := t.cfg.Lease.Status()
 	switch {
 	case status.Held:
-		t.lastHeldAt = now
+		t.lastHeldAt, t.outageLogged = now, false
 		t.resumeLease(status)
 	case status.Epoch > t.epoch+1, status.Epoch > t.epoch && status.Holder != t.cfg.Holder:
 		t.endReason = "lease acquired by another daemon"
-	case now.Sub(t.lastHeldAt) > maxLeaseOutage:
+	case now.Sub(t.lastHeldAt) > t.cfg.LeaseOutage:
 		t.endReason = "lease not renewed for too long"
 	}
+	if !status.Held && !t.outageLogged {
+		t.outageLogged = true
+		t.log.Warn("Lease not held; the leases of workers are still extended.", zap.Int64("epoch", t.epoch), zap.Duration("limit", t.cfg.LeaseOutage))
+	}
 	t.endFormerHolders(now, status)
 	for _, j := range t.jobs {
 		if !j.nextDue.IsZero() && !now.Before(j.nextDue) {
@@ -257,6 +265,7 @@
 	}
 	t.forgetFinished(now)
 	t.forgetLosses(now)
+	t.forgetGivenUp(now)
 	t.planNeeded = t.planNeeded || len(t.jobs) > 0
 }
 
--- a/internal/dispatch/workers.go
+++ b/internal/dispatch/workers.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -270,7 +272,10 @@
 // checkWorker polls a worker if a call is due, and drops its runs once their lease
 // has certainly expired.
 func (t *term) checkWorker(w *workerState, now time.Time) {
-	if len(w.runs) > 0 && w.misses > 0 && now.After(t.workerLeaseExpiry(w)) {
+	if expiry := t.workerLeaseExpiry(w); len(w.runs) > 0 && w.misses > 0 && now.After(expiry) {
+		t.log.Warn("Lease of an unreachable worker has expired.", zap.String("worker", w.info.ID), zap.Int("runs", len(w.runs)), zap.Bool("answered_this_term", w.fenced),
+			zap.Duration("since_last_answer", sinceOrZero(w.lastAnswered, now)), zap.Duration("expired_for", now.Sub(expiry)),
+			zap.Duration("term_age", now.Sub(t.startedAt)), zap.Strings("former_running", slices.Sorted(maps.Keys(t.former.running))))
 		t.loseRuns(w, lossLeaseExpired)
 		w.unread = true
 	}
@@ -330,6 +335,7 @@
 	if clock == 0 {
 		return 0
 	}
+	t.lastExtension = now
 	w.extendExpiry(t.longestLeaseEnd(now))
 	return clock + t.cfg.MaxWorkerLease.Milliseconds()
 }
@@ -348,3 +354,11 @@
 func (w *workerState) recordSuccess() {
 	w.failures = max(0, w.failures-1)
 }
+
+// sinceOrZero returns the time since a moment, or 0 if that is not set.
+func sinceOrZero(since, now time.Time) time.Duration {
+	if since.IsZero() {
+		return 0
+	}
+	return now.Sub(since)
+}
