Do not let a term act under a later lease of its own daemon

What callers would see: a task that another dispatcher has started is started a second time.

Cause: a dispatcher whose lease has expired keeps its term for 12 s, so that an outage of the store ends no work. If its daemon acquires the lease anew after another one has held and released it, the term learns of the later epoch at its next tick only, up to 100 ms later. Until then it planned from what it knew before, and its commits carried the new fence; on a conflict it took the version that the other dispatcher had stored for its own and wrote over it.

Change: planning, starts and commits ask whether the daemon holds the lease of this term's epoch (holdsLease, Lease.FenceOf), not whether it holds any.

--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -61,7 +61,11 @@
 	if len(t.changedJobs) == 0 && !countsChanged {
 		return
 	}
-	fence, held := t.cfg.Lease.FenceCondition()
+	if !t.holdsLease() {
+		return
+	}
+	epoch := t.epoch
+	fence, held := t.cfg.Lease.FenceOf(epoch)
 	if !held {
 		return
 	}
@@ -96,7 +100,7 @@
 			if countsChanged && result.Status == table.Committed {
 				t.storedCounts = counts
 			}
-			t.handleCommitResult(result, commit.jobs, versions, fence.Key)
+			t.handleCommitResult(result, commit.jobs, versions, fence.Key, epoch)
 		})
 	}()
 }
@@ -163,7 +167,8 @@
 	return versions
 }
 
-func (t *term) handleCommitResult(result table.CommitResult, jobs map[string]*jobCommit, versions map[string]int64, fence string) {
+// handleCommitResult applies the result of a commit under the fence of an epoch.
+func (t *term) handleCommitResult(result table.CommitResult, jobs map[string]*jobCommit, versions map[string]int64, fence string, epoch int64) {
 	if result.Status == table.Committed {
 		for id, part := range jobs {
 			t.handleStored(id, part, result.Version)
@@ -186,11 +191,9 @@
 		t.commitRetryAt = time.Now().Add(commitRetryDelay)
 		return
 	}
-	if slices.Contains(result.Conflicts, fence) {
-		if status := t.cfg.Lease.Status(); !status.Held || !t.resumeLease(status) {
-			t.endReason = "fenced by the store"
-			return
-		}
+	if slices.Contains(result.Conflicts, fence) && (!t.holdsLease() || t.epoch == epoch) {
+		t.endReason = "fenced by the store"
+		return
 	}
 	for key, version := range versions {
 		row := strings.TrimPrefix(key, ProgressPrefix)
@@ -294,7 +297,7 @@
 // deleteExpired deletes the rows of jobs whose retention time has passed. A later
 // tick repeats a failed attempt.
 func (t *term) deleteExpired(ids []string) {
-	fence, held := t.cfg.Lease.FenceCondition()
+	fence, held := t.cfg.Lease.FenceOf(t.epoch)
 	if !held || t.committing {
 		return
 	}
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -93,17 +93,17 @@
 	r.startAttempts++
 	task := &r.unit.Tasks[r.ref.Index]
 	start := fleet.Start{Run: r.ref, Spec: r.job.tracker.Job.Spec, Fence: r.fence, Deadline: workerDeadlineMs, Checkpoint: task.Checkpoint}
-	worker := r.worker.info
+	worker, epoch := r.worker.info, t.epoch
 	return &orderCall{
-		send:  func(ctx context.Context) fleet.Reply { return t.callStart(ctx, worker, start) },
+		send:  func(ctx context.Context) fleet.Reply { return t.callStart(ctx, epoch, worker, start) },
 		apply: func(reply fleet.Reply) { t.handleStartReply(r, reply, now) },
 	}
 }
 
-// callStart sends a start, unless the lease has expired while the process was paused. A
-// failure of the client itself leaves the outcome unknown.
-func (t *term) callStart(ctx context.Context, worker fleet.Worker, start fleet.Start) (reply fleet.Reply) {
-	if !t.cfg.Lease.Status().Held {
+// callStart sends a start, unless the lease of the epoch has expired while the process was
+// paused. A failure of the client itself leaves the outcome unknown.
+func (t *term) callStart(ctx context.Context, epoch int64, worker fleet.Worker, start fleet.Start) (reply fleet.Reply) {
+	if status := t.cfg.Lease.Status(); !status.Held || !continues(epoch, status.Epoch) {
 		return fleet.Reply{Outcome: fleet.NotSent}
 	}
 	reply.Outcome = fleet.Unanswered
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -91,7 +91,7 @@
 // startObstacle returns why a planned run may no longer be started, or "".
 func (t *term) startObstacle(r *run) string {
 	switch {
-	case !t.cfg.Lease.Status().Held:
+	case !t.holdsLease():
 		return "lease lost before the start"
 	case r.stopReason != "":
 		return r.stopReason
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -233,7 +233,7 @@
 
 // canStartWork reports whether new runs may be planned.
 func (t *term) canStartWork() bool {
-	return t.jobsListed && t.workersListed && t.cfg.Lease.Status().Held
+	return t.jobsListed && t.workersListed && t.holdsLease()
 }
 
 func (t *term) tick() {
@@ -269,23 +269,6 @@
 	t.planNeeded = t.planNeeded || len(t.jobs) > 0
 }
 
-// resumeLease continues the term if the lease expired during an outage and this
-// daemon has acquired it again, and reports whether it did. Each takeover raises the
-// epoch by one, so the next epoch means that no other daemon has held the lease in
-// between and the state of the term is still valid.
-func (t *term) resumeLease(status lease.Status) bool {
-	switch status.Epoch {
-	case t.epoch:
-		return false
-	case t.epoch + 1:
-		t.log.Info("Lease acquired again.", zap.Int64("epoch", status.Epoch))
-		t.epoch = status.Epoch
-		return true
-	}
-	t.endReason = "lease was held by another daemon in between"
-	return false
-}
-
 // follow posts the changes below a prefix and the failed reads to the event loop.
 func (t *term) follow(prefix string, minInterval time.Duration, handle func(table.Update)) {
 	follower := t.cfg.Follower
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -226,6 +226,14 @@
 	return l.fence, l.heldLocked()
 }
 
+// FenceOf is FenceCondition for the holder of one epoch. The lease does not count as held
+// by it once this process has acquired a later epoch.
+func (l *Lease) FenceOf(epoch int64) (table.Condition, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.fence, l.heldLocked() && l.row.Epoch == epoch
+}
+
 // Changed returns a channel that is closed when the lease is next acquired, lost or
 // released. It is not closed when the lease only expires; Status shows that.
 func (l *Lease) Changed() <-chan struct{} {
