Bound each extension of a worker's lease by the time without the own one

What callers would see: tasks run twice at a time. A dispatcher without its lease renews the leases of workers for 12 s; a successor that does not reach a worker gives up its runs one worker lease after that.

Change: each extension asks mayExtendLeases, which measures by the clock of the lease (CLOCK_BOOTTIME), and the term begins to count from a time at which the lease was certainly held. The time that the successor counts stays as it is: a suspension only makes it longer.

Tests of internal/dispatch (152 s beside other work) and lease pass.

--- a/internal/dispatch/authority.go
+++ b/internal/dispatch/authority.go
@@ -30,3 +30,20 @@
 // continues reports whether no other daemon has held the lease between two epochs of this
 // one. Each takeover raises the epoch by one.
 func continues(epoch, later int64) bool { return later == epoch || later == epoch+1 }
+
+// mayExtendLeases reports whether the term may extend the leases of workers: while it holds
+// its own lease, and for LeaseOutage after that. A successor counts on this bound, so it is
+// checked for each extension, by a clock that counts the time of a suspension.
+func (t *term) mayExtendLeases() bool {
+	now := t.cfg.Lease.Now()
+	switch {
+	case t.holdsLease():
+		t.lastHeldAt = now
+	case t.endReason != "":
+		return false
+	case now.Sub(t.lastHeldAt) > t.cfg.LeaseOutage:
+		t.endReason = "lease not renewed for too long"
+		return false
+	}
+	return true
+}
--- a/internal/dispatch/authority_test.go
+++ b/internal/dispatch/authority_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/samphirepath/samphirepath/api"
 	"github.com/samphirepath/samphirepath/internal/batch"
+	"github.com/samphirepath/samphirepath/internal/fleet"
 	"github.com/samphirepath/samphirepath/lease"
 	"github.com/samphirepath/samphirepath/table"
 )
@@ -24,7 +25,7 @@
 	}
 	g.Expect(l.Status().Held).To(gomega.BeTrue())
 	cfg.Store, cfg.Lease, cfg.Holder, cfg.Log = store, l, "a", zap.NewNop()
-	return newTerm(context.Background(), New(cfg), l.Status())
+	return newTerm(context.Background(), New(cfg), l.Status(), now())
 }
 
 // Guards against a task that is started a second time: a term stored what it knew from
@@ -59,3 +60,37 @@
 	g.Expect(term.committing).To(gomega.BeFalse())
 	g.Expect(term.endReason).To(gomega.Equal("lease was held by another daemon in between"))
 }
+
+// renewals counts the renewals of workers' leases.
+type renewals struct {
+	fleet.Client
+	sent chan fleet.LeaseRenewal
+}
+
+func (r renewals) RenewLease(_ context.Context, _ fleet.Worker, order fleet.LeaseRenewal) fleet.Report {
+	r.sent <- order
+	return fleet.Report{Reply: fleet.Reply{Outcome: fleet.Unanswered}}
+}
+
+// Guards against a run that is started a second time: the first tick after a pause noticed
+// that the term had been without its lease for too long, and renewed the leases of workers
+// all the same.
+func TestTickAfterAPauseExtendsNoLeaseOfAWorker(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Now()
+	client := renewals{sent: make(chan fleet.LeaseRenewal, 1)}
+	term := newLeasedTerm(g, table.NewMemory(), Config{Client: client, MaxWorkerLease: 6 * time.Second}, func() time.Time { return now })
+	w := term.newWorkerState(fleet.Worker{Incarnation: fleet.Incarnation{ID: "w", StartedMs: 1}})
+	w.clock, w.clockReadAt, w.lastAnswered = 1000, time.Now(), time.Now()
+	term.workers["w"] = w
+	w.runs[batch.RunRef{}] = &run{phase: phaseRunning, worker: w}
+	term.tick()
+	g.Eventually(client.sent).Should(gomega.Receive(gomega.HaveField("Deadline", gomega.BeNumerically(">", 1000))))
+
+	w.polling, w.nextCall = false, time.Time{}
+	now = now.Add(20 * time.Second)
+	term.lastHeldAt = term.lastHeldAt.Add(-20 * time.Second)
+	term.tick()
+	g.Expect(term.endReason).To(gomega.Equal("lease not renewed for too long"))
+	g.Consistently(client.sent).WithTimeout(50 * time.Millisecond).ShouldNot(gomega.Receive())
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -160,8 +160,9 @@
 // Run runs a term whenever this daemon holds the lease, until ctx ends.
 func (d *Dispatcher) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
+		now := d.cfg.Lease.Now()
 		if status := d.cfg.Lease.Status(); status.Held && status.Epoch >= d.minEpoch.Load() {
-			d.runTerm(ctx, status)
+			d.runTerm(ctx, status, now)
 			continue
 		}
 		select {
@@ -211,12 +212,12 @@
 	}
 }
 
-func (d *Dispatcher) runTerm(ctx context.Context, status lease.Status) {
+func (d *Dispatcher) runTerm(ctx context.Context, status lease.Status, heldAt time.Time) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	d.leading.Store(true)
 	defer d.leading.Store(false)
-	t := newTerm(ctx, d, status)
+	t := newTerm(ctx, d, status, heldAt)
 	d.current.Store(t)
 	defer close(t.done)
 	defer d.current.Store(nil)
@@ -226,7 +227,6 @@
 	}
 	d.log.Info("Term started.", zap.Int64("epoch", status.Epoch), zap.Strings("former", status.Former))
 	reason := t.run() //nolint:contextcheck // the term stores its context, because results of calls return through its event queue
-	now := time.Now()
 	d.log.Info("Term ended.", zap.Int64("epoch", status.Epoch), zap.String("reason", reason),
-		zap.Duration("since_lease", now.Sub(t.lastHeldAt)), zap.Duration("since_last_extension", sinceOrZero(t.lastExtension, now)))
+		zap.Duration("since_lease", d.cfg.Lease.Now().Sub(t.lastHeldAt)), zap.Duration("since_last_extension", sinceOrZero(t.lastExtension, time.Now())))
 }
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -66,7 +66,7 @@
 	planNeeded   bool
 	lastPlanAt   time.Time
 	planDuration time.Duration
-	lastHeldAt   time.Time // when a tick last found the lease held
+	lastHeldAt   time.Time // when the lease was last found held, by its clock
 	// lastExtension is when the lease of a worker was last extended.
 	lastExtension time.Time
 	outageLogged  bool // the current outage of the lease was logged
@@ -124,11 +124,12 @@
 	call     func()
 }
 
-func newTerm(ctx context.Context, d *Dispatcher, status lease.Status) *term {
+// newTerm returns a term under a lease that was held at a time of its clock.
+func newTerm(ctx context.Context, d *Dispatcher, status lease.Status, heldAt time.Time) *term {
 	now := time.Now()
 	d.maxFence = max(d.maxFence+1, status.Epoch<<fenceBits)
 	return &term{
-		Dispatcher: d, ctx: ctx, epoch: status.Epoch, startedAt: now, lastHeldAt: now, former: newFormerHolders(status.Former, d.cfg.LeaseOutage, now),
+		Dispatcher: d, ctx: ctx, epoch: status.Epoch, startedAt: now, lastHeldAt: heldAt, former: newFormerHolders(status.Former, d.cfg.LeaseOutage, now),
 		events: make(chan func(), eventQueueSize), done: make(chan struct{}),
 		jobs: map[string]*jobState{}, earlyCancels: map[string]earlyCancel{}, finished: map[string]finishedJob{}, workers: map[string]*workerState{},
 		presumed: map[fleet.Incarnation][]presumedLoss{}, silences: map[string]silence{}, givenUp: map[batch.RunRef]givenUpRun{},
@@ -239,19 +240,16 @@
 func (t *term) tick() {
 	now := time.Now()
 	status := t.cfg.Lease.Status()
-	switch {
-	case status.Held:
-		t.lastHeldAt, t.outageLogged = now, false
-		t.resumeLease(status)
-	case status.Epoch > t.epoch+1, status.Epoch > t.epoch && status.Holder != t.cfg.Holder:
+	if !status.Held && (status.Epoch > t.epoch+1 || status.Epoch > t.epoch && status.Holder != t.cfg.Holder) {
 		t.endReason = "lease acquired by another daemon"
-	case now.Sub(t.lastHeldAt) > t.cfg.LeaseOutage:
-		t.endReason = "lease not renewed for too long"
+	}
+	if !t.mayExtendLeases() {
+		return
 	}
 	if !status.Held && !t.outageLogged {
-		t.outageLogged = true
 		t.log.Warn("Lease not held; the leases of workers are still extended.", zap.Int64("epoch", t.epoch), zap.Duration("limit", t.cfg.LeaseOutage))
 	}
+	t.outageLogged = !status.Held
 	t.endFormerHolders(now, status)
 	for _, j := range t.jobs {
 		if !j.nextDue.IsZero() && !now.Before(j.nextDue) {
--- a/internal/dispatch/workers.go
+++ b/internal/dispatch/workers.go
@@ -329,10 +329,10 @@
 
 // extendLease returns the deadline of a new lease on the worker's clock in ms, and
 // records when that lease has certainly expired by this daemon's clock. It returns 0
-// if the worker's clock is not known.
+// if the worker's clock is not known or the term may extend no lease any more.
 func (t *term) extendLease(w *workerState, now time.Time) int64 {
 	clock := w.estimateClock(now)
-	if clock == 0 {
+	if clock == 0 || !t.mayExtendLeases() {
 		return 0
 	}
 	t.lastExtension = now
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -234,6 +234,10 @@
 	return l.fence, l.heldLocked() && l.row.Epoch == epoch
 }
 
+// Now returns the time by which the lease expires. It counts the time that the machine was
+// suspended, and is only comparable to other times that this Lease has returned.
+func (l *Lease) Now() time.Time { return l.cfg.Now() }
+
 // Changed returns a channel that is closed when the lease is next acquired, lost or
 // released. It is not closed when the lease only expires; Status shows that.
 func (l *Lease) Changed() <-chan struct{} {
