Stop no run as unknown before the jobs are listed

What callers would see: running work is stopped and starts anew after a change of dispatcher. A term that probes a worker whose entry is missing after a failed read, while the jobs are still being listed, found that no job records the runs there, and stopped them.

Change: runs are taken for unknown only once those of earlier terms have been adopted (runsAdopted).

Test: TestRunsAreNotUnknownBeforeTheJobsAreListed, which failed before (the stop was sent).

--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -241,6 +241,9 @@
 			t.updateRun(known, r)
 			continue
 		}
+		if !t.runsAdopted() {
+			continue // it may be one that an earlier term has recorded
+		}
 		t.reportAlive(w, r.Run, "")
 		t.log.Warn("Stopping a run that no job records.", zap.String("worker", w.info.ID), zap.Stringer("task", r.Run.TaskRef), zap.Int64("run", r.Run.Run))
 		t.sendStop(w, r.Run)
--- a/internal/dispatch/reports_test.go
+++ b/internal/dispatch/reports_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"github.com/samphirepath/samphirepath/internal/batch"
 	"github.com/samphirepath/samphirepath/internal/fleet"
+	"github.com/samphirepath/samphirepath/table"
 )
 
 func newTestTerm() *term {
@@ -49,3 +51,31 @@
 	justStarted := &run{step: &batch.Step{}, need: need, startedAt: now.Add(-300 * time.Millisecond)}
 	g.Expect(saving.evictionLoss(now)).To(gomega.BeNumerically("<", justStarted.evictionLoss(now)))
 }
+
+// stops records the runs that are to be stopped.
+type stops struct {
+	fleet.Client
+	sent chan batch.RunRef
+}
+
+func (c stops) Stop(_ context.Context, _ fleet.Worker, order fleet.Stop) fleet.Reply {
+	c.sent <- order.Run
+	return fleet.Reply{Outcome: fleet.Accepted}
+}
+
+// Guards against work that is stopped and starts anew: a new dispatcher that was asked
+// about a worker before it had listed the jobs took all runs there for unknown ones.
+func TestRunsAreNotUnknownBeforeTheJobsAreListed(t *testing.T) {
+	g := gomega.NewWithT(t)
+	client := stops{sent: make(chan batch.RunRef, 1)}
+	term := newLeasedTerm(g, table.NewMemory(), Config{Client: client}, time.Now)
+	w := term.newWorkerState(fleet.Worker{Incarnation: fleet.Incarnation{ID: "w", StartedMs: 1}})
+	ref := batch.RunRef{TaskRef: batch.TaskRef{Job: "j"}, Run: 1}
+	report := fleet.Report{Reply: fleet.Reply{Outcome: fleet.Accepted}, StartedMs: 1, Running: []fleet.RunStatus{{Run: ref}}}
+	term.handleReport(w, w.info, fleet.LeaseRenewal{}, time.Now(), report)
+	g.Consistently(client.sent).WithTimeout(50 * time.Millisecond).ShouldNot(gomega.Receive())
+
+	term.jobsListed, term.workersListed = true, true
+	term.handleReport(w, w.info, fleet.LeaseRenewal{}, time.Now(), report)
+	g.Eventually(client.sent).Should(gomega.Receive(gomega.Equal(ref)))
+}
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -287,10 +287,13 @@
 	t.sendStop(r.worker, r.ref)
 }
 
+// runsAdopted reports whether the term knows the runs that earlier terms have recorded.
+func (t *term) runsAdopted() bool { return t.jobsListed && t.workersListed }
+
 // adoptRuns takes over the runs recorded by earlier terms, once both the jobs and
 // the workers have been listed.
 func (t *term) adoptRuns() {
-	if !t.jobsListed || !t.workersListed {
+	if !t.runsAdopted() {
 		return
 	}
 	for _, j := range t.jobs {
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -234,7 +234,7 @@
 
 // canStartWork reports whether new runs may be planned.
 func (t *term) canStartWork() bool {
-	return t.jobsListed && t.workersListed && t.holdsLease()
+	return t.runsAdopted() && t.holdsLease()
 }
 
 func (t *term) tick() {
