Base leases on the least value that a worker's clock can have

What callers would see: a task runs twice at a time. The clock of a worker without runs is not read; the estimate ran at full rate, so that it was 2 % of the idle time ahead of a slow clock.

Change: the estimate counts the time since the last reading at the lowest rate of a clock, so no lease outlasts the bound. So that first leases do not become short and starts late, the clock of an idle worker is read every 2 minutes.

--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -60,15 +60,15 @@
 
 // needsCall reports whether a worker without runs is called: to acknowledge stored ends,
 // while it keeps ends that are not stored, which are lost if the worker is, to read ends
-// that nobody has read, and to see whether it still exists after an outage of the store.
-// It counts the calls for unread ends.
+// that nobody has read, or its clock, and to see whether it still exists after an outage of
+// the store. It counts the calls for unread ends and clocks.
 func (t *term) needsCall(w *workerState, now time.Time) bool {
 	switch {
 	case w.unproved(), w.ackedEnd != w.storedEnd:
 		return true
 	case len(w.pendingAcks) > 0:
 		return now.Sub(w.lastAnswered) >= unstoredEndsDelay
-	case w.unread && w.listed && t.canReadEnds() && t.unreadCalls < maxUnreadCalls:
+	case (w.unread || now.Sub(w.clockReadAt) > clockReadInterval) && w.listed && t.canReadEnds() && t.unreadCalls < maxUnreadCalls:
 		t.unreadCalls++
 		return true
 	}
--- a/internal/dispatch/workers.go
+++ b/internal/dispatch/workers.go
@@ -46,6 +46,9 @@
 	// reentryTime is how long workers may take to enter themselves again after an outage
 	// of the store: the 2 s that the platform allows, and a read of their entries.
 	reentryTime = 2200 * time.Millisecond
+	// clockReadInterval is the longest time for which the clock of an idle worker is not
+	// read. A reading of that age shortens the first lease by 2.4 s.
+	clockReadInterval = 2 * time.Minute
 	// leaseTransitTime covers the network round trip of a lease renewal.
 	leaseTransitTime = 200 * time.Millisecond
 	// minClockRate is the lowest rate of a worker's clock relative to real time.
@@ -318,13 +321,14 @@
 	}
 }
 
-// estimateClock returns the worker's clock in ms at the given time, or 0 if no
-// reading is known.
+// estimateClock returns the least value in ms that the worker's clock has at the given
+// time, or 0 if no reading is known. A deadline that is based on a higher one would give an
+// order that is carried out late a longer lease than longestLeaseEnd allows for.
 func (w *workerState) estimateClock(now time.Time) int64 {
 	if w.clockReadAt.IsZero() {
 		return 0
 	}
-	return w.clock + now.Sub(w.clockReadAt).Milliseconds()
+	return w.clock + int64(minClockRate*float64(now.Sub(w.clockReadAt).Milliseconds()))
 }
 
 // extendLease returns the deadline of a new lease on the worker's clock in ms, and
