Wait for late starts when a worker has restarted

What callers would see: a task runs twice at a time. An order that was not answered may be carried out seconds later, also by the next incarnation of its worker, which has seen no fence and whose clock makes the deadline longer than a lease. Two places did not allow for that: - A worker that had restarted without runs was not called before its next task, so that it saw no fence. If a start was unanswered at the restart, the dispatcher now waits for the time in which it may be carried out (12 s) and a lease.

Tests, both failed before: TestRestartedWorkerIsCalledWithTheRaisedFence, TestRestartWithAnUnansweredStartExtendsTheWaitForItsLease. What remains: a start that is carried out between the restart and the first call, after its run was given up on the answer of the earlier incarnation; no field of an order names an incarnation.

--- a/internal/dispatch/workers.go
+++ b/internal/dispatch/workers.go
@@ -51,6 +51,9 @@
 	clockReadInterval = 2 * time.Minute
 	// leaseTransitTime covers the network round trip of a lease renewal.
 	leaseTransitTime = 200 * time.Millisecond
+	// lateOrderTime is how long after an order that was not answered the platform may carry
+	// it out. The next incarnation of a worker, which has seen no fence, may do so too.
+	lateOrderTime = 12 * time.Second
 	// minClockRate is the lowest rate of a worker's clock relative to real time.
 	minClockRate = 0.98
 	// suspectAfterFirst and suspectAfterRepeated are how long a worker is the last
@@ -255,11 +258,17 @@
 	w.lastEnd, w.storedEnd, w.ackedEnd, w.pendingAcks = 0, 0, 0, nil
 	w.clock, w.clockReadAt = clock, now
 	w.failures, w.suspectUntil = 0, time.Time{}
-	w.fenced = false
+	// A call makes the new incarnation reject what was sent to the earlier one and may be
+	// carried out late.
+	w.fenced, w.unread = false, true
 	for _, r := range w.runs {
-		if r.phase != phaseCommitting {
-			r.phase = phaseUnknown
+		if r.phase == phaseCommitting {
+			continue
+		}
+		if r.confirmedAt.IsZero() {
+			w.extendExpiry(t.longestLeaseEnd(now.Add(lateOrderTime)))
 		}
+		r.phase = phaseUnknown
 	}
 	t.raiseFence(w)
 }
--- a/internal/dispatch/workers_test.go
+++ b/internal/dispatch/workers_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/onsi/gomega"
 
+	"github.com/samphirepath/samphirepath/internal/batch"
 	"github.com/samphirepath/samphirepath/internal/fleet"
 	"github.com/samphirepath/samphirepath/table"
 )
@@ -37,3 +38,41 @@
 	g.Expect(term.needsCall(w, now)).To(gomega.BeFalse())
 	g.Expect(term.needsCall(w, now.Add(2*time.Minute))).To(gomega.BeTrue())
 }
+
+// Guards against a run that is started a second time: a worker that had restarted was not
+// called before it got its next task, so that it had seen no fence and carried out a start
+// that was sent to its earlier incarnation.
+func TestRestartedWorkerIsCalledWithTheRaisedFence(t *testing.T) {
+	g := gomega.NewWithT(t)
+	client := renewals{sent: make(chan fleet.LeaseRenewal, 1)}
+	term := newLeasedTerm(g, table.NewMemory(), Config{Client: client}, time.Now)
+	term.jobsListed, term.workersListed = true, true
+	worker := fleet.Worker{Incarnation: fleet.Incarnation{ID: "w", StartedMs: 1}, Clock: 1}
+	term.updateWorker(worker, 1, time.Now())
+	w := term.workers["w"]
+	w.unread = false
+	fence := w.fence
+	worker.StartedMs = 2
+	term.updateWorker(worker, 2, time.Now())
+	term.tick()
+	g.Eventually(client.sent).Should(gomega.Receive(gomega.HaveField("Fence", gomega.BeNumerically(">", fence))))
+}
+
+// Guards against a run that is started a second time: the next incarnation of a worker may
+// carry out a start that was sent to the one before, and has a whole lease from then on.
+func TestRestartWithAnUnansweredStartExtendsTheWaitForItsLease(t *testing.T) {
+	g := gomega.NewWithT(t)
+	term := newLeasedTerm(g, table.NewMemory(), Config{MaxWorkerLease: 6 * time.Second}, time.Now)
+	for _, confirmed := range []bool{true, false} {
+		w := term.newWorkerState(fleet.Worker{Incarnation: fleet.Incarnation{ID: "w", StartedMs: 1}})
+		r := &run{phase: phaseStarting, worker: w}
+		if confirmed {
+			r.phase, r.confirmedAt = phaseRunning, time.Now()
+		}
+		w.runs[batch.RunRef{}] = r
+		w.leaseExpiresAt = time.Now()
+		now := time.Now()
+		term.resetWorker(w, 2, 1, now)
+		g.Expect(w.leaseExpiresAt.After(now.Add(lateOrderTime + 6*time.Second))).To(gomega.Equal(!confirmed))
+	}
+}
