Ignore a listing from before the deletion of a job

What callers would see: a job that was done 2 minutes ago runs again. When the history of the store is lost, the jobs are listed anew. If the rows of a finished job were deleted between the reading of its partition and the arrival of the listing, the term took it for a new job without progress.

Change: the term remembers for a minute the version at which it deleted a job, and ignores older rows.

Test: TestListingFromBeforeTheDeletionOfAJobDoesNotAddIt, failed before (the job was added).

--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -313,9 +313,13 @@
 		defer cancel()
 		// The job rows are deleted first: progress without a job is ignored, but a job
 		// without progress would run again.
-		deleted := t.deleteJobs(ctx, ids, stalled) && t.cfg.Store.Commit(ctx, []table.Condition{fence}, progress).Status == table.Committed
+		versions, deleted := t.deleteJobs(ctx, ids, stalled)
+		deleted = deleted && t.cfg.Store.Commit(ctx, []table.Condition{fence}, progress).Status == table.Committed
 		t.post(func() {
 			t.committing = false
+			for id, version := range versions {
+				t.deleted[id] = deletedJob{version: version, at: time.Now()}
+			}
 			if !deleted {
 				return
 			}
@@ -327,17 +331,21 @@
 	}()
 }
 
-// deleteJobs deletes the rows of jobs and reports whether it deleted all. It uses one
-// commit for each job because the jobs may be in different partitions of the store.
-func (t *term) deleteJobs(ctx context.Context, ids []string, stalled map[string]bool) bool {
+// deleteJobs deletes the rows of jobs. It returns the versions of the commits that deleted
+// them by job, and whether it deleted all. It uses one commit for each job because the jobs
+// may be in different partitions of the store.
+func (t *term) deleteJobs(ctx context.Context, ids []string, stalled map[string]bool) (versions map[string]int64, all bool) {
+	versions = map[string]int64{}
 	for _, id := range ids {
 		writes := []table.Write{{Key: JobsPrefix + id, Delete: true}, {Key: JobsPrefix + id + CancelSuffix, Delete: true}}
-		if t.cfg.Store.Commit(ctx, nil, writes).Status != table.Committed {
-			return false
+		result := t.cfg.Store.Commit(ctx, nil, writes)
+		if result.Status != table.Committed {
+			return versions, false
 		}
+		versions[id] = result.Version
 		if stalled[id] && t.cfg.Store.Commit(ctx, nil, []table.Write{{Key: StallsPrefix + id, Delete: true}}).Status != table.Committed {
-			return false
+			return versions, false
 		}
 	}
-	return true
+	return versions, true
 }
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -39,6 +40,7 @@
 	jobs          map[string]*jobState
 	earlyCancels  map[string]earlyCancel               // cancellations of unknown jobs
 	finished      map[string]finishedJob               // jobs that need no more work
+	deleted       map[string]deletedJob                // jobs whose rows were deleted a short time ago
 	presumed      map[fleet.Incarnation][]presumedLoss // losses of unreachable workers
 	silences      map[string]silence                   // when workers last fell silent or restarted, by ID
 	givenUp       map[batch.RunRef]givenUpRun          // runs that were taken for gone
@@ -112,6 +114,16 @@
 	endedAt time.Time
 }
 
+// deletedJob is a job whose rows were deleted by a commit. A listing that was read before
+// may arrive later.
+type deletedJob struct {
+	version int64
+	at      time.Time
+}
+
+// deletedRetention is several times the longest listing of the jobs.
+const deletedRetention = time.Minute
+
 // unitKey identifies a unit of a job: one step of one occurrence.
 type unitKey struct {
 	occurrence int64
@@ -131,7 +143,7 @@
 	return &term{
 		Dispatcher: d, ctx: ctx, epoch: status.Epoch, startedAt: now, lastHeldAt: heldAt, former: newFormerHolders(status.Former, d.cfg.LeaseOutage, now),
 		events: make(chan func(), eventQueueSize), done: make(chan struct{}),
-		jobs: map[string]*jobState{}, earlyCancels: map[string]earlyCancel{}, finished: map[string]finishedJob{}, workers: map[string]*workerState{},
+		jobs: map[string]*jobState{}, earlyCancels: map[string]earlyCancel{}, finished: map[string]finishedJob{}, deleted: map[string]deletedJob{}, workers: map[string]*workerState{},
 		presumed: map[fleet.Incarnation][]presumedLoss{}, silences: map[string]silence{}, givenUp: map[batch.RunRef]givenUpRun{},
 		changedJobs: map[string]bool{},
 	}
@@ -327,7 +339,7 @@
 	if _, known := t.jobs[id]; known {
 		return
 	}
-	if _, known := t.finished[id]; known {
+	if _, known := t.finished[id]; known || row.Version < t.deleted[id].version {
 		return
 	}
 	job, err := batch.DecodeJob(row.Value)
@@ -402,6 +414,7 @@
 		}
 	}
 	t.forgetEarlyCancels(now)
+	maps.DeleteFunc(t.deleted, func(_ string, d deletedJob) bool { return now.Sub(d.at) > deletedRetention })
 	var expired []string
 	for id, finished := range t.finished {
 		if now.Sub(finished.endedAt) > t.cfg.FinishedRetention && len(expired) < maxExpiredJobs {
