--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -221,7 +221,7 @@
 	d.current.Store(t)
 	defer close(t.done)
 	defer d.current.Store(nil)
-	go t.watchProgress() //nolint:contextcheck // as t.run
+	go t.watchProgress(status.Epoch) //nolint:contextcheck // as t.run
 	if status.Epoch < d.minEpoch.Load() {
 		return
 	}
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -86,7 +86,7 @@
 	now := time.Now()
 	workerDeadlineMs := t.extendLease(r.worker, now)
 	if workerDeadlineMs == 0 {
-		t.dropRun(r, "clock of the worker is not known")
+		t.dropRun(r, "no lease can be given to the worker")
 		return nil
 	}
 	r.phase, r.fence, r.startedAt, r.incarnation = phaseStarting, r.worker.fence, now, r.worker.info.StartedMs
--- a/internal/dispatch/stall.go
+++ b/internal/dispatch/stall.go
@@ -40,7 +40,7 @@
 }
 
 // watchProgress records the job on which the term stalls, until the term ends.
-func (t *term) watchProgress() {
+func (t *term) watchProgress(epoch int64) {
 	ticker := time.NewTicker(t.cfg.StallLimit / stallChecks)
 	defer ticker.Stop()
 	for {
@@ -59,7 +59,7 @@
 			job = *planning
 		}
 		t.scope.Counter("terms_stalled").Inc(1)
-		t.log.Error("Term makes no progress; its lease is not renewed.", zap.Int64("epoch", t.epoch), zap.String("job", job), zap.Duration("limit", t.cfg.StallLimit))
+		t.log.Error("Term makes no progress; its lease is not renewed.", zap.Int64("epoch", epoch), zap.String("job", job), zap.Duration("limit", t.cfg.StallLimit))
 		if job != "" {
 			t.recordStall(job)
 		}
--- a/internal/standinfleet/worker.go
+++ b/internal/standinfleet/worker.go
@@ -117,7 +117,10 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.endAllRuns()
-	w.ID, w.down = id, false
+	if w.ID != id { // callers read it without the lock
+		w.ID = id
+	}
+	w.down = false
 	w.startedAt, w.fence, w.leaseEndMs, w.endCount, w.unackedEnds = time.Now(), 0, 0, 0, nil
 	w.running, w.highestRuns = map[RunKey]activeRun{}, map[string]int64{}
 	w.changed = make(chan struct{})
