Let the soak cut zones off from each other

The links of the soak were the same for all callers, so it could not show a dispatcher that is cut off together with the workers of its zone.

- A daemon reads the addresses of workers and peers in other zones as those of fault proxies for its own zone: the stand-in store serves rows through a view.
- A worker that restarts resets its connections.
Calls that a silent link held reached the next incarnation up to 18 s later, which no TCP connection does.
- The report says when its timeline starts.

--- a/internal/standinfleet/store.go
+++ b/internal/standinfleet/store.go
@@ -123,8 +123,16 @@
 	s.changed = make(chan struct{})
 }
 
+// View returns the value of a row as a caller reads it.
+type View func(table string, value []byte) []byte
+
 // ServeHTTP serves one call.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.ServeView(w, r, func(_ string, value []byte) []byte { return value })
+}
+
+// ServeView serves one call of a caller that reads the rows through a view.
+func (s *Store) ServeView(w http.ResponseWriter, r *http.Request, view View) {
 	s.mu.Lock()
 	s.Requests++
 	fault := NoFault
@@ -147,17 +155,17 @@
 	}
 	switch r.Method + " " + r.URL.Path {
 	case "POST /rows-tx":
-		s.serveTransaction(w, r, fault != NoFault)
+		s.serveTransaction(w, r, fault != NoFault, view)
 	case "GET /rows-get":
-		s.serveGet(w, r)
+		s.serveGet(w, r, view)
 	case "GET /rows-feed":
-		s.serveFeed(w, r)
+		s.serveFeed(w, r, view)
 	default:
 		w.WriteHeader(http.StatusNotFound)
 	}
 }
 
-func (s *Store) serveTransaction(w http.ResponseWriter, r *http.Request, loseAnswer bool) {
+func (s *Store) serveTransaction(w http.ResponseWriter, r *http.Request, loseAnswer bool, view View) {
 	var tx struct {
 		Conditions []wireRow `json:"expected_rev"`
 		Writes     []wireRow `json:"puts"`
@@ -168,14 +176,14 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	status, answer := s.applyTransaction(tx.Conditions, tx.Writes, tx.Deletions)
+	status, answer := s.applyTransaction(tx.Conditions, tx.Writes, tx.Deletions, view)
 	if loseAnswer {
 		panic(http.ErrAbortHandler)
 	}
 	writeAnswer(w, status, answer)
 }
 
-func (s *Store) applyTransaction(conditions, writes, deletions []wireRow) (int, map[string]any) {
+func (s *Store) applyTransaction(conditions, writes, deletions []wireRow, view View) (int, map[string]any) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	partitions := map[string]bool{}
@@ -201,7 +209,7 @@
 			version = 0
 		}
 		if version != 0 {
-			current = append(current, wireRow{Table: c.Table, Partition: c.Partition, Key: c.Key, Value: row.value, Version: version})
+			current = append(current, wireRow{Table: c.Table, Partition: c.Partition, Key: c.Key, Value: view(c.Table, row.value), Version: version})
 		}
 		conditionsHold = conditionsHold && version == c.Version
 	}
@@ -222,7 +230,7 @@
 	return http.StatusOK, map[string]any{"ver": s.version}
 }
 
-func (s *Store) serveGet(w http.ResponseWriter, r *http.Request) {
+func (s *Store) serveGet(w http.ResponseWriter, r *http.Request, view View) {
 	q := r.URL.Query()
 	limit := maxRowsPerAnswer
 	if n, err := strconv.Atoi(q.Get("limit")); err == nil {
@@ -233,7 +241,7 @@
 	for key, row := range s.rows {
 		if key.table == q.Get("table") && key.partition == q.Get("part") && key.key >= q.Get("from") && !row.deleted &&
 			(q.Get("target") == "" || key.key < q.Get("target")) {
-			rows = append(rows, wireRow{Table: key.table, Partition: key.partition, Key: key.key, Value: row.value, Version: row.version})
+			rows = append(rows, wireRow{Table: key.table, Partition: key.partition, Key: key.key, Value: view(key.table, row.value), Version: row.version})
 		}
 	}
 	version := s.version
@@ -243,7 +251,7 @@
 	writeAnswer(w, http.StatusOK, map[string]any{"rows": rows[:min(len(rows), limit)], "has_more": more, "ver": version})
 }
 
-func (s *Store) serveFeed(w http.ResponseWriter, r *http.Request) {
+func (s *Store) serveFeed(w http.ResponseWriter, r *http.Request, view View) {
 	q := r.URL.Query()
 	after, _ := strconv.ParseInt(q.Get("after"), 10, 64)
 	wait, _ := strconv.Atoi(q.Get("wait_ms"))
@@ -252,7 +260,7 @@
 	for timedOut := false; ; {
 		s.mu.Lock()
 		historyLost, version, changed := after < s.oldestVersion, s.version, s.changed
-		rows := s.changedRows(q.Get("table"), after)
+		rows := s.changedRows(q.Get("table"), after, view)
 		s.mu.Unlock()
 		if historyLost {
 			w.WriteHeader(http.StatusGone)
@@ -272,11 +280,11 @@
 	}
 }
 
-func (s *Store) changedRows(table string, after int64) []wireRow {
+func (s *Store) changedRows(table string, after int64, view View) []wireRow {
 	rows := []wireRow{}
 	for key, row := range s.rows {
 		if key.table == table && row.version > after {
-			rows = append(rows, wireRow{Table: key.table, Partition: key.partition, Key: key.key, Value: row.value, Version: row.version, Deleted: row.deleted})
+			rows = append(rows, wireRow{Table: key.table, Partition: key.partition, Key: key.key, Value: view(key.table, row.value), Version: row.version, Deleted: row.deleted})
 		}
 	}
 	sort.Slice(rows, func(i, j int) bool { return rows[i].Version < rows[j].Version })
--- a/test/soak/cluster.go
+++ b/test/soak/cluster.go
@@ -15,6 +15,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/samphirepath/samphirepath/api"
 	"github.com/samphirepath/samphirepath/internal/standinfleet"
 	"github.com/samphirepath/samphirepath/test/faultproxy"
 )
@@ -60,6 +61,7 @@
 	storeFaults callFaults
 	daemons     []*daemon
 	workers     []*worker
+	endpoints   map[string]*endpoint // by their addresses and those of their proxies
 	// crashingJobs counts the faults during which callers submit jobs that crash workers.
 	crashingJobs atomic.Int32
 	edgeJobs     atomic.Int32 // counts the faults during which callers submit jobs of edge sizes
@@ -74,7 +76,7 @@
 	if err != nil {
 		return nil, err
 	}
-	cl := &cluster{scenario: s, daemonPath: daemonPath, settingsDir: dir, store: standinfleet.NewStore()}
+	cl := &cluster{scenario: s, daemonPath: daemonPath, settingsDir: dir, store: standinfleet.NewStore(), endpoints: map[string]*endpoint{}}
 	cl.store.SetFault(cl.storeFaults.draw)
 	cl.writeConfiguration()
 	for i := range s.workers {
@@ -156,22 +158,30 @@
 // answer, until the returned function is called.
 func (cl *cluster) losePower(zone string) (restore func()) {
 	heals := []func(){cl.storeFaults.add(standinfleet.NoAnswer, 1)}
-	for i, d := range cl.daemons {
-		if cl.zone(i) == zone {
-			d.kill()
-			heals = append(heals, d.allowStart)
-		}
+	for _, d := range cl.daemonsOf(zone) {
+		d.kill()
+		heals = append(heals, d.allowStart)
 	}
-	for _, w := range cl.workers {
-		if w.zone == zone {
-			heals = append(heals, w.crash())
-		}
+	for _, w := range cl.workersOf(zone) {
+		heals = append(heals, w.crash())
 	}
-	return func() {
-		for _, heal := range heals {
-			heal()
+	return func() { healAll(heals) }
+}
+
+// pauseDispatcher pauses the daemon that holds the leader lease until the returned function
+// is called.
+func (cl *cluster) pauseDispatcher() (resume func()) {
+	var row api.PlannerLease
+	value, found := cl.store.Value("leader", "control", "lease")
+	if !found || json.Unmarshal(value, &row) != nil {
+		return func() {}
+	}
+	for _, d := range cl.daemons {
+		if d.name == row.Holder {
+			return d.pause()
 		}
 	}
+	return func() {}
 }
 
 // run runs the proxies, workers and daemons until ctx ends.
@@ -181,6 +191,13 @@
 		group.Go(func() error { return w.link.proxy.Run(ctx) })
 		group.Go(func() error { return w.heartbeat(ctx) })
 	}
+	for address, e := range cl.endpoints {
+		for _, link := range e.crossings {
+			if address == e.address {
+				group.Go(func() error { return link.proxy.Run(ctx) })
+			}
+		}
+	}
 	for _, d := range cl.daemons {
 		group.Go(func() error { return d.storeProxy.Run(ctx) })
 		group.Go(func() error { return d.supervise(ctx) })
@@ -208,12 +225,15 @@
 	rack    string
 	server  *httptest.Server
 	link    *linkFaults
-	faults  callFaults
+	// endpoint is the address of link.
+	endpoint *endpoint
+	faults   callFaults
 
 	mu            sync.Mutex
 	downCount     int       // crashes after which it has not been restarted
 	drainCount    int       // drains that have not ended
 	corruptCount  int       // faults that corrupt its entry
+	cutCount      int       // faults that cut it off from the store
 	lastHeartbeat time.Time // time of the last write to the store
 }
 
@@ -226,7 +246,7 @@
 	w.AfterCrash = func() {
 		w.add(&w.downCount, 1)
 		time.Sleep(crashDowntime)
-		w.Restart()
+		w.restart()
 		w.add(&w.downCount, -1)
 		w.writeEntry()
 	}
@@ -238,7 +258,11 @@
 		w.ServeHTTP(out, r)
 	}))
 	proxy, err := faultproxy.New(faultproxy.Config{Target: strings.TrimPrefix(w.server.URL, "http://")})
+	if err != nil {
+		return nil, err
+	}
 	w.link = &linkFaults{proxy: proxy}
+	w.endpoint, err = cl.addEndpoint(w.zone, proxy.Address())
 	return w, err
 }
 
@@ -248,13 +272,20 @@
 	return w.downCount > 0
 }
 
+// restart starts a new incarnation of the worker. The connections of the earlier one end,
+// so that a call that is held on one of them does not reach the new incarnation.
+func (w *worker) restart() {
+	w.link.proxy.ResetConnections()
+	w.Restart()
+}
+
 // crash simulates a crash: the worker loses its tasks and stays down until the returned
 // function is called.
 func (w *worker) crash() (restart func()) {
 	w.add(&w.downCount, 1)
-	w.Restart()
+	w.restart()
 	return func() {
-		w.Restart()
+		w.restart()
 		w.add(&w.downCount, -1)
 		w.writeEntry()
 	}
@@ -276,7 +307,7 @@
 	w.add(&w.drainCount, 1)
 	w.writeEntry()
 	return func() {
-		w.Restart()
+		w.restart()
 		w.add(&w.drainCount, -1)
 		w.writeEntry()
 	}
@@ -316,12 +347,13 @@
 	}
 }
 
-// writeEntry writes the entry of the worker to the store. While the worker is down or a
-// fault affects every call to the store, it instead removes the entry if it has expired.
+// writeEntry writes the entry of the worker to the store. While the worker is down or
+// cut off from the store, or a fault affects every call to the store, it instead removes the
+// entry if it has expired.
 func (w *worker) writeEntry() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.downCount > 0 || w.cluster.storeFaults.affectsAll() {
+	if w.downCount > 0 || w.cutCount > 0 || w.cluster.storeFaults.affectsAll() {
 		if time.Since(w.lastHeartbeat) > entryExpiry {
 			w.cluster.store.Remove("servers", "", w.ID)
 		}
--- a/test/soak/daemon.go
+++ b/test/soak/daemon.go
@@ -30,6 +30,7 @@
 	portFront     = 21000
 	portReady     = 21001
 	firstPeerPort = 21002 // first port of the range for peer connections
+	peerPort      = 21003 // port of the range that daemons announce to each other
 )
 
 // daemon is a samphirepathd process that is restarted when it ends, with its link to the
@@ -37,6 +38,7 @@
 type daemon struct {
 	cluster      *cluster
 	name         string
+	zone         string
 	ip           string
 	server       *httptest.Server // the store, as seen by this daemon
 	storeProxy   *faultproxy.Proxy
@@ -62,18 +64,22 @@
 }
 
 func newDaemon(cl *cluster, i int) (*daemon, error) {
-	d := &daemon{cluster: cl, name: fmt.Sprintf("edge-%d", i), ip: nextIP()}
+	d := &daemon{cluster: cl, name: fmt.Sprintf("edge-%d", i), zone: cl.zone(i), ip: nextIP()}
+	view := cl.viewFrom(d.zone)
 	d.server = httptest.NewServer(http.HandlerFunc(func(out http.ResponseWriter, r *http.Request) {
 		if d.refusalCount.Load() > 0 {
 			out.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		cl.store.ServeHTTP(out, r)
+		cl.store.ServeView(out, r, view)
 	}))
 	proxy, err := faultproxy.New(faultproxy.Config{Target: strings.TrimPrefix(d.server.URL, "http://")})
 	if err != nil {
 		return nil, err
 	}
+	if _, err := cl.addEndpoint(d.zone, fmt.Sprintf("%s:%d", d.ip, peerPort)); err != nil {
+		return nil, err
+	}
 	d.storeProxy, d.storeLink = proxy, &linkFaults{proxy: proxy}
 	settings := fmt.Sprintf(`node=%s
 ip=%s
@@ -90,7 +96,7 @@
 orders=rpc
 platform.address=%s
 platform.form=table
-`, d.name, d.ip, cl.zone(i), d.ip, portFront, d.ip, portReady, firstPeerPort, firstPeerPort+13, int(gracePeriod/time.Second), proxy.Address())
+`, d.name, d.ip, d.zone, d.ip, portFront, d.ip, portReady, firstPeerPort, firstPeerPort+13, int(gracePeriod/time.Second), proxy.Address())
 	return d, os.WriteFile(cl.settingsFile(d.name), []byte(settings), 0o600)
 }
 
--- a/test/soak/report.go
+++ b/test/soak/report.go
@@ -20,6 +20,7 @@
 type report struct {
 	scenario
 	violations []string
+	start      time.Time // time of second 0 of the timeline
 	perSecond  []secondCounts
 	jobs       int
 	startCount int // number of starts of tasks
@@ -80,7 +81,7 @@
 }
 
 func (cl *cluster) report(c *callers, check *checker) report {
-	r := report{scenario: cl.scenario, perSecond: c.perSecond, jobs: len(c.allJobs()), logs: map[string]string{}}
+	r := report{scenario: cl.scenario, start: c.start, perSecond: c.perSecond, jobs: len(c.allJobs()), logs: map[string]string{}}
 	cl.mu.Lock()
 	r.violations = cl.violations
 	cl.mu.Unlock()
@@ -120,6 +121,7 @@
 	for _, v := range r.violations {
 		fmt.Fprintf(&text, "  violation: %s\n", v)
 	}
+	fmt.Fprintf(&text, "  second 0 is %s\n", formatTime(r.start))
 	for n, s := range r.perSecond {
 		bar := strings.Repeat("#", s.accepted) + strings.Repeat("-", s.refused) + strings.Repeat("?", s.unanswered)
 		var active []string
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"testing"
 	"time"
 
@@ -47,6 +48,24 @@
 	gomega.Expect(newScenario(8, len(faultKinds), o).faults).NotTo(gomega.HaveLen(len(first.faults)))
 })
 
+// Guards against daemons that reach other zones past the proxies, which no cut affects, or
+// that read their own announcement changed and write it again.
+var _ = ginkgo.It("gives daemons the addresses of proxies for their zone", func() {
+	cl := &cluster{scenario: scenario{zones: 3}, endpoints: map[string]*endpoint{}}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	defer listener.Close()
+	e, err := cl.addEndpoint("zone-1", listener.Addr().String())
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	other := e.crossings["zone-2"].proxy.Address()
+	gomega.Expect(other).To(gomega.HaveLen(len(e.address)))
+	for _, table := range []string{"servers", "daemons", "progress"} {
+		gomega.Expect(cl.viewFrom("zone-2")(table, []byte("x"+e.address+"x"))).To(gomega.BeEquivalentTo("x" + other + "x"))
+		gomega.Expect(cl.viewFrom("zone-1")(table, []byte(other))).To(gomega.BeEquivalentTo(e.address))
+	}
+	gomega.Expect(cl.viewFrom("zone-2")("servers", []byte("127.0.0.1:99999"))).To(gomega.BeEquivalentTo("127.0.0.1:99999"))
+})
+
 var startTime = time.Date(2026, 12, 4, 10, 0, 0, 0, time.UTC)
 
 // record returns a run of a task with its start and end in seconds after startTime. A run
