Let the soak draw large fleets in some long runs

An eighth of the runs of 20 s and more have 12 to 24 daemons and 30 to 60 workers in three zones, from a stream of random numbers of its own.

--- a/test/soak/scenario.go
+++ b/test/soak/scenario.go
@@ -19,6 +19,18 @@
 	meanFaultInterval = 2 * time.Second
 	// immediateShare is the share of faults that start together with the one before.
 	immediateShare = 0.25
+
+	// Some long runs have a large fleet in three zones, which is drawn from a stream of its
+	// own: seeds that were recorded with fewer kinds of faults draw the same as before.
+	largeFleetShare    = 0.125
+	largeFleetKinds    = 40
+	largeFleetDuration = 20 * time.Second
+	largeFleetStream   = 1 << 32
+	largeFleetDaemons  = 12 // and more are a large fleet
+	maxZones           = 3
+	maxDaemons         = 24
+	largeFleetWorkers  = 30
+	maxWorkers         = 60
 )
 
 // scenario is the size of the cluster and the faults that a seed determines.
@@ -47,15 +59,23 @@
 func newScenario(seed uint64, kinds int, o options) scenario {
 	random := rand.New(rand.NewPCG(seed, 1))
 	s := scenario{
-		seed: seed, duration: o.Duration, zones: 1 + random.IntN(3), daemons: 2 + random.IntN(5),
+		seed: seed, duration: o.Duration, zones: 1 + random.IntN(maxZones), daemons: 2 + random.IntN(5),
 		workers: 3 + random.IntN(8),
 	}
+	sizes := rand.New(rand.NewPCG(seed, largeFleetStream))
+	if kinds >= largeFleetKinds && s.duration >= largeFleetDuration && sizes.Float64() < largeFleetShare {
+		s.daemons = largeFleetDaemons + sizes.IntN(maxDaemons-largeFleetDaemons+1)
+		s.workers = largeFleetWorkers + sizes.IntN(maxWorkers-largeFleetWorkers+1)
+	}
 	if o.Daemons > 0 {
 		s.daemons = o.Daemons
 	}
 	if o.Workers > 0 {
 		s.workers = o.Workers
 	}
+	if kinds >= largeFleetKinds && s.daemons >= largeFleetDaemons {
+		s.zones = maxZones
+	}
 	// A caller submits about 2 jobs per second, each of which uses about 3
 	// accelerator-seconds, and a worker has 8 accelerators: without faults, about half of
 	// the accelerators are in use.
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -48,6 +48,22 @@
 	gomega.Expect(newScenario(8, len(faultKinds), o).faults).NotTo(gomega.HaveLen(len(first.faults)))
 })
 
+// Guards against recorded seeds that draw the sizes of later versions, and against sizes that
+// no seed draws.
+var _ = ginkgo.It("draws large fleets for some long runs with the current kinds of faults", func() {
+	large := func(kinds int, duration time.Duration) (count int) {
+		for seed := range uint64(200) {
+			if s := newScenario(seed, kinds, options{Duration: duration}); s.daemons >= largeFleetDaemons {
+				count++
+			}
+		}
+		return count
+	}
+	gomega.Expect(large(largeFleetKinds-1, time.Minute)).To(gomega.BeZero())
+	gomega.Expect(large(len(faultKinds), shortDuration)).To(gomega.BeZero())
+	gomega.Expect(large(len(faultKinds), time.Minute)).To(gomega.BeNumerically("~", 25, 10))
+})
+
 // Guards against daemons that reach other zones past the proxies, which no cut affects, or
 // that read their own announcement changed and write it again.
 var _ = ginkgo.It("gives daemons the addresses of proxies for their zone", func() {
