--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -29,6 +29,8 @@
 	Jobs     int           `help:"Runs at a time." default:"1"`
 	Daemons  int           `help:"Daemons of a run; 0 lets the seed choose." default:"0"`
 	Workers  int           `help:"Workers of a run; 0 lets the seed choose." default:"0"`
+	First    int           `help:"Draw only faults from this entry of the list of kinds on." default:"0"`
+	Interval time.Duration `help:"Mean time between two faults; 0 takes 2s."`
 	Out      string        `help:"Directory for the reports and logs of failed runs." default:"target/soak"`
 	All      bool          `help:"Print the report of every run, not only of failed ones."`
 	Repeat   bool          `help:"Run the seeds that failed before instead."`
--- a/test/soak/scenario.go
+++ b/test/soak/scenario.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -81,13 +82,13 @@
 	// the accelerators are in use.
 	s.callers = 1 + s.workers/2
 	for at := time.Duration(0); at < s.duration; {
-		kind := faultKinds[random.IntN(kinds)]
+		kind := faultKinds[o.First+random.IntN(kinds-o.First)]
 		f := scheduledFault{at: at, kind: kind, target: random.IntN(max(s.daemons, s.workers))}
 		f.duration = kind.shortest + time.Duration(random.Int64N(int64(kind.longest-kind.shortest)+1))
 		f.duration = min(f.duration, s.duration-at)
 		s.faults = append(s.faults, f)
 		if random.Float64() >= immediateShare {
-			at += time.Duration(random.ExpFloat64() * float64(meanFaultInterval))
+			at += time.Duration(random.ExpFloat64() * float64(cmp.Or(o.Interval, meanFaultInterval)))
 		}
 	}
 	slices.SortStableFunc(s.faults, func(a, b scheduledFault) int { return int(a.at - b.at) })
