--- a/test/soak/callers.go
+++ b/test/soak/callers.go
@@ -29,6 +29,7 @@
 	failShare    = 0.05 // share of the jobs whose tasks always fail
 	crashShare   = 0.1  // share of the jobs that crash workers, while such jobs come
 	edgeShare    = 0.15 // share of the jobs that have edge sizes, while such jobs come
+	longShare    = 0.25 // share of the jobs whose tasks run for seconds, in scenarios with such jobs
 	repeatShare  = 0.1  // share of the accepted jobs that are submitted once more
 	abandonShare = 0.5  // share of the refused submissions that are not retried
 )
@@ -89,7 +90,9 @@
 	for ctx.Err() == nil {
 		var j *job
 		if c.cluster.edgeJobs.Load() > 0 && random.Float64() < edgeShare {
-			j = newEdgeJob(random)
+			j = newStepJob(random, edgeSteps)
+		} else if c.cluster.longJobs && random.Float64() < longShare {
+			j = newStepJob(random, longSteps)
 		} else {
 			j = newJob(random, c.cluster.crashingJobs.Load() > 0 && random.Float64() < crashShare)
 		}
@@ -222,10 +225,18 @@
 	{Count: 130, CPU: 20, EstimateMs: 300, Checkpoint: true},
 }
 
-// newEdgeJob returns a job with one of edgeSteps.
-func newEdgeJob(random *rand.Rand) *job {
+// longSteps have tasks that outlive the time after which runs on workers that a dispatcher
+// does not reach are given up, and need little of the capacity.
+var longSteps = []step{
+	{Count: 3, CPU: 200, EstimateMs: 9000},
+	{Count: 3, CPU: 200, EstimateMs: 15_000},
+	{Count: 3, CPU: 200, EstimateMs: int(longestTask / time.Millisecond)},
+}
+
+// newStepJob returns a job with one of the given steps.
+func newStepJob(random *rand.Rand, choices []step) *job {
 	j := &job{id: fmt.Sprintf("%016x", random.Uint64()), pathPrefix: queues[random.IntN(len(queues))].pathPrefix}
-	s := edgeSteps[random.IntN(len(edgeSteps))]
+	s := choices[random.IntN(len(choices))]
 	for i := range s.Count {
 		j.tasks = append(j.tasks, fmt.Sprintf("%s.0.0.%d", j.id, i))
 	}
--- a/test/soak/cluster.go
+++ b/test/soak/cluster.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -168,20 +169,17 @@
 	return func() { healAll(heals) }
 }
 
-// pauseDispatcher pauses the daemon that holds the leader lease until the returned function
-// is called.
-func (cl *cluster) pauseDispatcher() (resume func()) {
+// dispatcher returns the index of the daemon that the row of the leader lease names, or the
+// given one if it names none.
+func (cl *cluster) dispatcher(otherwise int) int {
 	var row api.PlannerLease
-	value, found := cl.store.Value("leader", "control", "lease")
-	if !found || json.Unmarshal(value, &row) != nil {
-		return func() {}
+	if value, found := cl.store.Value("leader", "control", "lease"); found {
+		_ = json.Unmarshal(value, &row) // an invalid row names no daemon
 	}
-	for _, d := range cl.daemons {
-		if d.name == row.Holder {
-			return d.pause()
-		}
+	if i := slices.IndexFunc(cl.daemons, func(d *daemon) bool { return d.name == row.Holder }); i >= 0 {
+		return i
 	}
-	return func() {}
+	return otherwise
 }
 
 // run runs the proxies, workers and daemons until ctx ends.
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -141,10 +141,10 @@
 			})
 		}
 	}},
-	{"zone cut off", oneDaemon, 2 * time.Second, 20 * time.Second, (*cluster).cutOffZone},
-	{"zone cut off and daemons paused", oneDaemon, 14 * time.Second, 20 * time.Second, (*cluster).cutOffAndPauseZone},
+	{"zone cut off", oneDaemon, 2 * time.Second, 20 * time.Second, func(cl *cluster, i int) func() { return cl.cutOffZone(cl.zone(i), i) }},
+	{"dispatcher's zone cut off and paused", oneDaemon, 14 * time.Second, 28 * time.Second, (*cluster).cutOffDispatcher},
 	{"workers reached by their zone only", oneDaemon, 5 * time.Second, 20 * time.Second, (*cluster).hideWorkers},
-	{"dispatcher paused", oneDaemon, time.Second, 16 * time.Second, func(cl *cluster, _ int) func() { return cl.pauseDispatcher() }},
+	{"dispatcher paused", oneDaemon, time.Second, 16 * time.Second, func(cl *cluster, i int) func() { return cl.daemon(cl.dispatcher(i)).pause() }},
 }
 
 // secondCut is how long the second of two cuts lasts, and secondKill is the time from the
--- a/test/soak/invariants.go
+++ b/test/soak/invariants.go
@@ -163,13 +163,17 @@
 	pending := slices.DeleteFunc(c.callers.allJobs(), func(j *job) bool { return j.acceptedAt.IsZero() })
 	sleep(ctx, visibilityBound)
 	c.recovered = true
-	for deadline := time.Now().Add(recoveryTime); len(pending) > 0 && time.Now().Before(deadline) && ctx.Err() == nil; sleep(ctx, checkEvery) {
+	bound := recoveryTime
+	if c.cluster.longJobs {
+		bound += longestTask
+	}
+	for deadline := time.Now().Add(bound); len(pending) > 0 && time.Now().Before(deadline) && ctx.Err() == nil; sleep(ctx, checkEvery) {
 		pending = slices.DeleteFunc(pending, func(j *job) bool {
 			return slices.Contains(terminalStates, c.checkState(ctx, client, j, 0)) && slices.Contains(terminalStates, c.checkState(ctx, client, j, 1))
 		})
 	}
 	for _, j := range pending {
-		c.reportOnce("open", j.id, "accepted job %s is still %q %s after the last fault", j.id, j.lastState, recoveryTime)
+		c.reportOnce("open", j.id, "accepted job %s is still %q %s after the last fault", j.id, j.lastState, bound)
 	}
 	sleep(ctx, cancelBound)
 	c.checkRuns()
--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -31,8 +31,8 @@
 	Workers  int           `help:"Workers of a run; 0 lets the seed choose." default:"0"`
 	First    int           `help:"Draw only faults from this entry of the list of kinds on." default:"0"`
 	Interval time.Duration `help:"Mean time between two faults; 0 takes 2s."`
-	Out      string        `help:"Directory for the reports and logs of failed runs." default:"target/soak"`
-	All      bool          `help:"Print the report of every run, not only of failed ones."`
+	Out      string        `help:"Directory for the reports and logs." default:"target/soak"`
+	All      bool          `help:"Print and save the report of every run, not only of failed ones."`
 	Repeat   bool          `help:"Run the seeds that failed before instead."`
 }
 
@@ -74,10 +74,11 @@
 			if o.All || len(r.violations) > 0 {
 				fmt.Println(r.timeline())
 			}
-			if len(r.violations) == 0 {
+			if len(r.violations) > 0 {
+				failed++
+			} else if !o.All {
 				return nil
 			}
-			failed++
 			return r.save(filepath.Join(o.Out, fmt.Sprint(entry.Seed)))
 		})
 	}
--- a/test/soak/scenario.go
+++ b/test/soak/scenario.go
@@ -11,7 +11,7 @@
 const (
 	// recoveryTime bounds the time after the last fault until all accepted jobs have
 	// ended: the bounds on the recovery (12 s) and on the worker lease (6 s), and the run
-	// time of the jobs.
+	// time of the jobs but longestTask.
 	recoveryTime = 25 * time.Second
 	// warmup is how long the daemons and callers run before the first fault.
 	warmup = 3 * time.Second
@@ -21,17 +21,19 @@
 	// immediateShare is the share of faults that start together with the one before.
 	immediateShare = 0.25
 
-	// Some long runs have a large fleet in three zones, which is drawn from a stream of its
-	// own: seeds that were recorded with fewer kinds of faults draw the same as before.
-	largeFleetShare    = 0.125
-	largeFleetKinds    = 40
-	largeFleetDuration = 20 * time.Second
-	largeFleetStream   = 1 << 32
-	largeFleetDaemons  = 12 // and more are a large fleet
-	maxZones           = 3
-	maxDaemons         = 24
-	largeFleetWorkers  = 30
-	maxWorkers         = 60
+	// Runs of longRunDuration and more also have jobs whose tasks run for up to longestTask,
+	// and some have a large fleet in three zones, which is drawn from a stream of its own.
+	// Seeds that were recorded with less than longRunKinds draw the same as before.
+	longRunKinds      = 40
+	longRunDuration   = 20 * time.Second
+	longestTask       = 25 * time.Second
+	largeFleetShare   = 0.125
+	largeFleetStream  = 1 << 32
+	largeFleetDaemons = 12 // and more are a large fleet
+	maxZones          = 3
+	maxDaemons        = 24
+	largeFleetWorkers = 30
+	maxWorkers        = 60
 )
 
 // scenario is the size of the cluster and the faults that a seed determines.
@@ -42,6 +44,7 @@
 	daemons  int
 	workers  int
 	callers  int
+	longJobs bool // some jobs have tasks that run for seconds
 	faults   []scheduledFault
 }
 
@@ -63,8 +66,9 @@
 		seed: seed, duration: o.Duration, zones: 1 + random.IntN(maxZones), daemons: 2 + random.IntN(5),
 		workers: 3 + random.IntN(8),
 	}
+	s.longJobs = kinds >= longRunKinds && s.duration >= longRunDuration
 	sizes := rand.New(rand.NewPCG(seed, largeFleetStream))
-	if kinds >= largeFleetKinds && s.duration >= largeFleetDuration && sizes.Float64() < largeFleetShare {
+	if s.longJobs && sizes.Float64() < largeFleetShare {
 		s.daemons = largeFleetDaemons + sizes.IntN(maxDaemons-largeFleetDaemons+1)
 		s.workers = largeFleetWorkers + sizes.IntN(maxWorkers-largeFleetWorkers+1)
 	}
@@ -74,7 +78,7 @@
 	if o.Workers > 0 {
 		s.workers = o.Workers
 	}
-	if kinds >= largeFleetKinds && s.daemons >= largeFleetDaemons {
+	if kinds >= longRunKinds && s.daemons >= largeFleetDaemons {
 		s.zones = maxZones
 	}
 	// A caller submits about 2 jobs per second, each of which uses about 3
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -59,7 +59,7 @@
 		}
 		return count
 	}
-	gomega.Expect(large(largeFleetKinds-1, time.Minute)).To(gomega.BeZero())
+	gomega.Expect(large(longRunKinds-1, time.Minute)).To(gomega.BeZero())
 	gomega.Expect(large(len(faultKinds), shortDuration)).To(gomega.BeZero())
 	gomega.Expect(large(len(faultKinds), time.Minute)).To(gomega.BeNumerically("~", 25, 10))
 })
--- a/test/soak/zones.go
+++ b/test/soak/zones.go
@@ -70,11 +70,10 @@
 
 // cutOffZone cuts all links between a zone and the store or other zones until the returned
 // function is called. The target selects whether they reset connections or are silent.
-func (cl *cluster) cutOffZone(target int) (restore func()) {
+func (cl *cluster) cutOffZone(zone string, target int) (restore func()) {
 	if cl.zones == 1 {
 		return func() {}
 	}
-	zone := cl.zone(target)
 	faults := []faultproxy.Faults{{Cut: true}, faultproxy.HoldBoth()}[target/cl.zones%2]
 	var heals []func()
 	for address, e := range cl.endpoints {
@@ -102,15 +101,16 @@
 	pauseVariation = 4
 )
 
-// cutOffAndPauseZone is cutOffZone, and pauses the daemons of the zone once meanwhile.
-func (cl *cluster) cutOffAndPauseZone(target int) (restore func()) {
-	reconnect := cl.cutOffZone(target)
+// cutOffDispatcher cuts off the zone of the dispatcher and pauses its daemons once meanwhile.
+func (cl *cluster) cutOffDispatcher(target int) (restore func()) {
+	zone := cl.zone(cl.dispatcher(target))
+	reconnect := cl.cutOffZone(zone, target)
 	if cl.zones == 1 {
 		return reconnect
 	}
 	duration := shortestPause + time.Duration(target/pauseVariation%pauseVariation)*time.Second
 	timer := time.AfterFunc(earliestPause+time.Duration(target%pauseVariation)*time.Second, func() {
-		for _, d := range cl.daemonsOf(cl.zone(target)) {
+		for _, d := range cl.daemonsOf(zone) {
 			time.AfterFunc(duration, d.pause())
 		}
 	})
