--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -6,6 +6,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -30,6 +31,7 @@
 	Daemons  int           `help:"Daemons of a run; 0 lets the seed choose." default:"0"`
 	Workers  int           `help:"Workers of a run; 0 lets the seed choose." default:"0"`
 	First    int           `help:"Draw only faults from this entry of the list of kinds on." default:"0"`
+	Kinds    int           `help:"Draw only faults before this entry; 0 takes all." default:"0"`
 	Interval time.Duration `help:"Mean time between two faults; 0 takes 2s."`
 	Out      string        `help:"Directory for the reports and logs." default:"target/soak"`
 	All      bool          `help:"Print and save the report of every run, not only of failed ones."`
@@ -96,7 +98,7 @@
 	}
 	seeds := make([]seedEntry, max(o.Seeds, 1))
 	for i := range seeds {
-		seeds[i] = seedEntry{Seed: first + uint64(i), Kinds: len(faultKinds)}
+		seeds[i] = seedEntry{Seed: first + uint64(i), Kinds: cmp.Or(o.Kinds, len(faultKinds))}
 	}
 	return seeds
 }
