Pause a dispatcher that is cut off while leases that it renewed are valid

The fault paused the daemons of the zone at a fixed time, mostly after the leases of its workers had lapsed, when a late renewal has no effect. It now pauses them 10.5 to 12 s after the cut for 4 to 5 s, so that the dispatcher goes on when the 12 s are over and the leases still run.

--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -142,7 +142,7 @@
 		}
 	}},
 	{"zone cut off", oneDaemon, 2 * time.Second, 20 * time.Second, func(cl *cluster, i int) func() { return cl.cutOffZone(cl.zone(i), i) }},
-	{"dispatcher's zone cut off and paused", oneDaemon, 14 * time.Second, 30 * time.Second, (*cluster).cutOffDispatcher},
+	{"dispatcher's zone cut off and paused", oneDaemon, 18 * time.Second, 30 * time.Second, (*cluster).cutOffDispatcher},
 	{"workers reached by their zone only", oneDaemon, 5 * time.Second, 20 * time.Second, (*cluster).hideWorkers},
 	{"dispatcher paused", oneDaemon, time.Second, 16 * time.Second, func(cl *cluster, i int) func() { return cl.daemon(cl.dispatcher(i)).pause() }},
 }
--- a/test/soak/zones.go
+++ b/test/soak/zones.go
@@ -94,11 +94,12 @@
 }
 
 const (
-	// A former dispatcher without a lease acts for 12 s, so the daemons of a zone that is
-	// cut off are paused shortly before that, by a number of seconds that the target selects.
-	earliestPause  = 9 * time.Second
-	shortestPause  = 3 * time.Second
-	pauseVariation = 4
+	// A dispatcher acts for 12 s without its lease, which it loses up to 1.5 s after a cut.
+	// It is paused before that, and continues afterwards, while the leases of 6 s that it
+	// has renewed are valid. The target selects the times.
+	earliestPause = 10500 * time.Millisecond
+	shortestPause = 4 * time.Second
+	pauseStep     = 500 * time.Millisecond
 )
 
 // cutOffDispatcher cuts off the zone of the dispatcher and pauses its daemons once meanwhile.
@@ -108,8 +109,8 @@
 	if cl.zones == 1 {
 		return reconnect
 	}
-	duration := shortestPause + time.Duration(target/pauseVariation%pauseVariation)*time.Second
-	timer := time.AfterFunc(earliestPause+time.Duration(target%pauseVariation)*time.Second, func() {
+	duration := shortestPause + time.Duration(target/4%3)*pauseStep
+	timer := time.AfterFunc(earliestPause+time.Duration(target%4)*pauseStep, func() {
 		for _, d := range cl.daemonsOf(zone) {
 			time.AfterFunc(duration, d.pause())
 		}
