Count starts that were stopped for a task that crashes its workers

Cause: only a loss of the worker moved the account of a task.

Change: a run that is stopped before it has outlived 2 s counts beside the losses; from three losses on, five of both end the job. Runs of a task with an early loss, or with three losses, are not evicted. The count is stored as early_stops; rows without it read as 0.

Tests: without the count, two of the new tests of internal/batch fail (job running after three losses and two stops; three starts after three losses). Without the rule on evictions the new spec of internal/dispatch fails with one run stopped.

--- a/api/api.gen.go
+++ b/api/api.gen.go
@@ -406,7 +406,10 @@
 
 	// EarlyLosses Those of the losses that came soon after the start of the run.
 	EarlyLosses int `cbor:"7,keyasint,omitempty" json:"early_losses,omitempty"`
-	Failures    int `cbor:"2,keyasint,omitempty" json:"failures,omitempty"`
+
+	// EarlyStops Runs that were stopped soon after their start, so that they do not show whether the task crashes workers.
+	EarlyStops int `cbor:"11,keyasint,omitempty" json:"early_stops,omitempty"`
+	Failures   int `cbor:"2,keyasint,omitempty" json:"failures,omitempty"`
 
 	// Isolated The newest run has its worker to itself and has not outlived the time of an early loss.
 	Isolated bool `cbor:"9,keyasint,omitempty" json:"isolated,omitempty"`
--- a/internal/batch/losses.go
+++ b/internal/batch/losses.go
@@ -19,6 +19,11 @@
 	maxIsolatedLosses = 2
 	maxLosses         = 4
 	maxWithWidespread = 5
+	// minLossesToCount is the number of losses from which runs that were stopped early count
+	// too, and maxBegunStarts the number of both at which the task is given up: the platform
+	// counts starts, whatever ends them.
+	minLossesToCount = 3
+	maxBegunStarts   = 5
 )
 
 // Losses counts the workers that were lost under runs of a task.
@@ -28,6 +33,9 @@
 	Isolated int // early, of a run that had the worker to itself, and not widespread
 	// Widespread losses came with those of several other workers.
 	Widespread int
+	// Stopped counts the runs that ended otherwise before they had outlived EarlyLossTime,
+	// at most maxBegunStarts.
+	Stopped int
 }
 
 // Loss describes the loss of a worker under a run.
@@ -61,12 +69,13 @@
 }
 
 func (l Losses) add(other Losses) Losses {
-	return Losses{All: l.All + other.All, Early: l.Early + other.Early, Isolated: l.Isolated + other.Isolated, Widespread: l.Widespread + other.Widespread}
+	return Losses{All: l.All + other.All, Early: l.Early + other.Early, Isolated: l.Isolated + other.Isolated, Widespread: l.Widespread + other.Widespread, Stopped: l.Stopped + other.Stopped}
 }
 
 // giveUp reports whether the task is taken for the cause of the losses.
 func (l Losses) giveUp() bool {
-	return l.Isolated >= maxIsolatedLosses || l.All-l.Widespread >= maxLosses || l.All >= maxWithWidespread
+	return l.Isolated >= maxIsolatedLosses || l.All-l.Widespread >= maxLosses || l.All >= maxWithWidespread ||
+		l.All >= minLossesToCount && l.All+l.Stopped >= maxBegunStarts
 }
 
 // Suspect reports whether the next run of the task gets a worker to itself, so that its
@@ -74,6 +83,10 @@
 // not make it suspect.
 func (t Task) Suspect() bool { return t.Losses.Early > min(1, t.Losses.Widespread) && !t.Done }
 
+// Evictable reports whether a run of the task may be stopped for urgent work. Each start of
+// a task that may crash its workers counts, so none is spent without showing the cause.
+func (t Task) Evictable() bool { return t.Losses.Early == 0 && t.Losses.All < minLossesToCount }
+
 // Lose records that a run has ended with its worker, and fails the job if the task is
 // taken for the cause. If checkpoint is not empty, it becomes the checkpoint of the task.
 // Lose returns false if the run is not the current one.
@@ -97,6 +110,25 @@
 	return true
 }
 
+// Stop records that a run has ended before it showed whether its task crashes workers: it
+// was stopped, or its lease expired. It fails the job if the task has lost several workers
+// and may not be started again. If checkpoint is not empty, it becomes the checkpoint of
+// the task. Stop returns false if the run is not the current one.
+func (t *Tracker) Stop(run RunRef, lifetime time.Duration, checkpoint string, now time.Time) bool {
+	_, task := t.current(run)
+	if !t.Drop(run, checkpoint) {
+		return false
+	}
+	if task.Done || lifetime >= EarlyLossTime {
+		return true
+	}
+	task.Losses.Stopped = min(task.Losses.Stopped+1, maxBegunStarts)
+	if task.Losses.giveUp() && !t.State.Final() {
+		t.end(Failed, now)
+	}
+	return true
+}
+
 // Retract takes back a presumed loss: the worker was not lost. It reports whether it
 // changed the account of the task.
 func (t *Tracker) Retract(ref TaskRef, loss Loss) bool {
@@ -112,7 +144,7 @@
 }
 
 // Outlive records how long a run is known to have existed. A run that has outlived
-// EarlyLossTime clears its task of the early losses, one that has outlived maxBlameTime
+// EarlyLossTime clears its task of the early losses and stops, one that has outlived maxBlameTime
 // of all. Outlive reports whether it changed the task.
 func (t *Tracker) Outlive(run RunRef, lifetime time.Duration) bool {
 	_, task := t.current(run)
@@ -120,7 +152,7 @@
 		return false
 	}
 	before := *task
-	task.Isolated, task.Losses.Early, task.Losses.Isolated = false, 0, 0
+	task.Isolated, task.Losses.Early, task.Losses.Isolated, task.Losses.Stopped = false, 0, 0, 0
 	if lifetime >= maxBlameTime {
 		task.Losses = Losses{}
 	}
--- a/internal/batch/losses_test.go
+++ b/internal/batch/losses_test.go
@@ -97,6 +97,97 @@
 	})
 })
 
+var _ = Describe("runs that are stopped beside the loss of workers", func() {
+	early := batch.Loss{Lifetime: 10 * time.Millisecond, Widespread: true}
+	now := time.Unix(1001, 0)
+	stop := func(t *batch.Tracker, lifetime time.Duration) {
+		t.Stop(t.Assign(t.Units[0], 0, worker), lifetime, "", now)
+	}
+
+	// Guards against a task that crashes its workers and whose starts in between do not
+	// count, because urgent work took their place.
+	It("count as starts after three losses", func() {
+		t := oneTask()
+		for range 3 {
+			lose(t, false, early)
+		}
+		stop(t, 10*time.Millisecond)
+		Expect(t.State).To(Equal(batch.Running))
+		stop(t, 10*time.Millisecond)
+		Expect(t.State).To(Equal(batch.Failed))
+	})
+
+	// Guards against jobs that fail because urgent work stops them often.
+	It("fail no job that has lost fewer than three workers", func() {
+		t := oneTask()
+		for range 20 {
+			stop(t, 10*time.Millisecond)
+		}
+		lose(t, false, early)
+		lose(t, false, early)
+		Expect(t.State).To(Equal(batch.Running))
+	})
+
+	// Guards against jobs that fail although their runs live on.
+	It("do not count once a run has outlived the time of an early loss", func() {
+		t := oneTask()
+		for range 3 {
+			lose(t, false, early)
+		}
+		stop(t, 10*time.Millisecond)
+		ref := t.Assign(t.Units[0], 0, worker)
+		Expect(t.Outlive(ref, 3*time.Second)).To(BeTrue())
+		Expect(t.Stop(ref, 3*time.Second, "c", now)).To(BeTrue())
+		stop(t, 10*time.Millisecond)
+		Expect(t.State).To(Equal(batch.Running))
+		Expect(t.Units[0].Tasks[0].Checkpoint).To(Equal("c"))
+	})
+
+	// Guards against a count that ends with the term of a dispatcher.
+	It("are stored with the progress", func() {
+		t := oneTask()
+		lose(t, false, early)
+		stop(t, 10*time.Millisecond)
+		Expect(restore(t).Units).To(Equal(t.Units))
+		Expect(t.Units[0].Tasks[0].Losses.Stopped).To(Equal(1))
+	})
+
+	// Guards against starts that are spent on urgent work although each may crash a worker.
+	It("are not those of a task that may crash its workers", func() {
+		t := oneTask()
+		Expect(t.Units[0].Tasks[0].Evictable()).To(BeTrue())
+		lose(t, false, early)
+		Expect(t.Units[0].Tasks[0].Evictable()).To(BeFalse())
+		t.Outlive(t.Assign(t.Units[0], 0, worker), 3*time.Second)
+		Expect(t.Units[0].Tasks[0].Evictable()).To(BeTrue())
+	})
+})
+
+// Guards against starts beyond those that the platform allows after three workers have
+// crashed under a task, when other causes end some of them.
+func TestTaskThatCrashesItsWorkersIsStartedAtMostTwiceAfterThreeCrashes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tracker := oneTask()
+		losses, later := 0, 0
+		for tracker.State != batch.Failed {
+			if losses >= 3 {
+				later++
+			}
+			ref := tracker.Assign(tracker.Units[0], 0, worker)
+			lifetime := time.Duration(rapid.IntRange(0, 1999).Draw(t, "lifetime_ms")) * time.Millisecond
+			if losses >= 3 && rapid.Bool().Draw(t, "stopped") || losses < 3 && rapid.IntRange(0, 9).Draw(t, "stopped_before") == 0 {
+				tracker.Stop(ref, lifetime, "", time.Unix(1001, 0))
+			} else {
+				losses++
+				tracker.Lose(ref, batch.Loss{Lifetime: lifetime, Widespread: rapid.Bool().Draw(t, "widespread")}, "", time.Unix(1001, 0))
+			}
+			if later > 2 {
+				t.Fatalf("started %d times after three losses, account %+v", later, tracker.Units[0].Tasks[0].Losses)
+			}
+		}
+	})
+}
+
 // Guards against a mix of evidence under which a task that crashes every worker is started
 // more often than the platform allows.
 func TestTaskThatCrashesEveryWorkerIsStartedAtMostFiveTimes(t *testing.T) {
--- a/internal/batch/rows_test.go
+++ b/internal/batch/rows_test.go
@@ -51,7 +51,7 @@
 				t.Assign(unit, i, batch.WorkerIncarnation{ID: id, StartedMs: math.MaxInt64, Address: strings.Repeat("9", batch.MaxWorkerAddressBytes)})
 				unit.Tasks[i].Run, unit.Tasks[i].Failures = math.MaxInt32, math.MaxInt32
 				unit.Tasks[i].Checkpoint = strings.Repeat("s", batch.MaxCheckpointBytes)
-				unit.Tasks[i].Losses = batch.Losses{All: 100, Early: 100, Isolated: 100, Widespread: 100}
+				unit.Tasks[i].Losses = batch.Losses{All: 100, Early: 100, Isolated: 100, Widespread: 100, Stopped: 100}
 				unit.Tasks[i].Isolated = true
 			}
 		}
--- a/internal/dispatch/losses_test.go
+++ b/internal/dispatch/losses_test.go
@@ -155,6 +155,28 @@
 		f.expectGivenUp("j", "j.0.0.0")
 	})
 
+	// Guards against starts that are spent on urgent work although each may crash a worker.
+	It("is not stopped for urgent work while it is under suspicion", func() {
+		f := newFixture(2)
+		f.remove("servers/w1")
+		f.startDispatcher("a")
+		f.submit(batch.Job{ID: "beside", Spec: `{"ms":60000}`, Priority: 1, Steps: []batch.Step{task(1)}})
+		Eventually(f.running).WithTimeout(timeout).Should(HaveKey("beside.0.0.0"))
+		f.remove("servers/w0")
+		f.listWorker(1, "ready")
+		time.Sleep(400 * time.Millisecond) // until the dispatcher has read the entries
+		f.submit(batch.Job{ID: "low", Spec: `{"ms":1200}`, Priority: 2, Steps: []batch.Step{task(7)}})
+		Eventually(f.running).WithTimeout(timeout).Should(HaveKey("low.0.0.0"))
+		f.listWorker(0, "ready")
+		f.remove("servers/w1")
+		f.workers[1].RestartAs("x")
+		Eventually(f.starts).WithTimeout(crashesTimeout).Should(HaveKeyWithValue("low.0.0.0", 2))
+		f.submit(batch.Job{ID: "urgent", Spec: `{"ms":100}`, Steps: []batch.Step{task(7)}})
+		Eventually(f.state("urgent")).WithTimeout(timeout).Should(Equal(batch.Completed))
+		Eventually(f.state("low")).WithTimeout(timeout).Should(Equal(batch.Completed))
+		Expect(f.ends("stopped")).To(BeZero())
+	})
+
 	// Guards against other work that is taken down again and again, or blamed, because
 	// tasks under suspicion start beside it.
 	It("does not take down the same other work twice, nor fail it", func() {
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -244,7 +244,7 @@
 	gangs := map[*batch.Unit]int{}
 	for _, w := range p.workers {
 		for _, r := range w.runs {
-			if r.stopReason != "" || r.job.tracker.Job.Priority == 0 {
+			if r.stopReason != "" || r.job.tracker.Job.Priority == 0 || !r.evictable() {
 				continue
 			}
 			g, known := gangs[r.unit]
@@ -263,6 +263,15 @@
 	}
 }
 
+// evictable reports whether a run may be stopped for urgent work. A gang may if all of its
+// members may.
+func (r *run) evictable() bool {
+	if !r.step.Gang {
+		return r.unit.Tasks[r.ref.Index].Evictable()
+	}
+	return !slices.ContainsFunc(r.unit.Tasks, func(task batch.Task) bool { return !task.Evictable() })
+}
+
 // restartCostMs is the run time that an evicted task loses in addition to the work that
 // it has not saved: it waits, starts and restores the checkpoint.
 const restartCostMs = 500
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -184,7 +184,11 @@
 		changed = tracker.Fail(end.Run, now)
 		t.avoidWorker(j, end.Run, w)
 	default:
-		changed = tracker.Drop(end.Run, end.Checkpoint)
+		lifetime := time.Duration(0)
+		if r != nil {
+			lifetime = r.lifetime()
+		}
+		changed = tracker.Stop(end.Run, lifetime, end.Checkpoint, now)
 	}
 	if r != nil {
 		t.removeRun(r)
@@ -218,7 +222,13 @@
 	t.scope.Counter("runs_given_up").Inc(1)
 	t.noteGivenUp(r, reason)
 	t.removeRun(r)
-	if r.job.tracker.Drop(r.ref, r.checkpoint) {
+	changed := false
+	if r.confirmedAt.IsZero() {
+		changed = r.job.tracker.Drop(r.ref, r.checkpoint)
+	} else {
+		changed = r.job.tracker.Stop(r.ref, r.lifetime(), r.checkpoint, time.Now())
+	}
+	if changed {
 		t.updateJobState(r.job)
 	}
 	t.handleGangEnd(r, false)
