Judge the loss of a worker by what it has in common with others

Cause: a loss was part of an outage as soon as three other workers fell silent within a second, however large the fleet. Tasks that crash their workers at once excused each other, more of them the larger the fleet. Each term judged by the silences that it had seen, so that a loss was widespread for one dispatcher and not for the next.

Change: a pure function judges by the shares of the zone, the rack and the fleet that fell, against the workers that lived on. A worker under a task with an earlier early loss is no evidence, one with another young run is weak evidence. The verdict is made once for each worker, 1 s after it fell silent, when a former dispatcher's losses are known to the next one too.

--- a/internal/dispatch/fixture_test.go
+++ b/internal/dispatch/fixture_test.go
@@ -38,7 +38,9 @@
 	endFormerTerm func(ctx context.Context, daemon string, epoch int64) (bool, error)
 	// cancelRetention is how long cancellations of unknown jobs are kept; 0 is the default.
 	cancelRetention time.Duration
-	daemonZone      string // zone of the dispatchers; that of the workers is z1
+	daemonZone      string // zone of the dispatchers
+	// workerZones is the number of zones of the workers, z1 and following.
+	workerZones int
 	// stallLimit and plan replace the defaults if they are set.
 	stallLimit time.Duration
 	// workerLease, leaseOutage and leaseClock replace the defaults if they are set.
@@ -179,8 +181,11 @@
 func (z outOfService) OutOfService(zone string) bool { return zone == z.zone }
 
 // newFixture starts workers, two in each rack, and registers them in the store.
-func newFixture(workers int) *fixture {
-	f := &fixture{store: &faultyStore{Memory: table.NewMemory()}}
+func newFixture(workers int) *fixture { return newZonedFixture(workers, 1) }
+
+// newZonedFixture is newFixture with workers in several zones.
+func newZonedFixture(workers, zones int) *fixture {
+	f := &fixture{store: &faultyStore{Memory: table.NewMemory()}, workerZones: zones}
 	for i := range workers {
 		w := standinfleet.NewWorker(fmt.Sprintf("w%d", i))
 		server := httptest.NewServer(w)
@@ -196,9 +201,12 @@
 }
 
 func (f *fixture) entry(i int, state string) []byte {
-	return f.workers[i].Entry("s", "z1", fmt.Sprintf("r%d", i/2), strings.TrimPrefix(f.servers[i].URL, "http://"), state)
+	return f.workers[i].Entry("s", f.zoneOf(i), fmt.Sprintf("r%d", i/2), strings.TrimPrefix(f.servers[i].URL, "http://"), state)
 }
 
+// zoneOf returns the zone of a worker.
+func (f *fixture) zoneOf(i int) string { return fmt.Sprintf("z%d", i%f.workerZones+1) }
+
 func (f *fixture) listWorker(i int, state string) { f.writeEntry(i, f.entry(i, state)) }
 
 func (f *fixture) writeEntry(i int, entry []byte) {
--- a/internal/dispatch/losses.go
+++ b/internal/dispatch/losses.go
@@ -29,44 +29,127 @@
 
 const (
 	// widespreadWindow is how close to each other workers with a common cause fall silent.
+	// A loss is judged when it has passed, so that all of them are known.
 	widespreadWindow = time.Second
-	// widespreadWorkers is the number of other workers from which a loss is widespread.
-	widespreadWorkers = 3
+	// outageTime is how long a worker that stays silent counts for the losses after its own,
+	// and how long before the start of a term a worker may have fallen that the term finds lost.
+	outageTime = 5 * time.Second
 	// silenceRetention is how long the start of a silence is kept.
 	silenceRetention = 30 * time.Second
 )
 
-// silence is the time at which a worker stopped answering or restarted.
+// silence is a time during which a worker did not answer.
 type silence struct {
-	since    time.Time
-	isolated bool            // the worker had an isolated run
-	jobs     map[string]bool // IDs of the jobs that had runs on the worker
+	place
+	since, until time.Time // until is zero while it lasts
+	incarnation  int64     // of the worker before
+	lived        bool      // this incarnation has answered again
+	cause        cause
+	judged       bool // widespread is the verdict on the loss of the worker
+	widespread   bool
 }
 
 // noteSilence records that a worker has stopped answering or has restarted.
 func (t *term) noteSilence(w *workerState, now time.Time) {
-	s := silence{since: now, jobs: map[string]bool{}}
-	for ref, r := range w.runs {
-		s.isolated = s.isolated || r.isolated
-		s.jobs[ref.Job] = true
+	s := &silence{place: t.placeOf(w), since: now, incarnation: w.info.StartedMs}
+	if w.misses == 0 {
+		s.until = now
+	}
+	for _, r := range w.runs {
+		if r.phase != phaseCommitting && r.lifetime() < batch.EarlyLossTime {
+			s.cause = max(s.cause, fresh)
+			if r.unit.Tasks[r.ref.Index].Losses.Early > 0 {
+				s.cause = suspected
+			}
+		}
 	}
 	t.silences[w.info.ID] = s
 }
 
-// widespread reports whether several other workers fell silent when the worker of a run
-// did, without a run of the same job or an isolated one that would explain it.
-func (t *term) widespread(r *run) bool {
-	since := time.Now()
-	if s, known := t.silences[r.worker.info.ID]; known {
-		since = s.since
+// endSilence records that a worker answers.
+func (t *term) endSilence(w *workerState, now time.Time) {
+	if s := t.silences[w.info.ID]; s != nil && s.until.IsZero() {
+		s.until, s.lived = now, w.info.StartedMs == s.incarnation
 	}
-	others := 0
-	for id, s := range t.silences {
-		if id != r.worker.info.ID && s.since.Sub(since).Abs() <= widespreadWindow && !s.isolated && !s.jobs[r.ref.Job] {
-			others++
+}
+
+// placeOf returns where a worker runs. That of one without an entry is the place of the
+// worker that has its address now.
+func (t *term) placeOf(w *workerState) place {
+	if w.info.Zone == "" {
+		for _, other := range t.workers {
+			if other.info.Address == w.info.Address && other.info.Zone != "" {
+				return place{other.info.Zone, other.info.Rack}
+			}
 		}
 	}
-	return others >= widespreadWorkers
+	return place{w.info.Zone, w.info.Rack}
+}
+
+// lossOf returns the silence of a worker that is lost.
+func (t *term) lossOf(w *workerState, now time.Time) *silence {
+	if s := t.silences[w.info.ID]; s == nil || s.lived {
+		t.noteSilence(w, now)
+	}
+	return t.silences[w.info.ID]
+}
+
+// canJudge reports whether the workers that may have fallen silent with a lost one are known.
+func (t *term) canJudge(w *workerState, now time.Time) bool {
+	return now.Sub(t.lossOf(w, now).since) >= widespreadWindow
+}
+
+// judge returns whether the loss of a worker is part of an outage. The verdict is the same
+// for all runs on it.
+func (t *term) judge(w *workerState, now time.Time) bool {
+	s := t.lossOf(w, now)
+	if s.judged {
+		return s.widespread
+	}
+	var others []neighbour
+	for id, other := range t.silences {
+		if id != w.info.ID && other.overlaps(s) {
+			others = append(others, neighbour{place: other.place, fallen: true, cause: other.cause})
+		}
+	}
+	for id, other := range t.workers {
+		fell := t.silences[id]
+		if id != w.info.ID && (fell == nil || !fell.overlaps(s)) && t.livedOn(other, s.since, now) {
+			others = append(others, neighbour{place: t.placeOf(other)})
+		}
+	}
+	lost := neighbour{place: s.place, fallen: true, cause: s.cause}
+	s.judged, s.widespread = true, widespread(lost, others)
+	zone, _, all := groupsOf(lost, others)
+	t.log.Info("Loss of a worker judged.", zap.String("worker", w.info.ID), zap.Bool("widespread", s.widespread), zap.Int("cause", int(s.cause)),
+		zap.Int("zone_unexplained", zone.unexplained), zap.Int("zone_fresh", zone.fresh), zap.Int("zone_live", zone.live),
+		zap.Int("unexplained", all.unexplained), zap.Int("fresh", all.fresh), zap.Int("live", all.live))
+	return s.widespread
+}
+
+// overlaps reports whether a worker was silent when another one fell silent.
+func (s *silence) overlaps(other *silence) bool {
+	earliest := other.since.Add(-widespreadWindow)
+	switch {
+	case s.since.After(other.since.Add(widespreadWindow)):
+		return false
+	case !s.since.Before(earliest):
+		return true
+	}
+	return s.since.After(other.since.Add(-outageTime)) && (s.until.IsZero() || s.until.After(earliest))
+}
+
+// livedOn reports whether a worker was there before and after a time. A later incarnation
+// may have replaced one that fell.
+func (t *term) livedOn(w *workerState, since, now time.Time) bool {
+	if !w.listed || w.misses > 0 {
+		return false
+	}
+	if since.Sub(t.startedAt) < widespreadWindow {
+		since = t.startedAt.Add(-outageTime)
+	}
+	age := w.estimateClock(now) // the clock of an incarnation starts with it
+	return age == 0 || age > now.Sub(since).Milliseconds()
 }
 
 // loseRuns records that all runs on a worker have ended with it.
@@ -85,7 +168,7 @@
 		return
 	}
 	j := r.job
-	loss := batch.Loss{Lifetime: r.lifetime(), Presumed: evidence == lossLeaseExpired, Widespread: t.widespread(r)}
+	loss := batch.Loss{Lifetime: r.lifetime(), Presumed: evidence == lossLeaseExpired, Widespread: t.judge(r.worker, time.Now())}
 	t.noteGivenUp(r, evidence)
 	t.removeRun(r)
 	changed := j.tracker.Lose(r.ref, loss, r.checkpoint, time.Now())
@@ -109,6 +192,7 @@
 
 // retractLosses takes back the presumed losses of a worker that answers again.
 func (t *term) retractLosses(w *workerState) {
+	t.endSilence(w, time.Now())
 	losses := t.presumed[w.info.Incarnation]
 	if len(losses) == 0 {
 		return
--- /dev/null
+++ b/internal/dispatch/outage.go
@@ -0,0 +1,90 @@
+package dispatch
+
+// cause is what the runs on a worker say about its silence.
+type cause int
+
+const (
+	// unexplained means that each run had outlived batch.EarlyLossTime, or that there was none.
+	unexplained cause = iota
+	// fresh means that a run had not, so that it may be the cause.
+	fresh
+	// suspected means that this run was of a task that had lost a worker early before.
+	suspected
+)
+
+// place is where a worker runs. An empty zone or rack is not known.
+type place struct{ zone, rack string }
+
+// neighbour is what is known about a worker when the loss of one is judged.
+type neighbour struct {
+	place
+	fallen bool  // it was silent when the lost worker fell silent
+	cause  cause // of a fallen one
+}
+
+// Tasks that crash their workers leave most workers of a zone or rack alone, and they run
+// on each worker that falls. An outage is told from them by the workers that have
+// something in common: nearly all of them fall, or such without a run that explains it.
+const (
+	// minUnexplained and unexplainedShare are the number of unexplained workers of a zone
+	// or rack, and their share of these and the live ones, from which it has an outage.
+	minUnexplained   = 2
+	unexplainedShare = 0.5
+	// minFallen and fallenShare are the same for all fallen workers but the suspected: in a
+	// busy fleet each worker has a fresh run.
+	minFallen   = 3
+	fallenShare = 0.8
+	// minUnexplainedInFleet and unexplainedShareOfFleet are the number of unexplained
+	// workers and their share of all from which losses anywhere have a common cause. Tasks
+	// explain almost none, so a small share suffices.
+	minUnexplainedInFleet   = 3
+	unexplainedShareOfFleet = 0.05
+)
+
+// group counts the workers that have something in common, without the suspected ones.
+type group struct{ unexplained, fresh, live int }
+
+func (g *group) add(n neighbour) {
+	switch {
+	case !n.fallen:
+		g.live++
+	case n.cause == unexplained:
+		g.unexplained++
+	case n.cause == fresh:
+		g.fresh++
+	}
+}
+
+// outage reports whether a cause outside of the work took down these workers.
+func (g *group) outage() bool {
+	fallen := g.unexplained + g.fresh
+	return reaches(g.unexplained, g.unexplained+g.live, minUnexplained, unexplainedShare) || reaches(fallen, fallen+g.live, minFallen, fallenShare)
+}
+
+// reaches reports whether a part of a whole is large enough by number and by share.
+func reaches(part, whole, number int, share float64) bool {
+	return part >= number && float64(part) >= share*float64(whole)
+}
+
+// widespread reports whether the loss of a worker is part of an outage, given the other
+// workers of the fleet. A suspected run explains its loss unless the zone or rack has an
+// outage.
+func widespread(lost neighbour, others []neighbour) bool {
+	zone, rack, all := groupsOf(lost, others)
+	return zone.outage() || rack.outage() || all.outage() ||
+		lost.cause != suspected && reaches(all.unexplained, len(others), minUnexplainedInFleet, unexplainedShareOfFleet)
+}
+
+// groupsOf counts the workers of the same zone, of the same rack, and all.
+func groupsOf(lost neighbour, others []neighbour) (zone, rack, all group) {
+	for _, n := range others {
+		all.add(n)
+		if lost.zone != "" && n.zone == lost.zone {
+			zone.add(n)
+		}
+		if lost.rack != "" && n.rack == lost.rack {
+			rack.add(n)
+		}
+	}
+	return zone, rack, all
+}
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -131,6 +131,11 @@
 		}
 		return
 	case fleet.OtherIncarnation:
+		if worker.Address == w.info.Address && !t.canJudge(w, now) {
+			w.misses++
+			w.nextCall = now.Add(probeInterval)
+			return
+		}
 		if worker.Address == w.info.Address {
 			t.loseRuns(w, lossAddressReused)
 			w.ackedEnd = w.storedEnd
@@ -251,6 +256,7 @@
 	if report.MoreEnds {
 		return
 	}
+	now := time.Now()
 	for ref, r := range w.runs {
 		if listed[ref] {
 			continue
@@ -259,7 +265,9 @@
 		case (r.phase == phaseRunning || r.phase == phaseStopping) && r.confirmedAt.Before(sent):
 			t.dropRun(r, "worker no longer reports the run")
 		case r.phase == phaseUnknown && order.Fence > r.fence && r.incarnation < w.info.StartedMs:
-			t.loseRun(r, lossRestarted)
+			if t.canJudge(w, now) {
+				t.loseRun(r, lossRestarted)
+			}
 		case r.phase == phaseUnknown && order.Fence > r.fence:
 			t.resendStart(r, "start was not carried out")
 		}
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -42,7 +42,7 @@
 	finished      map[string]finishedJob               // jobs that need no more work
 	deleted       map[string]deletedJob                // jobs whose rows were deleted a short time ago
 	presumed      map[fleet.Incarnation][]presumedLoss // losses of unreachable workers
-	silences      map[string]silence                   // when workers last fell silent or restarted, by ID
+	silences      map[string]*silence                  // when workers last fell silent or restarted, by ID
 	givenUp       map[batch.RunRef]givenUpRun          // runs that were taken for gone
 	workers       map[string]*workerState
 	jobsListed    bool // a full listing of the jobs has been applied
@@ -144,7 +144,7 @@
 		Dispatcher: d, ctx: ctx, epoch: status.Epoch, startedAt: now, lastHeldAt: heldAt, former: newFormerHolders(status.Former, d.cfg.LeaseOutage, now),
 		events: make(chan func(), eventQueueSize), done: make(chan struct{}),
 		jobs: map[string]*jobState{}, earlyCancels: map[string]earlyCancel{}, finished: map[string]finishedJob{}, deleted: map[string]deletedJob{}, workers: map[string]*workerState{},
-		presumed: map[fleet.Incarnation][]presumedLoss{}, silences: map[string]silence{}, givenUp: map[batch.RunRef]givenUpRun{},
+		presumed: map[fleet.Incarnation][]presumedLoss{}, silences: map[string]*silence{}, givenUp: map[batch.RunRef]givenUpRun{},
 		changedJobs: map[string]bool{},
 	}
 }
