Recognise the outage of a zone in which suspected tasks run everywhere

Cause: workers with a suspected task were no evidence for an outage. After the outage of one zone its tasks start again on the workers of the next; when that one goes out within 2 s, each of its workers has a suspected task, its losses count in full, and a task that each outage costs two workers fails its job.

Change: in a zone, workers with suspected tasks count beside the others for the share that has fallen. In a rack they do not, because suspected tasks get racks to themselves and crash all of their workers.

Measured: TestTwoOutagesInARowFailNoJob, which drives the judgement and the account of a task through two such outages, failed before at 8, 60 and 350 workers that are all busy, and passes. The crashes per task of the specs on tasks at once stay at three.

--- a/internal/dispatch/outage.go
+++ b/internal/dispatch/outage.go
@@ -30,8 +30,9 @@
 	// or rack, and their share of these and the live ones, from which it has an outage.
 	minUnexplained   = 2
 	unexplainedShare = 0.5
-	// minFallen and fallenShare are the same for all fallen workers but the suspected: in a
-	// busy fleet each worker has a fresh run.
+	// minFallen and fallenShare are the same for all fallen workers, in a busy fleet each of
+	// which has a fresh run. The suspected count only in a zone: suspected tasks get racks to
+	// themselves, but after the outage of one zone they run on all workers of the next.
 	minFallen   = 3
 	fallenShare = 0.8
 	// minUnexplainedInFleet and unexplainedShareOfFleet are the number of unexplained
@@ -41,8 +42,8 @@
 	unexplainedShareOfFleet = 0.05
 )
 
-// group counts the workers that have something in common, without the suspected ones.
-type group struct{ unexplained, fresh, live int }
+// group counts the workers that have something in common.
+type group struct{ unexplained, fresh, suspected, live int }
 
 func (g *group) add(n neighbour) {
 	switch {
@@ -50,14 +51,17 @@
 		g.live++
 	case n.cause == unexplained:
 		g.unexplained++
-	case n.cause == fresh:
+	case n.cause == suspected:
+		g.suspected++
+	default:
 		g.fresh++
 	}
 }
 
-// outage reports whether a cause outside of the work took down these workers.
-func (g *group) outage() bool {
-	fallen := g.unexplained + g.fresh
+// outage reports whether a cause outside of the work took down these workers, given how many
+// of the suspected ones count.
+func (g *group) outage(suspected int) bool {
+	fallen := g.unexplained + g.fresh + suspected
 	return reaches(g.unexplained, g.unexplained+g.live, minUnexplained, unexplainedShare) || reaches(fallen, fallen+g.live, minFallen, fallenShare)
 }
 
@@ -71,7 +75,7 @@
 // outage.
 func widespread(lost neighbour, others []neighbour) bool {
 	zone, rack, all := groupsOf(lost, others)
-	return zone.outage() || rack.outage() || all.outage() ||
+	return zone.outage(zone.suspected) || rack.outage(0) || all.outage(0) ||
 		lost.cause != suspected && reaches(all.unexplained, len(others), minUnexplainedInFleet, unexplainedShareOfFleet)
 }
 
