Give a stub of a spec the task that the judgement of losses reads

TestRestartWithAnUnansweredStartExtendsTheWaitForItsLease panicked after the merge of the judgement of losses, which reads the account of each run's task; its check is unchanged.

--- a/internal/dispatch/workers_test.go
+++ b/internal/dispatch/workers_test.go
@@ -65,7 +65,7 @@
 	term := newLeasedTerm(g, table.NewMemory(), Config{MaxWorkerLease: 6 * time.Second}, time.Now)
 	for _, confirmed := range []bool{true, false} {
 		w := term.newWorkerState(fleet.Worker{Incarnation: fleet.Incarnation{ID: "w", StartedMs: 1}})
-		r := &run{phase: phaseStarting, worker: w}
+		r := &run{phase: phaseStarting, worker: w, unit: &batch.Unit{Tasks: make([]batch.Task, 1)}}
 		if confirmed {
 			r.phase, r.confirmedAt = phaseRunning, time.Now()
 		}
