Tell crashes of workers for other causes from those by tasks

Workers that had replaced fallen ones counted as live, because the clock of a worker was taken for its age; 13 to 26 unexplained workers of 450 were below the share of the fleet; suspected tasks were excluded from it; and stops counted for the members of a gang, each of which is stopped with each loss. Tasks with one early loss were kept from eviction, which leaves less to evict after an outage.

Change: a worker lived on if the term had found its incarnation before the loss. The share is 1 % of the fleet, outside of zones that have an outage, for all losses. Stops of gang members do not count. Tasks with two losses, one of them early, are not evicted.

The crashes per task of the specs on tasks at once stay at three. The new test on gangs fails without its line.

--- a/internal/batch/losses.go
+++ b/internal/batch/losses.go
@@ -24,6 +24,9 @@
 	// counts starts, whatever ends them.
 	minLossesToCount = 3
 	maxBegunStarts   = 5
+	// minLossesToKeep is the number of losses from which a task with an early one is not
+	// stopped for urgent work.
+	minLossesToKeep = 2
 )
 
 // Losses counts the workers that were lost under runs of a task.
@@ -83,9 +86,10 @@
 // not make it suspect.
 func (t Task) Suspect() bool { return t.Losses.Early > min(1, t.Losses.Widespread) && !t.Done }
 
-// Evictable reports whether a run of the task may be stopped for urgent work. Each start of
-// a task that may crash its workers counts, so none is spent without showing the cause.
-func (t Task) Evictable() bool { return t.Losses.Early == 0 && t.Losses.All < minLossesToCount }
+// Evictable reports whether a run of the task may be stopped for urgent work. The last starts
+// of a task that may crash its workers are not spent without showing the cause. One loss is
+// not enough: after the outage of a zone, urgent work would have to stop more of the rest.
+func (t Task) Evictable() bool { return t.Losses.Early == 0 || t.Losses.All < minLossesToKeep }
 
 // Lose records that a run has ended with its worker, and fails the job if the task is
 // taken for the cause. If checkpoint is not empty, it becomes the checkpoint of the task.
@@ -114,12 +118,15 @@
 // was stopped, or its lease expired. It fails the job if the task has lost several workers
 // and may not be started again. If checkpoint is not empty, it becomes the checkpoint of
 // the task. Stop returns false if the run is not the current one.
+//
+// The members of a gang are stopped whenever the worker of another one is lost, so that
+// their stops do not count.
 func (t *Tracker) Stop(run RunRef, lifetime time.Duration, checkpoint string, now time.Time) bool {
 	_, task := t.current(run)
 	if !t.Drop(run, checkpoint) {
 		return false
 	}
-	if task.Done || lifetime >= EarlyLossTime {
+	if task.Done || lifetime >= EarlyLossTime || t.Job.Steps[run.Step].Gang {
 		return true
 	}
 	task.Losses.Stopped = min(task.Losses.Stopped+1, maxBegunStarts)
--- a/internal/batch/losses_test.go
+++ b/internal/batch/losses_test.go
@@ -143,6 +143,23 @@
 		Expect(t.Units[0].Tasks[0].Checkpoint).To(Equal("c"))
 	})
 
+	// Guards against gangs that fail because each crash of a worker stops all members.
+	It("do not count for the members of a gang", func() {
+		t := batch.NewTracker(batch.Job{ID: "j", Steps: []batch.Step{{Tasks: 2, Gang: true}}})
+		t.OpenDue(now)
+		for range 5 {
+			for _, ref := range startAll(t, t.Units[0]) {
+				if ref.Index == 0 && t.Units[0].Tasks[0].Losses.All < 3 {
+					t.Lose(ref, early, "", now)
+				} else {
+					t.Stop(ref, 10*time.Millisecond, "", now)
+				}
+			}
+		}
+		Expect(t.State).To(Equal(batch.Running))
+		Expect(t.Units[0].Tasks[0].Losses.Stopped).To(BeZero())
+	})
+
 	// Guards against a count that ends with the term of a dispatcher.
 	It("are stored with the progress", func() {
 		t := oneTask()
@@ -157,6 +174,8 @@
 		t := oneTask()
 		Expect(t.Units[0].Tasks[0].Evictable()).To(BeTrue())
 		lose(t, false, early)
+		Expect(t.Units[0].Tasks[0].Evictable()).To(BeTrue())
+		lose(t, false, early)
 		Expect(t.Units[0].Tasks[0].Evictable()).To(BeFalse())
 		t.Outlive(t.Assign(t.Units[0], 0, worker), 3*time.Second)
 		Expect(t.Units[0].Tasks[0].Evictable()).To(BeTrue())
--- a/internal/dispatch/losses.go
+++ b/internal/dispatch/losses.go
@@ -114,7 +114,7 @@
 	}
 	for id, other := range t.workers {
 		fell := t.silences[id]
-		if id != w.info.ID && (fell == nil || !fell.overlaps(s)) && t.livedOn(other, s.since, now) {
+		if id != w.info.ID && (fell == nil || !fell.overlaps(s)) && t.livedOn(other, s.since) {
 			others = append(others, neighbour{place: t.placeOf(other)})
 		}
 	}
@@ -141,15 +141,16 @@
 
 // livedOn reports whether a worker was there before and after a time. A later incarnation
 // may have replaced one that fell.
-func (t *term) livedOn(w *workerState, since, now time.Time) bool {
+func (t *term) livedOn(w *workerState, since time.Time) bool {
 	if !w.listed || w.misses > 0 {
 		return false
 	}
 	if since.Sub(t.startedAt) < widespreadWindow {
-		since = t.startedAt.Add(-outageTime)
+		// The worker may have fallen before the term. The margin covers the difference
+		// between the clocks.
+		return w.info.StartedMs < t.startedAt.Add(-outageTime).UnixMilli()
 	}
-	age := w.estimateClock(now) // the clock of an incarnation starts with it
-	return age == 0 || age > now.Sub(since).Milliseconds()
+	return w.foundAt.Before(since)
 }
 
 // loseRuns records that all runs on a worker have ended with it.
--- a/internal/dispatch/outage.go
+++ b/internal/dispatch/outage.go
@@ -39,7 +39,7 @@
 	// workers and their share of all from which losses anywhere have a common cause. Tasks
 	// explain almost none, so a small share suffices.
 	minUnexplainedInFleet   = 3
-	unexplainedShareOfFleet = 0.05
+	unexplainedShareOfFleet = 0.01
 )
 
 // group counts the workers that have something in common.
@@ -71,12 +71,29 @@
 }
 
 // widespread reports whether the loss of a worker is part of an outage, given the other
-// workers of the fleet. A suspected run explains its loss unless the zone or rack has an
-// outage.
+// workers of the fleet. The outage of one zone is no evidence for losses in another.
 func widespread(lost neighbour, others []neighbour) bool {
 	zone, rack, all := groupsOf(lost, others)
 	return zone.outage(zone.suspected) || rack.outage(0) || all.outage(0) ||
-		lost.cause != suspected && reaches(all.unexplained, len(others), minUnexplainedInFleet, unexplainedShareOfFleet)
+		reaches(scattered(others), len(others), minUnexplainedInFleet, unexplainedShareOfFleet)
+}
+
+// scattered counts the unexplained workers outside of the zones that have an outage.
+func scattered(others []neighbour) int {
+	zones := map[string]*group{}
+	for _, n := range others {
+		if zones[n.zone] == nil {
+			zones[n.zone] = &group{}
+		}
+		zones[n.zone].add(n)
+	}
+	count := 0
+	for name, zone := range zones {
+		if name == "" || !zone.outage(zone.suspected) {
+			count += zone.unexplained
+		}
+	}
+	return count
 }
 
 // groupsOf counts the workers of the same zone, of the same rack, and all.
--- a/internal/dispatch/workers.go
+++ b/internal/dispatch/workers.go
@@ -73,6 +73,7 @@
 	// describedMs is the start time of the incarnation whose entry was read last. The
 	// capacity and the labels of a later one are not known.
 	describedMs int64
+	foundAt     time.Time // when the term found this incarnation
 	// missingSince is when the entry of a worker that may enter itself again was found
 	// missing after an outage of the store; zero otherwise.
 	missingSince time.Time
@@ -123,7 +124,7 @@
 }
 
 func (t *term) newWorkerState(worker fleet.Worker) *workerState {
-	return &workerState{info: worker, fence: t.maxFence, runs: map[batch.RunRef]*run{}, unread: true}
+	return &workerState{info: worker, fence: t.maxFence, runs: map[batch.RunRef]*run{}, unread: true, foundAt: time.Now()}
 }
 
 // handleWorkerUpdate applies a change of the discovery rows.
@@ -254,7 +255,7 @@
 		t.noteSilence(w, now)
 	}
 	t.reportLoss(w, lossRestarted)
-	w.info.StartedMs = startedMs
+	w.info.StartedMs, w.foundAt = startedMs, now
 	w.lastEnd, w.storedEnd, w.ackedEnd, w.pendingAcks = 0, 0, 0, nil
 	w.clock, w.clockReadAt = clock, now
 	w.failures, w.suspectUntil = 0, time.Time{}
