Show where urgent work waits and what the dispatcher does between two plans

A plan that started nothing left no line, nothing showed what the event loop did between two plans, and a late job showed only its first start.

"Urgent job has begun." divides its wait into the time until the assignment, until the start was sent, and until it was answered. The histogram plan_gap has the times from one plan to the next while work waits, the timer urgent_wait the waits.

--- /dev/null
+++ b/internal/dispatch/pace.go
@@ -0,0 +1,86 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"github.com/samphirepath/samphirepath/internal/batch"
+	"github.com/samphirepath/samphirepath/internal/placement"
+)
+
+// planGapBuckets divides the times from one plan to the next.
+var planGapBuckets = tally.DurationBuckets{
+	10 * time.Millisecond, 20 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond, 150 * time.Millisecond, 200 * time.Millisecond,
+	300 * time.Millisecond, 500 * time.Millisecond, time.Second, 2 * time.Second, 5 * time.Second,
+}
+
+// loopUse is what the event loop has done since the last plan.
+type loopUse struct {
+	events   int
+	handling time.Duration // events and ticks
+	storing  time.Duration // encoding of commits
+}
+
+// notePlanGap records the time since the start of the last plan, if work has waited for
+// this one since then.
+func (t *term) notePlanGap(start time.Time) time.Duration {
+	gap := start.Sub(t.lastPlanAt)
+	if t.waiting {
+		t.scope.Histogram("plan_gap", planGapBuckets).RecordDuration(gap)
+	}
+	return gap
+}
+
+// logPlan logs a plan that starts or evicts work, with what the event loop has done since
+// the one before.
+func (t *term) logPlan(p *planInput, result placement.Result, starts int, gap, snapshot time.Duration) {
+	urgent, oldest := 0, time.Duration(0)
+	for i := range p.Demands {
+		if d := &p.Demands[i]; d.Priority == 0 {
+			urgent++
+			oldest = max(oldest, p.Now.Sub(d.StartableSince))
+		}
+	}
+	t.log.Info("Plan computed.", zap.Int("waiting_groups", len(p.Demands)), zap.Int("urgent_groups", urgent), zap.Duration("longest_urgent_wait", oldest),
+		zap.Int("starts", starts), zap.Int("evicted_groups", len(result.Evict)), zap.Int("workers", len(p.Workers)), zap.Duration("took", t.planDuration),
+		zap.Duration("snapshot", snapshot), zap.Duration("since_last", gap), zap.Int("events", t.use.events),
+		zap.Duration("handling", t.use.handling), zap.Duration("storing", t.use.storing))
+}
+
+// noteBegun logs how long an urgent job has waited, once all tasks of a unit have begun.
+func (t *term) noteBegun(r *run) {
+	j := r.job
+	if j.tracker.Job.Priority != 0 || j.begun[r.unit] {
+		return
+	}
+	first := r.startedAt
+	for i := range r.unit.Tasks {
+		if !r.unit.Tasks[i].Done && !j.confirmed(r.unit, i) {
+			return
+		}
+	}
+	if j.begun == nil {
+		j.begun = map[*batch.Unit]bool{}
+	}
+	j.begun[r.unit] = true
+	key := unitKey{r.unit.Occurrence, r.unit.Step}
+	accepted := time.UnixMilli(j.tracker.Job.AcceptedAtMs)
+	wait := time.Since(j.startableSince[key])
+	t.scope.Timer("urgent_wait").Record(wait)
+	t.log.Info("Urgent job has begun.", zap.String("job", j.tracker.Job.ID), zap.String("organisation", j.tracker.Job.Organisation), zap.Int("step", r.unit.Step),
+		zap.Int("tasks", len(r.unit.Tasks)), zap.Int64("accelerators", r.need.Accelerators*int64(len(r.unit.Tasks))), zap.Int64("since_accepted_ms", time.Since(accepted).Milliseconds()),
+		zap.Duration("wait", wait), zap.Duration("until_assigned", j.assignedAt[key].Sub(j.startableSince[key])),
+		zap.Duration("until_sent", first.Sub(j.assignedAt[key])), zap.Duration("until_answered", time.Since(first)))
+}
+
+// confirmed reports whether the worker of a task has confirmed its run.
+func (j *jobState) confirmed(unit *batch.Unit, index int) bool {
+	for _, r := range j.runs {
+		if r.unit == unit && r.ref.Index == index && !r.confirmedAt.IsZero() {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -7,8 +7,6 @@
 	"strings"
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/samphirepath/samphirepath/internal/batch"
 	"github.com/samphirepath/samphirepath/internal/placement"
 )
@@ -64,8 +62,13 @@
 // plan computes the starts and evictions and initiates them.
 func (t *term) plan() {
 	start := time.Now()
+	gap := t.notePlanGap(start)
+	t.lastPlanAt = start
 	p := t.snapshot(start)
-	if len(p.Demands) == 0 {
+	snapshotTime := time.Since(start)
+	t.waiting = len(p.Demands) > 0
+	defer func() { t.use = loopUse{} }()
+	if !t.waiting {
 		return
 	}
 	p.Observe = func(key placement.StepKey) { t.planning.Store(&key.Job) }
@@ -87,8 +90,7 @@
 	t.planDuration = time.Since(start)
 	t.scope.Timer("plan").Record(t.planDuration)
 	if started > 0 || len(result.Evict) > 0 {
-		t.log.Info("Plan computed.", zap.Int("waiting_groups", len(p.Demands)), zap.Int("starts", started), zap.Int("evicted_groups", len(result.Evict)),
-			zap.Int("workers", len(p.Workers)), zap.Duration("took", time.Since(start)))
+		t.logPlan(p, result, started, gap, snapshotTime)
 	}
 }
 
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -68,6 +68,7 @@
 	unit.Tasks[index].Isolated, unit.Tasks[index].AssignedAtMs = isolated, time.Now().UnixMilli()
 	r := t.newRun(j, unit, ref, w, phaseCommitting)
 	r.isolated = isolated
+	j.assignedAt[unitKey{unit.Occurrence, unit.Step}] = r.startedAt
 	t.markChanged(j)
 	t.whenDurable(j, func() { t.sendStart(r) })
 }
@@ -132,6 +133,7 @@
 	case fleet.Accepted:
 		r.phase, r.confirmedAt, r.seenAt = phaseRunning, now, now
 		t.noteFenced(r.worker, now)
+		t.noteBegun(r)
 		if r.stopReason != "" {
 			t.stopRunning(r)
 		}
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -70,6 +70,8 @@
 
 	planNeeded   bool
 	lastPlanAt   time.Time
+	waiting      bool    // the last plan had waiting work
+	use          loopUse // since the last plan
 	planDuration time.Duration
 	lastHeldAt   time.Time // when the lease was last found held, by its clock
 	// lastExtension is when the lease of a worker was last extended.
@@ -99,6 +101,8 @@
 	heldUntil      time.Time
 	callbacks      []commitCallback
 	startableSince map[unitKey]time.Time
+	assignedAt     map[unitKey]time.Time       // when tasks of the unit were last assigned
+	begun          map[*batch.Unit]bool        // units of which all tasks have been seen to begin
 	failedWorkers  map[unitKey]map[string]bool // IDs of the workers on which a task of the unit has failed
 	suspectSince   map[unitKey]time.Time       // when tasks under suspicion became startable again
 	runs           map[batch.RunRef]*run
@@ -176,10 +180,9 @@
 		case <-t.ctx.Done():
 			return "stopping"
 		case f := <-t.events:
-			t.handle(f)
-			t.drainEvents()
+			t.handleEvents(f)
 		case <-tick.C:
-			t.handle(t.tick)
+			t.handleTimed(t.tick)
 		case <-t.planTimer():
 		}
 		t.handle(t.runDueWork)
@@ -202,12 +205,22 @@
 	done = true
 }
 
-// drainEvents handles the queued events, so that one plan covers all of them.
-func (t *term) drainEvents() {
+// handleTimed handles a step and counts its time.
+func (t *term) handleTimed(step func()) {
+	start := time.Now()
+	t.handle(step)
+	t.use.events++
+	t.use.handling += time.Since(start)
+}
+
+// handleEvents handles an event and those queued behind it, so that one plan covers all of
+// them.
+func (t *term) handleEvents(first func()) {
+	t.handleTimed(first)
 	for range eventQueueSize {
 		select {
 		case f := <-t.events:
-			t.handle(f)
+			t.handleTimed(f)
 		default:
 			return
 		}
@@ -237,10 +250,11 @@
 	}
 	if t.planNeeded && time.Since(t.lastPlanAt) >= t.planInterval() && t.canStartWork() {
 		t.planNeeded = false
-		t.lastPlanAt = time.Now()
 		t.plan()
 	}
+	storing := time.Now()
 	t.flush()
+	t.use.storing += time.Since(storing)
 }
 
 // canStartWork reports whether new runs may be planned.
@@ -355,7 +369,7 @@
 		return
 	}
 	j := &jobState{
-		tracker: batch.NewTracker(job), rows: map[string]storedRow{}, storedState: batch.Queued, startableSince: map[unitKey]time.Time{},
+		tracker: batch.NewTracker(job), rows: map[string]storedRow{}, storedState: batch.Queued, startableSince: map[unitKey]time.Time{}, assignedAt: map[unitKey]time.Time{},
 		failedWorkers: map[unitKey]map[string]bool{}, suspectSince: map[unitKey]time.Time{}, runs: map[batch.RunRef]*run{},
 	}
 	if !t.jobsListed {
