--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -26,6 +26,9 @@
 // notePlanGap records the time since the start of the last plan, if work has waited for
 // this one since then.
 func (t *term) notePlanGap(start time.Time) time.Duration {
+	if t.lastPlanAt.IsZero() {
+		return 0
+	}
 	gap := start.Sub(t.lastPlanAt)
 	if t.waiting {
 		t.scope.Histogram("plan_gap", planGapBuckets).RecordDuration(gap)
