Store the starts of urgent jobs first, and one commit right after the other

Commits took 45 jobs in the order of a map, so that an urgent job could be passed over many times, and the next commit waited until the result of the one before had passed the queue of events, up to 1,024 of them, and the next plan.

Change: the result of a commit goes ahead of the events and starts the next commit. Ends of jobs and starts of urgent jobs come first, the oldest change before newer ones.

Why it works: an urgent start waits for the commit in flight and its own. Unit tests that took the result of a commit from the events take it from either.

--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -39,6 +39,9 @@
 // markChanged schedules the changed progress of a job to be stored.
 func (t *term) markChanged(j *jobState) {
 	j.revision++
+	if j.changedAt.IsZero() {
+		j.changedAt = time.Now()
+	}
 	t.changedJobs[j.tracker.Job.ID] = true
 }
 
@@ -90,7 +93,7 @@
 		result := table.CommitConfirmed(ctx, t.cfg.Store, conditions, writes, confirmationOf(mark))
 		t.scope.Timer("commit").Record(time.Since(sent))
 		versions := t.readVersions(ctx, result)
-		t.post(func() {
+		t.postResult(func() {
 			t.committing = false
 			if withCounts && result.Status == table.Committed {
 				t.storedCounts, t.countsVersion = counts, result.Version
@@ -135,6 +138,7 @@
 			continue
 		}
 		delete(t.changedJobs, id)
+		j.changedAt = time.Time{}
 		groups, revision, state, err := j.nextRows()
 		if err != nil {
 			t.log.Error("Failed to encode the progress of a job.", zap.String("job", id), telemetry.ErrorField(err))
@@ -149,21 +153,26 @@
 	return commit
 }
 
-// commitOrder returns the jobs whose progress is to be stored. Those that have ended come
-// first: after an outage of the store, their callers wait for the stored end.
+// commitOrder returns the jobs whose progress is to be stored. Those for which somebody
+// waits come first: callers for the end of a job, and urgent jobs for the record of their
+// starts. Of these and of the others the oldest change comes first, so that none is passed
+// over again and again.
 func (t *term) commitOrder() []string {
-	ended, others := []string{}, []string{}
+	awaited, others := []string{}, []string{}
 	for id := range t.changedJobs {
 		switch j := t.jobs[id]; {
 		case j == nil:
 			delete(t.changedJobs, id)
-		case j.tracker.State.Final():
-			ended = append(ended, id)
+		case j.tracker.State.Final(), j.tracker.Job.Priority == 0 && len(j.callbacks) > 0:
+			awaited = append(awaited, id)
 		default:
 			others = append(others, id)
 		}
 	}
-	return append(ended, others...)
+	byAge := func(a, b string) int { return t.jobs[a].changedAt.Compare(t.jobs[b].changedAt) }
+	slices.SortFunc(awaited, byAge)
+	slices.SortFunc(others, byAge)
+	return append(awaited, others...)
 }
 
 // confirmationOf returns how to see that a commit was applied: its mark is stored. The
--- a/internal/dispatch/commit_test.go
+++ b/internal/dispatch/commit_test.go
@@ -27,11 +27,21 @@
 	return ref
 }
 
+// nextEvent waits for the next result of a commit or other event.
+func nextEvent(t *term) func() {
+	select {
+	case event := <-t.results:
+		return event
+	case event := <-t.events:
+		return event
+	}
+}
+
 // storeProgress commits once and waits for the result.
 func storeProgress(g *gomega.WithT, t *term) {
 	t.flush()
 	g.Expect(t.committing).To(gomega.BeTrue())
-	(<-t.events)()
+	nextEvent(t)()
 }
 
 // Guards against callers that are told what a crash of the dispatcher takes back: the state
--- a/internal/dispatch/deleted_test.go
+++ b/internal/dispatch/deleted_test.go
@@ -26,7 +26,7 @@
 
 	term.finished["j"] = finishedJob{state: batch.Completed, endedAt: time.Now().Add(-time.Minute)}
 	term.forgetFinished(time.Now())
-	(<-term.events)()
+	nextEvent(term)()
 	g.Expect(term.finished).To(gomega.BeEmpty())
 	term.handleJobUpdate(table.Update{Rows: listing.Rows, Full: true}, nil)
 	g.Expect(term.jobs).To(gomega.BeEmpty())
@@ -46,9 +46,9 @@
 	term.finished["j"] = finishedJob{state: batch.Completed, endedAt: time.Now().Add(-time.Minute)}
 	store.set(func() { store.holdNext = JobsPrefix })
 	term.forgetFinished(time.Now())
-	(<-term.events)()
+	nextEvent(term)()
 	term.forgetFinished(time.Now())
-	(<-term.events)()
+	nextEvent(term)()
 	g.Expect(term.finished).To(gomega.BeEmpty())
 	submitLate(g, term) // the caller is told that it is accepted
 	store.applyHeld()
--- a/internal/dispatch/early_cancel_test.go
+++ b/internal/dispatch/early_cancel_test.go
@@ -40,7 +40,7 @@
 	term.handleJobUpdate(table.Update{Rows: []table.Row{cancellation}}, nil)
 	job := submitLate(g, term)
 	term.forgetEarlyCancels(time.Now().Add(time.Minute))
-	(<-term.events)()
+	nextEvent(term)()
 	term.handleJobUpdate(table.Update{Rows: []table.Row{job}}, nil)
 	g.Expect(term.jobs["j"].tracker.State).To(gomega.Equal(batch.Cancelled))
 }
@@ -54,7 +54,7 @@
 	term.handleJobUpdate(table.Update{Rows: []table.Row{first}}, nil)
 	second := recordEarlyCancel(g, term, "j")
 	term.forgetEarlyCancels(time.Now().Add(time.Minute))
-	event := <-term.events
+	event := nextEvent(term)
 	term.handleJobUpdate(table.Update{Rows: []table.Row{second}}, nil)
 	event()
 	term.handleJobUpdate(table.Update{Rows: []table.Row{submitLate(g, term)}}, nil)
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -33,6 +33,7 @@
 	epoch     int64
 	startedAt time.Time
 	events    chan func()
+	results   chan func()   // results of commits, which go ahead of the events
 	done      chan struct{} // closed when the term has ended
 	endReason string        // why the term ends; empty while it continues
 	former    formerHolders
@@ -46,9 +47,10 @@
 	silences      map[string]*silence                  // when workers last fell silent or restarted, by ID
 	givenUp       map[batch.RunRef]givenUpRun          // runs that were taken for gone
 	workers       map[string]*workerState
-	jobsListed    bool // a full listing of the jobs has been applied
-	workersListed bool // a full listing of the workers has been applied
-	workersUnread bool // the last read of the workers' entries failed
+	workerOrder   []*workerState // by rack; nil if it is to be sorted again
+	jobsListed    bool           // a full listing of the jobs has been applied
+	workersListed bool           // a full listing of the workers has been applied
+	workersUnread bool           // the last read of the workers' entries failed
 	// reentryEnd is when workers whose entry is missing count as gone after an outage.
 	reentryEnd time.Time
 
@@ -68,12 +70,14 @@
 	planning atomic.Pointer[string] // job that is being placed
 	stepAt   atomic.Int64           // when the event loop last started a step, since startedAt, in ns
 
-	planNeeded   bool
-	lastPlanAt   time.Time
-	waiting      bool    // the last plan had waiting work
-	use          loopUse // since the last plan
-	planDuration time.Duration
-	lastHeldAt   time.Time // when the lease was last found held, by its clock
+	planNeeded bool
+	lastPlanAt time.Time
+	waiting    bool    // the last plan had waiting work
+	use        loopUse // since the last plan
+	// planDuration is what a plan costs: the shortest of planDurations, the last few ones.
+	planDuration  time.Duration
+	planDurations []time.Duration
+	lastHeldAt    time.Time // when the lease was last found held, by its clock
 	// lastExtension is when the lease of a worker was last extended.
 	lastExtension time.Time
 	outageLogged  bool // the current outage of the lease was logged
@@ -90,6 +94,7 @@
 	// revision counts the changes of the progress. storedRevision is the revision that the
 	// stored rows contain, and storedState the state of the job in them.
 	revision       int64
+	changedAt      time.Time // when the oldest change was made that no commit has taken
 	storedRevision int64
 	storedState    batch.State
 	// uncertain is set while a commit of the progress is in flight or of unknown outcome, or
@@ -144,7 +149,7 @@
 	d.maxFence = max(d.maxFence+1, status.Epoch<<fenceBits)
 	return &term{
 		Dispatcher: d, ctx: ctx, epoch: status.Epoch, startedAt: now, lastHeldAt: heldAt, former: newFormerHolders(status.Former, d.cfg.LeaseOutage, now),
-		events: make(chan func(), eventQueueSize), done: make(chan struct{}),
+		events: make(chan func(), eventQueueSize), results: make(chan func(), 1), done: make(chan struct{}),
 		jobs: map[string]*jobState{}, earlyCancels: map[string]earlyCancel{}, finished: map[string]finishedJob{}, deleted: map[string]deletedJob{}, invalid: map[string]bool{}, workers: map[string]*workerState{},
 		presumed: map[fleet.Incarnation][]presumedLoss{}, silences: map[string]*silence{}, givenUp: map[batch.RunRef]givenUpRun{},
 		changedJobs: map[string]bool{},
@@ -159,6 +164,15 @@
 	}
 }
 
+// postResult queues the result of a commit. The starts that it has stored, and the next
+// commit, do not wait behind the events.
+func (t *term) postResult(f func()) {
+	select {
+	case t.results <- f:
+	case <-t.ctx.Done():
+	}
+}
+
 // run processes events until the term ends, and returns the reason.
 func (t *term) run() string {
 	var progress map[string]storedProgress
@@ -179,6 +193,8 @@
 		select {
 		case <-t.ctx.Done():
 			return "stopping"
+		case f := <-t.results:
+			t.handleResult(f)
 		case f := <-t.events:
 			t.handleEvents(f)
 		case <-tick.C:
@@ -213,11 +229,32 @@
 	t.use.handling += time.Since(start)
 }
 
+// handleResult handles the result of a commit and starts the next commit at once.
+func (t *term) handleResult(f func()) {
+	t.handleTimed(f)
+	if t.endReason == "" {
+		t.handle(t.storeProgress)
+	}
+}
+
+// storeProgress starts the next commit and counts the time of its encoding.
+func (t *term) storeProgress() {
+	start := time.Now()
+	t.flush()
+	t.use.storing += time.Since(start)
+}
+
 // handleEvents handles an event and those queued behind it, so that one plan covers all of
 // them.
 func (t *term) handleEvents(first func()) {
 	t.handleTimed(first)
 	for range eventQueueSize {
+		select {
+		case f := <-t.results:
+			t.handleResult(f)
+			continue
+		default:
+		}
 		select {
 		case f := <-t.events:
 			t.handleTimed(f)
@@ -252,9 +289,7 @@
 		t.planNeeded = false
 		t.plan()
 	}
-	storing := time.Now()
-	t.flush()
-	t.use.storing += time.Since(storing)
+	t.storeProgress()
 }
 
 // canStartWork reports whether new runs may be planned.
--- a/internal/dispatch/unanswered_test.go
+++ b/internal/dispatch/unanswered_test.go
@@ -96,7 +96,7 @@
 		if !t.committing {
 			return
 		}
-		(<-t.events)()
+		nextEvent(t)()
 	}
 }
 
@@ -129,7 +129,7 @@
 		j.tracker.Assign(j.tracker.Units[0], 1, batch.WorkerIncarnation{ID: "w"})
 		term.markChanged(j)
 	}
-	(<-term.events)()
+	nextEvent(term)()
 	storeAll(term)
 	for id, j := range term.jobs {
 		g.Expect(j.storedRevision).To(gomega.Equal(j.revision), "job "+id)
@@ -150,7 +150,7 @@
 	j.tracker.Finish(ref)
 	term.updateJobState(j)
 	term.flush()
-	event := <-term.events
+	event := nextEvent(term)
 	g.Expect(storedStateOf(g, store, "j")).To(gomega.Equal(batch.Completed))
 	g.Expect(term.knownState("j")).NotTo(gomega.Equal(batch.Running), "while the commit is unanswered")
 	event()
