Do not ask a worker again for ends that are not stored yet

Cause: after an answer with ends the worker was called at once without a wait. The ends could not be acknowledged yet, so that the answer had the same ones.

--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -21,6 +21,10 @@
 	if len(w.runs) == 0 && !t.needsCall(w, now) {
 		return
 	}
+	if next := w.answeredAt.Add(unstoredEndsDelay); !probe && w.unstoredEnds() && now.Before(next) {
+		w.nextCall = next // the answer would have the same ends again
+		return
+	}
 	order := fleet.LeaseRenewal{Fence: w.fence}
 	if w.storedEnd > w.ackedEnd {
 		// Ends are acknowledged once: a restarted worker numbers its ends anew.
@@ -39,7 +43,6 @@
 		order.Wait = t.pollWait()
 	default:
 		w.polling = true
-		w.nextCall = now.Add(unstoredEndsDelay)
 	}
 	worker := w.info
 	go func() {
@@ -58,6 +61,12 @@
 	}()
 }
 
+// unstoredEnds reports whether a worker has reported ends that are not stored and, since then,
+// none that are.
+func (w *workerState) unstoredEnds() bool {
+	return w.lastEnd != w.storedEnd && w.storedEnd == w.ackedEnd
+}
+
 // needsCall reports whether a worker without runs is called: to acknowledge stored ends,
 // while it keeps ends that are not stored, which are lost if the worker is, to read ends
 // that nobody has read, or its clock, and to see whether it still exists after an outage of
@@ -186,7 +195,7 @@
 	t.noteFenced(w, now)
 	w.misses, w.lostEndsReported = 0, false
 	w.unread = !t.canReadEnds() || report.MoreEnds
-	w.lastAnswered = sent
+	w.lastAnswered, w.answeredAt = sent, now
 	if order.AckedEnds <= w.storedEnd {
 		// Otherwise the call was sent to an earlier incarnation.
 		w.ackedEnd = max(w.ackedEnd, order.AckedEnds)
--- a/internal/dispatch/workers.go
+++ b/internal/dispatch/workers.go
@@ -113,6 +113,7 @@
 	probing      bool
 	nextCall     time.Time // earliest next call
 	lastAnswered time.Time // when the last answered call was sent
+	answeredAt   time.Time // when its answer was applied
 	misses       int       // unanswered calls since the last answer
 
 	orders         []order // orders that wait
