--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -36,9 +37,27 @@
 	return gap
 }
 
+// planCostSamples is the number of plans of which the shortest tells what a plan costs. One
+// takes much longer than its processor time if other goroutines run in between, or if the
+// process is paused.
+const planCostSamples = 3
+
+// notePlanDuration sets planDuration to what a plan costs.
+func (t *term) notePlanDuration(took time.Duration) {
+	if len(t.planDurations) == planCostSamples {
+		t.planDurations = t.planDurations[1:]
+	}
+	t.planDurations = append(t.planDurations, took)
+	t.planDuration = slices.Min(t.planDurations)
+}
+
+// planTimes are the time since the plan before, and the times of the snapshot and of all of a
+// plan.
+type planTimes struct{ gap, snapshot, whole time.Duration }
+
 // logPlan logs a plan that starts or evicts work, with what the event loop has done since
 // the one before.
-func (t *term) logPlan(p *planInput, result placement.Result, starts int, gap, snapshot time.Duration) {
+func (t *term) logPlan(p *planInput, result placement.Result, times planTimes, starts int) {
 	urgent, oldest := 0, time.Duration(0)
 	for i := range p.Demands {
 		if d := &p.Demands[i]; d.Priority == 0 {
@@ -47,8 +66,8 @@
 		}
 	}
 	t.log.Info("Plan computed.", zap.Int("waiting_groups", len(p.Demands)), zap.Int("urgent_groups", urgent), zap.Duration("longest_urgent_wait", oldest),
-		zap.Int("starts", starts), zap.Int("evicted_groups", len(result.Evict)), zap.Int("workers", len(p.Workers)), zap.Duration("took", t.planDuration),
-		zap.Duration("snapshot", snapshot), zap.Duration("since_last", gap), zap.Int("events", t.use.events),
+		zap.Int("starts", starts), zap.Int("evicted_groups", len(result.Evict)), zap.Int("workers", len(p.Workers)), zap.Duration("took", times.whole),
+		zap.Duration("snapshot", times.snapshot), zap.Duration("since_last", times.gap), zap.Int("events", t.use.events),
 		zap.Duration("handling", t.use.handling), zap.Duration("storing", t.use.storing))
 }
 
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -87,10 +87,11 @@
 			t.requestStop(r, "evicted for an urgent job")
 		}
 	}
-	t.planDuration = time.Since(start)
-	t.scope.Timer("plan").Record(t.planDuration)
+	took := time.Since(start)
+	t.notePlanDuration(took)
+	t.scope.Timer("plan").Record(took)
 	if started > 0 || len(result.Evict) > 0 {
-		t.logPlan(p, result, started, gap, snapshotTime)
+		t.logPlan(p, result, planTimes{gap: gap, snapshot: snapshotTime, whole: took}, started)
 	}
 }
 
@@ -100,24 +101,37 @@
 	if len(p.Demands) == 0 {
 		return p
 	}
-	// Among equally good workers the first is chosen: sorting by rack fills one rack
-	// after the other and keeps entire racks free for gangs.
-	p.workers = slices.SortedFunc(maps.Values(t.workers), func(a, b *workerState) int {
-		return cmp.Or(strings.Compare(a.info.Rack, b.info.Rack), strings.Compare(a.info.ID, b.info.ID))
-	})
-	positions := make(map[*workerState]int, len(p.workers))
+	runs := 0
 	// Workers that are only called for their ends are no capacity of the fleet.
-	p.workers = slices.DeleteFunc(p.workers, func(w *workerState) bool { return !w.listed && len(w.runs) == 0 })
+	for _, w := range t.sortedWorkers() {
+		if w.listed || len(w.runs) > 0 {
+			w.position = len(p.workers)
+			p.workers = append(p.workers, w)
+			runs += len(w.runs)
+		}
+	}
+	p.Workers = make([]placement.Worker, len(p.workers))
+	releases := make([]placement.Release, 0, runs)
 	for i, w := range p.workers {
-		positions[w] = i
-		p.Workers = append(p.Workers, t.placementWorker(w, now))
+		releases = t.placementWorker(&p.Workers[i], w, now, releases)
 	}
 	if urgent {
-		t.evictionGroups(p, positions, now)
+		t.evictionGroups(p, runs, now)
 	}
 	return p
 }
 
+// sortedWorkers returns the workers by rack. Among equally good workers the first is chosen:
+// this order fills one rack after the other and keeps entire racks free for gangs.
+func (t *term) sortedWorkers() []*workerState {
+	if t.workerOrder == nil {
+		t.workerOrder = slices.SortedFunc(maps.Values(t.workers), func(a, b *workerState) int {
+			return cmp.Or(strings.Compare(a.info.Rack, b.info.Rack), strings.Compare(a.info.ID, b.info.ID))
+		})
+	}
+	return t.workerOrder
+}
+
 // demands collects the startable tasks and reports whether any of them are urgent.
 func (t *term) demands(p *planInput, now time.Time) (urgent bool) {
 	for _, j := range t.jobs {
@@ -173,13 +187,16 @@
 	}
 	job := &j.tracker.Job
 	step := &job.Steps[unit.Step]
-	busy := t.busyTasks(j, unit)
 	var tasks []int
 	for i := range unit.Tasks {
-		if !unit.Tasks[i].Done && !unit.Tasks[i].Assigned() && !busy[i] {
+		if !unit.Tasks[i].Done && !unit.Tasks[i].Assigned() {
 			tasks = append(tasks, i)
 		}
 	}
+	if len(tasks) > 0 && len(j.runs) > 0 {
+		busy := t.busyTasks(j, unit)
+		tasks = slices.DeleteFunc(tasks, func(i int) bool { return busy[i] })
+	}
 	if len(tasks) == 0 || step.Gang && len(tasks) < len(unit.Tasks) {
 		return placement.Demand{}, false
 	}
@@ -190,7 +207,7 @@
 	objective := batch.Objective(*job, unit.Occurrence)
 	return placement.Demand{
 		Key:  placement.StepKey{Job: job.ID, Occurrence: unit.Occurrence, Step: unit.Step},
-		Step: step, Service: job.Service, Tasks: tasks, Priority: job.Priority,
+		Step: step, Service: job.Service, Organisation: job.Organisation, Tasks: tasks, Priority: job.Priority,
 		Objective: objective, CriticalPath: batch.CriticalPath(*job),
 		StartableSince: j.startableSince[key], EvictFrom: t.earliestEviction(job, objective, j.startableSince[key]), Avoid: j.failedWorkers[key],
 	}, true
@@ -210,19 +227,22 @@
 	return busy
 }
 
-func (t *term) placementWorker(w *workerState, now time.Time) placement.Worker {
-	out := placement.Worker{
+// placementWorker describes a worker for the snapshot. It appends the expected ends of its
+// runs to releases.
+func (t *term) placementWorker(out *placement.Worker, w *workerState, now time.Time, releases []placement.Release) []placement.Release {
+	*out = placement.Worker{
 		ID: w.info.ID, Service: w.info.Service, Zone: w.info.Zone, Rack: w.info.Rack, Labels: w.info.Labels,
 		Schedulable: t.schedulable(w, now), Suspect: now.Before(w.suspectUntil),
 		Free: w.info.Capacity, Occupied: len(w.runs) > 0,
 	}
+	first := len(releases)
 	for _, r := range w.runs {
 		out.Isolated = out.Isolated || r.isolated
 		out.Free = placement.Sub(out.Free, r.need)
 		if r.stopReason != "" {
 			out.Releasing = placement.Add(out.Releasing, r.need)
 		} else {
-			out.Releases = append(out.Releases, placement.Release{At: r.expectedEnd(now), Need: r.need})
+			releases = append(releases, placement.Release{At: r.expectedEnd(now), Need: r.need})
 		}
 		if r.step.MaxPerWorker > 0 {
 			if out.StepTasks == nil {
@@ -231,7 +251,8 @@
 			out.StepTasks[placement.StepKey{Job: r.ref.Job, Occurrence: r.ref.Occurrence, Step: r.ref.Step}]++
 		}
 	}
-	return out
+	out.Releases = releases[first:len(releases):len(releases)]
+	return releases
 }
 
 func (r *run) expectedEnd(now time.Time) time.Time {
@@ -243,26 +264,45 @@
 }
 
 // evictionGroups collects the runs that may be evicted for urgent work. The runs of
-// a gang form one group.
-func (t *term) evictionGroups(p *planInput, positions map[*workerState]int, now time.Time) {
-	gangs := map[*batch.Unit]int{}
+// a gang form one group. Urgent work itself may be if its organisation holds more than its
+// guarantee. runs is the number of all runs.
+func (t *term) evictionGroups(p *planInput, runs int, now time.Time) {
+	gangs := map[*batch.Unit]int{} // position of the group, or -1 if the gang is not evictable
+	p.Groups, p.groups = make([]placement.EvictionGroup, 0, runs), make([][]*run, 0, runs)
+	single := make([]placement.EvictionTask, 0, runs) // tasks of the groups of one task
+	singleRuns := make([]*run, 0, runs)
 	for _, w := range p.workers {
 		for _, r := range w.runs {
-			if r.stopReason != "" || r.job.tracker.Job.Priority == 0 || !r.evictable() {
+			job := &r.job.tracker.Job
+			if r.stopReason != "" || job.Priority == 0 && !p.Guarantees[job.Organisation].Exceeded() {
 				continue
 			}
-			g, known := gangs[r.unit]
-			if !known || !r.step.Gang {
-				g = len(p.Groups)
-				p.Groups = append(p.Groups, placement.EvictionGroup{ID: g, Priority: r.job.tracker.Job.Priority})
-				p.groups = append(p.groups, nil)
+			g, known := -1, false
+			if r.step.Gang {
+				g, known = gangs[r.unit]
+			}
+			if !known {
+				if r.evictable() {
+					g = len(p.Groups)
+					p.Groups = append(p.Groups, placement.EvictionGroup{ID: g, Priority: job.Priority, Organisation: job.Organisation, StartedAt: r.startedAt})
+					p.groups = append(p.groups, nil)
+				}
 				if r.step.Gang {
 					gangs[r.unit] = g
 				}
 			}
-			p.Groups[g].Tasks = append(p.Groups[g].Tasks, placement.EvictionTask{Worker: positions[w], Need: r.need})
+			if g < 0 {
+				continue
+			}
 			p.Groups[g].Loss += r.evictionLoss(now)
-			p.groups[g] = append(p.groups[g], r)
+			task := placement.EvictionTask{Worker: w.position, Need: r.need}
+			if r.step.Gang {
+				p.Groups[g].Tasks, p.groups[g] = append(p.Groups[g].Tasks, task), append(p.groups[g], r)
+				continue
+			}
+			single, singleRuns = append(single, task), append(singleRuns, r)
+			last := len(single) - 1
+			p.Groups[g].Tasks, p.groups[g] = single[last:last+1:last+1], singleRuns[last:last+1:last+1]
 		}
 	}
 }
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -347,7 +347,7 @@
 	w := t.workers[incarnation.ID]
 	if w == nil {
 		w = t.newWorkerState(fleet.Worker{Incarnation: fleet.Incarnation{ID: incarnation.ID, StartedMs: incarnation.StartedMs}, Address: incarnation.Address, Service: j.tracker.Job.Service})
-		t.workers[incarnation.ID] = w
+		t.addWorker(w)
 	}
 	ref := batch.RunRef{TaskRef: batch.TaskRef{Job: j.tracker.Job.ID, Occurrence: unit.Occurrence, Step: unit.Step, Index: index}, Run: unit.Tasks[index].Run}
 	r := t.newRun(j, unit, ref, w, phaseUnknown)
--- a/internal/dispatch/workers.go
+++ b/internal/dispatch/workers.go
@@ -93,6 +93,8 @@
 	// that it accepts none of an earlier holder any more.
 	fenced bool
 
+	position int // in the snapshot of the current plan
+
 	runs        map[batch.RunRef]*run
 	lastEnd     int64 // number of the newest end received
 	storedEnd   int64 // ends up to this number are stored
@@ -137,6 +139,11 @@
 	return &workerState{info: worker, fence: t.maxFence, runs: map[batch.RunRef]*run{}, unread: true, foundAt: time.Now()}
 }
 
+func (t *term) addWorker(w *workerState) {
+	t.workers[w.info.ID] = w
+	t.workerOrder = nil
+}
+
 // handleWorkerUpdate applies a change of the discovery rows.
 func (t *term) handleWorkerUpdate(update table.Update) {
 	now := time.Now()
@@ -184,7 +191,7 @@
 	w := t.workers[worker.ID]
 	if w == nil {
 		w = t.newWorkerState(worker)
-		t.workers[worker.ID] = w
+		t.addWorker(w)
 		t.log.Info("Worker found.", zap.String("worker", worker.ID), zap.String("zone", worker.Zone), zap.Int64("version", version))
 	}
 	switch {
@@ -203,6 +210,9 @@
 	if !w.listed {
 		w.nextCall = time.Time{}
 	}
+	if worker.Rack != w.info.Rack {
+		t.workerOrder = nil
+	}
 	w.info, w.listed, w.missingSince, w.describedMs = worker, true, time.Time{}, worker.StartedMs
 	if w.clockReadAt.IsZero() {
 		w.clock, w.clockReadAt = worker.Clock, now
@@ -317,6 +327,7 @@
 	}
 	if !w.listed && len(w.runs) == 0 && w.ackedEnd == w.lastEnd && !w.mayKeepEnds(now) && !w.polling && !w.probing {
 		delete(t.workers, w.info.ID)
+		t.workerOrder = nil
 		return
 	}
 	t.pollWorker(w, now)
