Count the guarantees of organisations for urgent work

Cause: the guarantee in the configuration was not read. All urgent work was equal: it could evict only work of other priorities and never yielded.

A configuration without guarantees keeps all urgent work equal.

--- a/internal/catalogue/catalogue.go
+++ b/internal/catalogue/catalogue.go
@@ -35,8 +35,11 @@
 
 // Catalogue is one version of the configuration.
 type Catalogue struct {
-	Version       int64
-	Limits        Limits
+	Version int64
+	Limits  Limits
+	// Guarantees holds the accelerators that belong to each organisation for its jobs of
+	// priority 0. It is nil if the configuration has no guarantees.
+	Guarantees    map[string]int64
 	queuesByHost  map[string][]Queue // longest prefix first
 	organisations map[string]string  // token to organisation
 }
@@ -81,6 +84,14 @@
 // Catalogue returns the newest catalogue, or nil if there is none yet.
 func (c *Current) Catalogue() *Catalogue { return c.catalogue.Load() }
 
+// Guarantees returns the guarantees of the newest catalogue, see Catalogue.
+func (c *Current) Guarantees() map[string]int64 {
+	if newest := c.Catalogue(); newest != nil {
+		return newest.Guarantees
+	}
+	return nil
+}
+
 // Update replaces the catalogue if next has a higher version. It reports whether it
 // did.
 func (c *Current) Update(next *Catalogue) bool {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -72,10 +72,13 @@
 	Zone   string // zone of this daemon
 	// EndFormerTerm asks another daemon to end its term if that has a lower epoch, and
 	// reports whether none runs or will run there any more.
-	EndFormerTerm  func(ctx context.Context, daemon string, epoch int64) (bool, error)
-	Workers        Discovery
-	Client         fleet.Client
-	Zones          Zones
+	EndFormerTerm func(ctx context.Context, daemon string, epoch int64) (bool, error)
+	Workers       Discovery
+	Client        fleet.Client
+	Zones         Zones
+	// Guarantees returns the accelerators that belong to each organisation for its jobs of
+	// priority 0, or nil if there are no guarantees; all such jobs are then equal.
+	Guarantees     func() map[string]int64
 	MaxWorkerLease time.Duration // longest lease that a worker accepts
 	// LeaseOutage is how long a holder that cannot renew its lease at the store continues to
 	// renew the leases of workers. A successor waits at least this long before it drops the
@@ -127,6 +130,9 @@
 	if cfg.Plan == nil {
 		cfg.Plan = placement.Plan
 	}
+	if cfg.Guarantees == nil {
+		cfg.Guarantees = func() map[string]int64 { return nil }
+	}
 	return &Dispatcher{cfg: cfg, log: telemetry.Named(cfg.Log, "dispatch"), scope: telemetry.ScopeOrNoop(cfg.Scope)}
 }
 
--- a/internal/dispatch/fixture_test.go
+++ b/internal/dispatch/fixture_test.go
@@ -48,6 +48,8 @@
 	leaseOutage time.Duration
 	leaseClock  func() time.Time
 	plan        func(placement.Snapshot) placement.Result
+	// guarantees are the accelerators that belong to organisations.
+	guarantees map[string]int64
 }
 
 // faultyStore is a store that fails all calls while it is down.
@@ -250,7 +252,7 @@
 	}
 	d = dispatch.New(dispatch.Config{
 		Store: f.store, Lease: leaderLease, Holder: name, Zone: f.daemonZone, EndFormerTerm: f.endFormerTerm, Workers: discovery, Client: client, Zones: &f.zones,
-		MaxWorkerLease: cmp.Or(f.workerLease, testWorkerLease), LeaseOutage: f.leaseOutage, FinishedRetention: time.Minute, CancelRetention: f.cancelRetention, StallLimit: f.stallLimit, Plan: f.plan,
+		MaxWorkerLease: cmp.Or(f.workerLease, testWorkerLease), LeaseOutage: f.leaseOutage, FinishedRetention: time.Minute, CancelRetention: f.cancelRetention, StallLimit: f.stallLimit, Plan: f.plan, Guarantees: func() map[string]int64 { return f.guarantees },
 		Follower: table.Follower{Wait: 200 * time.Millisecond, Grace: 400 * time.Millisecond, RetryDelay: 20 * time.Millisecond},
 		Log:      log.Named(name),
 	})
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -116,6 +116,7 @@
 		releases = t.placementWorker(&p.Workers[i], w, now, releases)
 	}
 	if urgent {
+		t.guarantees(p)
 		t.evictionGroups(p, runs, now)
 	}
 	return p
@@ -132,6 +133,32 @@
 	return t.workerOrder
 }
 
+// guarantees adds the guarantees of the organisations to a snapshot, with what their urgent
+// jobs hold.
+func (t *term) guarantees(p *planInput) {
+	configured := t.cfg.Guarantees()
+	if configured == nil {
+		return
+	}
+	p.Guarantees = make(map[string]placement.Guarantee, len(configured))
+	for organisation, accelerators := range configured {
+		p.Guarantees[organisation] = placement.Guarantee{Accelerators: accelerators}
+	}
+	for _, j := range t.jobs {
+		if j.tracker.Job.Priority != 0 {
+			continue
+		}
+		organisation := j.tracker.Job.Organisation
+		g := p.Guarantees[organisation]
+		for _, r := range j.runs {
+			if r.stopReason == "" {
+				g.Held += r.need.Accelerators
+			}
+		}
+		p.Guarantees[organisation] = g
+	}
+}
+
 // demands collects the startable tasks and reports whether any of them are urgent.
 func (t *term) demands(p *planInput, now time.Time) (urgent bool) {
 	for _, j := range t.jobs {
--- a/internal/dispatch/urgent_test.go
+++ b/internal/dispatch/urgent_test.go
@@ -50,3 +50,25 @@
 		Expect(last).To(BeNumerically("<", 45))
 	})
 })
+
+var _ = Describe("an organisation with a guarantee", func() {
+	// Guards against guarantees that are not counted: urgent jobs of other organisations held
+	// all workers, and never yielded to a job within the guarantee of its organisation.
+	It("gets its accelerators back from urgent jobs beyond the guarantees of others", func() {
+		f := newFixture(2)
+		f.guarantees = map[string]int64{"owner": 8, "borrower": 8}
+		whole := task(8)
+		whole.EstimateMs = 20000
+		f.submit(batch.Job{ID: "covered", Spec: `{"ms":20000}`, Organisation: "borrower", Steps: []batch.Step{whole}, Stretch: 2})
+		f.startDispatcher("d")
+		Eventually(f.running, 2*time.Second).Should(HaveKey("covered.0.0.0"))
+		f.submit(batch.Job{ID: "borrowed", Spec: `{"ms":20000}`, Organisation: "borrower", Steps: []batch.Step{whole}, Stretch: 2})
+		Eventually(f.running, 2*time.Second).Should(HaveKey("borrowed.0.0.0"))
+		f.submit(batch.Job{ID: "own", Spec: `{"ms":20000}`, Organisation: "owner", Steps: []batch.Step{whole}, Stretch: 2})
+		Eventually(f.running, 3*time.Second).Should(HaveKey("own.0.0.0"))
+		Expect(f.running()).To(HaveKey("covered.0.0.0"))
+		By("the owner takes no more than its guarantee")
+		f.submit(batch.Job{ID: "more", Spec: `{"ms":20000}`, Organisation: "owner", Steps: []batch.Step{whole}, Stretch: 2})
+		Consistently(f.running, time.Second).Should(And(HaveKey("covered.0.0.0"), HaveKey("own.0.0.0")))
+	})
+})
