Collect garbage less often while a daemon dispatches

The dispatcher, with 40 MB, collected several times a second under load, on a processor that it needed for urgent work.

Change: while a term runs the heap may grow to three times, within 0.8 of the machine's memory; the setting limits.memory_mb is read for that, if there is one.

--- a/cmd/samphirepathd/platform.go
+++ b/cmd/samphirepathd/platform.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 
 	"github.com/rotisserie/eris"
@@ -19,11 +18,6 @@
 	"github.com/samphirepath/samphirepath/platform"
 )
 
-// gcPercent makes the garbage collector run more often than the default of 100, to
-// save memory: a process gets 284 MB of memory on a machine of the platform's example
-// settings, and the heap is a few MB.
-const gcPercent = 50
-
 type platformCommand struct{}
 
 // Run runs the daemon on the platform of package platform until SIGTERM or SIGINT.
@@ -39,7 +33,6 @@
 	if len(problems) > 0 {
 		os.Exit(exitBadSettings)
 	}
-	debug.SetGCPercent(gcPercent)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	log, flush, err := telemetry.NewStreamLogger(os.Stdout)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -93,6 +93,9 @@
 	// StallLimit is how long a step of a term may take until the term counts as stalled. The
 	// default is 4 s.
 	StallLimit time.Duration
+	// OnTerm is called with true when a term starts and with false when it has ended. It may
+	// be nil.
+	OnTerm func(dispatching bool)
 	// Plan places the waiting tasks. The default is placement.Plan.
 	Plan     func(placement.Snapshot) placement.Result
 	Follower table.Follower
@@ -130,6 +133,9 @@
 	if cfg.Plan == nil {
 		cfg.Plan = placement.Plan
 	}
+	if cfg.OnTerm == nil {
+		cfg.OnTerm = func(bool) {}
+	}
 	if cfg.Guarantees == nil {
 		cfg.Guarantees = func() map[string]int64 { return nil }
 	}
@@ -228,6 +234,8 @@
 	defer cancel()
 	d.leading.Store(true)
 	defer d.leading.Store(false)
+	d.cfg.OnTerm(true)
+	defer d.cfg.OnTerm(false)
 	t := newTerm(ctx, d, status, heldAt)
 	d.current.Store(t)
 	defer close(t.done)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -116,7 +116,7 @@
 	}
 	n.lease = leaderLease
 	n.dispatcher = dispatch.New(dispatch.Config{
-		Store: deps.Store, Lease: leaderLease, Holder: settings.Name, Zone: settings.Zone, EndFormerTerm: deps.Store.EndTermBefore, Workers: deps.Workers, Client: deps.Client, Zones: deps.Current, Guarantees: deps.Current.Guarantees,
+		Store: deps.Store, Lease: leaderLease, Holder: settings.Name, Zone: settings.Zone, EndFormerTerm: deps.Store.EndTermBefore, Workers: deps.Workers, Client: deps.Client, Zones: deps.Current, Guarantees: deps.Current.Guarantees, OnTerm: n.tuneCollector,
 		MaxWorkerLease: settings.MaxWorkerLease, MaxStopTime: settings.MaxStopTime, FinishedRetention: settings.FinishedRetention, Follower: n.follower(""),
 		Log: deps.Log, Scope: deps.Scope,
 	})
@@ -187,6 +187,7 @@
 		servers = append(servers, metrics)
 	}
 	n.log.Info("Daemon started.", zap.String("machine", n.settings.Name), zap.String("zone", n.settings.Zone), zap.String("store", n.settings.StoreAddress))
+	n.tuneCollector(false)
 	servingCtx, stopServing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopServing()
 	leadingCtx, stopLeading := context.WithCancel(servingCtx)
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -17,4 +17,5 @@
 	FinishedRetention time.Duration // how long the rows of finished jobs are kept
 	Cores             float64       // share of a core that the daemon may use
 	LinkMbps          float64
+	MemoryMB          float64 // 0 if it is not known
 }
