Let the members of a gang on the stand-in workers start and end together

The stand-in had no word of gangs: its members ran and ended each by itself, so that some ended "done" although another one's worker had crashed before.

Change: workers of a fleet share standinfleet.Gangs. Members work from the moment when all of a run are present, end done together, are broken when another one ends otherwise (crash, stop, expired lease, failure), and end alone after a time without the others. The soak uses it for all its gangs. Its checks stay and one is added: the gang of a completed job was done as a whole in one run.

--- a/internal/standinfleet/worker.go
+++ b/internal/standinfleet/worker.go
@@ -37,6 +37,7 @@
 	endReason  string
 	checkpoint string // reported with an end that is not done
 	need       Capacity
+	gang       bool
 	record     *RunRecord
 }
 
@@ -59,6 +60,9 @@
 	CrashMs *int64 `json:"crash_ms"`
 	// CrashIndex limits the crash to the task with this index in its step.
 	CrashIndex *int `json:"crash_index"`
+	// Gang is the number of members of the gang that the task belongs to; 0 if it belongs to
+	// none.
+	Gang int `json:"gang"`
 	// Need is counted against the capacity of the worker.
 	Need Capacity `json:"need"`
 }
@@ -78,6 +82,8 @@
 	// ShrinkGrace is how long after a change of the capacity starts may still fill the
 	// earlier one.
 	ShrinkGrace time.Duration
+	// Gangs are the gangs of the fleet. Without them each member runs by itself.
+	Gangs *Gangs
 
 	mu          sync.Mutex
 	down        bool
@@ -129,6 +135,9 @@
 // endAllRuns ends all runs by a crash. Ends that were not acknowledged are lost.
 func (w *Worker) endAllRuns() {
 	for key, run := range w.running {
+		if run.gang {
+			w.Gangs.leave(key, "crashed", time.Now())
+		}
 		w.endRunIfDue(key, run, time.Now())
 		if run.record.Ended.IsZero() {
 			run.record.Ended, run.record.EndReason = time.Now(), "crashed"
@@ -253,6 +262,12 @@
 
 func (w *Worker) endRunIfDue(key RunKey, run activeRun, now time.Time) {
 	leaseEnd := w.leaseEnd()
+	if run.gang {
+		if reason, at := w.Gangs.outcome(key, now); reason != "" {
+			w.endRun(key, reason, at)
+		}
+		return
+	}
 	switch {
 	case !now.Before(run.doneAt) && run.doneAt.Before(leaseEnd):
 		w.endRun(key, run.endReason, run.doneAt)
@@ -369,6 +384,11 @@
 
 func (w *Worker) extendLease(deadline int64) {
 	w.leaseEndMs = max(w.leaseEndMs, min(deadline, w.clockMs()+maxLeaseMs))
+	for key, run := range w.running {
+		if run.gang {
+			w.Gangs.extend(key, w.leaseEnd())
+		}
+	}
 }
 
 func (w *Worker) start(order workerOrder) (int, map[string]any) {
@@ -398,7 +418,10 @@
 	w.startCounts[key]++
 	record := &RunRecord{RunKey: key, Worker: w.ID, Started: time.Now()}
 	w.records = append(w.records, record)
-	w.running[key] = activeRun{doneAt: record.Started.Add(time.Duration(spec.DurationMs) * time.Millisecond), endReason: spec.EndReason, checkpoint: spec.Checkpoint, need: spec.Need, record: record}
+	w.running[key] = activeRun{doneAt: record.Started.Add(time.Duration(spec.DurationMs) * time.Millisecond), endReason: spec.EndReason, checkpoint: spec.Checkpoint, need: spec.Need, gang: spec.Gang > 0 && w.Gangs != nil, record: record}
+	if w.running[key].gang {
+		w.Gangs.join(key, spec, w.leaseEnd(), record.Started)
+	}
 	if w.overcommitted() {
 		w.overcommitments++
 	}
@@ -434,8 +457,13 @@
 func (w *Worker) stop(order workerOrder) (int, map[string]any) {
 	key := RunKey{order.Task, order.Run}
 	w.highestRuns[order.Task] = max(w.highestRuns[order.Task], order.Run)
-	if _, running := w.running[key]; running {
-		w.endRun(key, "stopped", time.Now())
+	if run, running := w.running[key]; running {
+		if run.gang {
+			w.Gangs.leave(key, "stopped", time.Now())
+			w.endRunIfDue(key, run, time.Now())
+		} else {
+			w.endRun(key, "stopped", time.Now())
+		}
 	}
 	return http.StatusOK, map[string]any{"clock_ms": w.clockMs()}
 }
--- a/test/soak/callers.go
+++ b/test/soak/callers.go
@@ -44,6 +44,7 @@
 	tasks      []string
 	fails      bool
 	crashes    bool // its first task crashes the workers that start it
+	gang       bool // its tasks are one gang
 
 	mu         sync.Mutex
 	acceptedAt time.Time // zero until a submission was accepted
@@ -259,7 +260,11 @@
 	for i := range s.Count {
 		j.tasks = append(j.tasks, fmt.Sprintf("%s.0.0.%d", j.id, i))
 	}
-	j.encode(map[string]any{"ms": s.EstimateMs}, []step{s})
+	spec := map[string]any{"ms": s.EstimateMs}
+	if j.gang = s.Gang; j.gang {
+		spec["gang"] = s.Count
+	}
+	j.encode(spec, []step{s})
 	return j
 }
 
--- a/test/soak/cluster.go
+++ b/test/soak/cluster.go
@@ -40,6 +40,8 @@
 	// shrinkGrace is how long after its capacity has shrunk a worker may get tasks that fill
 	// the earlier one: the time in which daemons must act on a change, and a heartbeat.
 	shrinkGrace = 3*time.Second + heartbeatEvery
+	// gangTimeout is how long a member of a gang waits for the others.
+	gangTimeout = 3 * time.Second
 	// slowClockRate is the clock rate of every third worker: the platform allows clocks
 	// that are 2 % slow.
 	slowClockRate = 0.98
@@ -62,6 +64,7 @@
 	storeFaults callFaults
 	daemons     []*daemon
 	workers     []*worker
+	gangs       *standinfleet.Gangs
 	endpoints   map[string]*endpoint // by their addresses and those of their proxies
 	// crashingJobs counts the faults during which callers submit jobs that crash workers.
 	crashingJobs atomic.Int32
@@ -78,7 +81,7 @@
 	if err != nil {
 		return nil, err
 	}
-	cl := &cluster{scenario: s, daemonPath: daemonPath, settingsDir: dir, store: standinfleet.NewStore(), endpoints: map[string]*endpoint{}}
+	cl := &cluster{scenario: s, daemonPath: daemonPath, settingsDir: dir, store: standinfleet.NewStore(), gangs: standinfleet.NewGangs(gangTimeout), endpoints: map[string]*endpoint{}}
 	cl.store.SetFault(cl.storeFaults.draw)
 	cl.writeConfiguration()
 	for i := range s.workers {
@@ -241,7 +244,7 @@
 	if i%3 == 0 {
 		w.ClockRate = slowClockRate
 	}
-	w.ShrinkGrace = shrinkGrace
+	w.ShrinkGrace, w.Gangs = shrinkGrace, cl.gangs
 	w.AfterCrash = func() {
 		w.add(&w.downCount, 1)
 		time.Sleep(crashDowntime)
--- a/test/soak/invariants.go
+++ b/test/soak/invariants.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -187,8 +188,24 @@
 	}
 }
 
+// doneTogether reports whether all tasks of a gang were done in one run.
+func doneTogether(j *job, byTask map[string][]standinfleet.RunRecord) bool {
+	done := map[int64]int{}
+	for _, task := range j.tasks {
+		for _, r := range byTask[task] {
+			if r.EndReason == "done" {
+				done[r.Run]++
+			}
+		}
+	}
+	return slices.Contains(slices.Collect(maps.Values(done)), len(j.tasks))
+}
+
 // checkEnd checks the runs of a job after all faults, when all jobs should have ended.
 func (c *checker) checkEnd(j *job, byTask map[string][]standinfleet.RunRecord) {
+	if j.gang && j.lastState == "completed" && !doneTogether(j, byTask) {
+		c.reportOnce("gang", j.id, "job %s is completed, but its gang was never done in one run", j.id)
+	}
 	for _, task := range j.tasks {
 		running := func(r standinfleet.RunRecord) bool { return r.Ended.IsZero() }
 		done := func(r standinfleet.RunRecord) bool { return r.EndReason == "done" }
