Keep a gang that must not be evicted out of the eviction groups

What callers would have seen: with a gang of which two workers were lost, each plan for urgent work failed and the dispatcher's term ended at once, again and again; or the gang was evicted together with the first group.

TestGangThatMustNotBeEvictedIsInNoEvictionGroup fails without this change.

--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -304,11 +304,12 @@
 			if r.stopReason != "" || job.Priority == 0 && !p.Guarantees[job.Organisation].Exceeded() {
 				continue
 			}
-			g, known := -1, false
+			g, known := 0, false
 			if r.step.Gang {
 				g, known = gangs[r.unit]
 			}
 			if !known {
+				g = -1
 				if r.evictable() {
 					g = len(p.Groups)
 					p.Groups = append(p.Groups, placement.EvictionGroup{ID: g, Priority: job.Priority, Organisation: job.Organisation, StartedAt: r.startedAt})
