--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -7,7 +7,6 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
-	"github.com/samphirepath/samphirepath/internal/batch"
 	"github.com/samphirepath/samphirepath/internal/placement"
 )
 
@@ -71,38 +70,36 @@
 		zap.Duration("handling", t.use.handling), zap.Duration("storing", t.use.storing))
 }
 
+// beginning is which tasks of a unit have begun, and how many have not.
+type beginning struct {
+	begun   []bool
+	missing int
+}
+
 // noteBegun logs how long an urgent job has waited, once all tasks of a unit have begun.
 func (t *term) noteBegun(r *run) {
-	j := r.job
-	if j.tracker.Job.Priority != 0 || j.begun[r.unit] {
+	j, key := r.job, unitKey{r.unit.Occurrence, r.unit.Step}
+	if j.tracker.Job.Priority != 0 {
 		return
 	}
-	first := r.startedAt
-	for i := range r.unit.Tasks {
-		if !r.unit.Tasks[i].Done && !j.confirmed(r.unit, i) {
-			return
-		}
+	b := j.beginnings[key]
+	if b == nil {
+		b = &beginning{begun: make([]bool, len(r.unit.Tasks)), missing: len(r.unit.Tasks)}
+		j.beginnings[key] = b
+	}
+	if b.begun[r.ref.Index] {
+		return
 	}
-	if j.begun == nil {
-		j.begun = map[*batch.Unit]bool{}
+	b.begun[r.ref.Index] = true
+	if b.missing--; b.missing > 0 {
+		return
 	}
-	j.begun[r.unit] = true
-	key := unitKey{r.unit.Occurrence, r.unit.Step}
-	accepted := time.UnixMilli(j.tracker.Job.AcceptedAtMs)
-	wait := time.Since(j.startableSince[key])
+	now := time.Now()
+	wait := now.Sub(j.startableSince[key])
 	t.scope.Timer("urgent_wait").Record(wait)
 	t.log.Info("Urgent job has begun.", zap.String("job", j.tracker.Job.ID), zap.String("organisation", j.tracker.Job.Organisation), zap.Int("step", r.unit.Step),
-		zap.Int("tasks", len(r.unit.Tasks)), zap.Int64("accelerators", r.need.Accelerators*int64(len(r.unit.Tasks))), zap.Int64("since_accepted_ms", time.Since(accepted).Milliseconds()),
-		zap.Duration("wait", wait), zap.Duration("until_assigned", j.assignedAt[key].Sub(j.startableSince[key])),
-		zap.Duration("until_sent", first.Sub(j.assignedAt[key])), zap.Duration("until_answered", time.Since(first)))
-}
-
-// confirmed reports whether the worker of a task has confirmed its run.
-func (j *jobState) confirmed(unit *batch.Unit, index int) bool {
-	for _, r := range j.runs {
-		if r.unit == unit && r.ref.Index == index && !r.confirmedAt.IsZero() {
-			return true
-		}
-	}
-	return false
+		zap.Int("tasks", len(r.unit.Tasks)), zap.Int64("accelerators", r.need.Accelerators*int64(len(r.unit.Tasks))),
+		zap.Int64("since_accepted_ms", now.UnixMilli()-j.tracker.Job.AcceptedAtMs), zap.Duration("wait", wait),
+		zap.Duration("until_assigned", j.assignedAt[key].Sub(j.startableSince[key])),
+		zap.Duration("until_sent", r.startedAt.Sub(j.assignedAt[key])), zap.Duration("until_answered", now.Sub(r.startedAt)))
 }
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -43,6 +43,7 @@
 		order.Wait = t.pollWait()
 	default:
 		w.polling = true
+		w.nextCall = now.Add(unstoredEndsDelay)
 	}
 	worker := w.info
 	go func() {
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -106,8 +106,8 @@
 	heldUntil      time.Time
 	callbacks      []commitCallback
 	startableSince map[unitKey]time.Time
-	assignedAt     map[unitKey]time.Time       // when tasks of the unit were last assigned
-	begun          map[*batch.Unit]bool        // units of which all tasks have been seen to begin
+	assignedAt     map[unitKey]time.Time // when tasks of the unit were last assigned
+	beginnings     map[unitKey]*beginning
 	failedWorkers  map[unitKey]map[string]bool // IDs of the workers on which a task of the unit has failed
 	suspectSince   map[unitKey]time.Time       // when tasks under suspicion became startable again
 	runs           map[batch.RunRef]*run
@@ -404,7 +404,7 @@
 		return
 	}
 	j := &jobState{
-		tracker: batch.NewTracker(job), rows: map[string]storedRow{}, storedState: batch.Queued, startableSince: map[unitKey]time.Time{}, assignedAt: map[unitKey]time.Time{},
+		tracker: batch.NewTracker(job), rows: map[string]storedRow{}, storedState: batch.Queued, startableSince: map[unitKey]time.Time{}, assignedAt: map[unitKey]time.Time{}, beginnings: map[unitKey]*beginning{},
 		failedWorkers: map[unitKey]map[string]bool{}, suspectSince: map[unitKey]time.Time{}, runs: map[batch.RunRef]*run{},
 	}
 	if !t.jobsListed {
--- a/internal/placement/guarantee_test.go
+++ b/internal/placement/guarantee_test.go
@@ -17,9 +17,9 @@
 	return d
 }
 
-// runningUrgent returns the run of an urgent task that holds a whole worker.
-func runningUrgent(id, worker int, organisation string, startedAt time.Time, loss float64) placement.EvictionGroup {
-	return placement.EvictionGroup{ID: id, Organisation: organisation, StartedAt: startedAt, Loss: loss, Tasks: []placement.EvictionTask{{Worker: worker, Need: needing(8)}}}
+// runningUrgent returns the run of an urgent task of the borrower, which holds a whole worker.
+func runningUrgent(id, worker int, startedAt time.Time, loss float64) placement.EvictionGroup {
+	return placement.EvictionGroup{ID: id, Organisation: "borrower", StartedAt: startedAt, Loss: loss, Tasks: []placement.EvictionTask{{Worker: worker, Need: needing(8)}}}
 }
 
 var _ = Describe("a guarantee", func() {
@@ -37,9 +37,9 @@
 	// hold more urgent work than theirs.
 	It("is reclaimed from urgent work beyond another one, the newest first", func() {
 		groups := []placement.EvictionGroup{
-			runningUrgent(0, 0, "borrower", now.Add(-3*time.Second), 1),
-			runningUrgent(1, 1, "borrower", now.Add(-time.Second), 9),
-			runningUrgent(2, 2, "borrower", now.Add(-2*time.Second), 5),
+			runningUrgent(0, 0, now.Add(-3*time.Second), 1),
+			runningUrgent(1, 1, now.Add(-time.Second), 9),
+			runningUrgent(2, 2, now.Add(-2*time.Second), 5),
 		}
 		snapshot := placement.Snapshot{Now: now, Workers: occupied(3), Demands: []placement.Demand{urgentOf("owner", 1, now)}, Groups: groups,
 			Guarantees: map[string]placement.Guarantee{"owner": {Accelerators: 8}, "borrower": {Accelerators: 16, Held: 24}}}
@@ -55,10 +55,10 @@
 	})
 
 	It("is met from work that is not urgent where that is enough", func() {
-		other := runningUrgent(1, 1, "borrower", now, 500)
+		other := runningUrgent(1, 1, now, 500)
 		other.Priority = 2
 		snapshot := placement.Snapshot{Now: now, Workers: occupied(2), Demands: []placement.Demand{urgentOf("owner", 1, now)},
-			Groups:     []placement.EvictionGroup{runningUrgent(0, 0, "borrower", now, 1), other},
+			Groups:     []placement.EvictionGroup{runningUrgent(0, 0, now, 1), other},
 			Guarantees: map[string]placement.Guarantee{"owner": {Accelerators: 8}, "borrower": {Held: 8}}}
 		Expect(placement.Plan(snapshot).Evict).To(Equal([]int{1}))
 	})
