Install the handler of SIGHUP before anything else

What operators saw: a daemon that got SIGHUP while it started ended without a line.

Cause: the handler was installed in a goroutine after the settings, the logger and the metrics; until then the signal ends a process.

A start of the runtime before main remains; no test can hit the moment for certain, so none is added.

--- a/cmd/samphirepathd/platform.go
+++ b/cmd/samphirepathd/platform.go
@@ -22,6 +22,9 @@
 
 // Run runs the daemon on the platform of package platform until SIGTERM or SIGINT.
 func (platformCommand) Run() error {
+	// Until then SIGHUP ends the process, also one that comes while it starts.
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
 	path := os.Getenv(platform.SettingsEnv)
 	if path == "" {
 		return eris.Errorf("%s is not set", platform.SettingsEnv)
@@ -46,7 +49,7 @@
 	}
 	defer metrics.Close()
 	directStore := platform.NewStore(settings.StoreAddress, node.Layout{})
-	go reloadOnHangup(ctx, path, directStore, log)
+	go reloadOnHangup(ctx, hangup, path, directStore, log)
 	store := relay.NewStore(directStore, settings.Name, log, metrics.Scope)
 	current := &catalogue.Current{}
 	jobs := intake.New(store, log, metrics.Scope)
@@ -64,10 +67,8 @@
 
 // reloadOnHangup reads the settings again on SIGHUP. Only a change of the address of
 // the store takes effect at once; other settings apply at the next start.
-func reloadOnHangup(ctx context.Context, path string, store *platform.Store, log *zap.Logger) {
+func reloadOnHangup(ctx context.Context, hangup <-chan os.Signal, path string, store *platform.Store, log *zap.Logger) {
 	log = telemetry.Named(log, "settings")
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
 	for {
 		select {
 		case <-ctx.Done():
