Keep isolated demands apart from others with the same needs

What callers would have seen: while an urgent gang under suspicion waits for empty workers, other urgent gangs with the same needs evict nothing.

For an isolated demand only empty workers count, and the shape took the first demand for all.

Evidence: found by reading the diff; placement "does not keep others with the same needs from evicting work" fails without this change.

--- a/internal/placement/isolation_test.go
+++ b/internal/placement/isolation_test.go
@@ -1,6 +1,8 @@
 package placement_test
 
 import (
+	"time"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -59,4 +61,17 @@
 		result := placement.Plan(placement.Snapshot{Now: now, Workers: workers, Demands: []placement.Demand{urgent}, Groups: []placement.EvictionGroup{group}})
 		Expect(result).To(Equal(placement.Result{}))
 	})
+
+	// Guards against urgent work that evicts nothing because an isolated gang with the same
+	// needs, for which only empty workers count, was looked at before.
+	It("does not keep others with the same needs from evicting work", func() {
+		workers := workersInRacks(1, 1)
+		workers[0].Occupied, workers[0].Free = true, placement.Sub(workers[0].Free, needing(1))
+		workers[0].Releases = []placement.Release{{At: now.Add(time.Minute), Need: needing(1)}}
+		group := placement.EvictionGroup{ID: 0, Priority: 2, Tasks: []placement.EvictionTask{{Worker: 0, Need: needing(1)}}}
+		suspect, other := demand(0, 1, batch.Step{Gang: true, Need: needing(8)}), demand(0, 1, batch.Step{Gang: true, Need: needing(8)})
+		suspect.Isolated, suspect.StartableSince = true, now.Add(-time.Second)
+		result := placement.Plan(placement.Snapshot{Now: now, Workers: workers, Demands: []placement.Demand{suspect, other}, Groups: []placement.EvictionGroup{group}})
+		Expect(result.Evict).To(Equal([]int{0}))
+	})
 })
--- a/internal/placement/shape.go
+++ b/internal/placement/shape.go
@@ -17,6 +17,7 @@
 type shapeKey struct {
 	service, label string
 	need           batch.Need
+	isolated       bool
 	reclaims       bool // may evict borrowers
 	// limited is set for steps that limit their tasks on a worker.
 	limited StepKey
@@ -68,7 +69,7 @@
 
 // shapeOf returns the shape of a demand.
 func (p *planner) shapeOf(demand *Demand, reclaims bool) *shape {
-	key := shapeKey{service: demand.Service, label: demand.Step.Label, need: ChargedNeed(demand.Step), reclaims: reclaims}
+	key := shapeKey{service: demand.Service, label: demand.Step.Label, need: ChargedNeed(demand.Step), isolated: demand.Isolated, reclaims: reclaims}
 	if demand.Step.MaxPerWorker > 0 {
 		key.limited = demand.Key
 	}
