review: one task that lasts and fails stalls the whole service

Each end `failed` is held against its minion, without decay; the hopeless task goes from minion to minion until all of them are excluded for 8 s, again and again.

--- a/review/harness-2/environment.go
+++ b/review/harness-2/environment.go
@@ -252,7 +252,8 @@
 	Requires     string `json:"requires,omitempty"`
 	MaxPerServer int    `json:"max_per_server,omitempty"`
 	Persistent   bool   `json:"persistent,omitempty"`
-	Gang         bool   `json:"gang,omitempty"`
+	DataRack     string `json:"data_rack,omitempty"`
+	After        []int  `json:"after,omitempty"`
 }
 
 // submit hands a job in, at one daemon after the other, until it is accepted. It returns when
--- a/review/harness-2/lasting.go
+++ b/review/harness-2/lasting.go
@@ -78,75 +78,43 @@
 	return broken
 }
 
-// lastingTasksThatFail runs five tasks that last on the only minion of their kind. Four of them
-// fail once, one after the other. Each has to be started again while there is room for it.
-func lastingTasksThatFail(e *environment, trouble bool) (string, error) {
-	if err := e.startFleet(3, func(i int) string {
-		if i == 0 {
-			return "b"
-		}
-		return "a"
-	}); err != nil {
-		return "", err
-	}
-	const job = "5c0e7a21d94b4000"
-	spec := taskSpec{DurationMs: time.Hour.Milliseconds()}
-	if trouble {
-		spec.FailMs = map[string]int64{"0": 4000, "1": 5000, "2": 6000, "3": 12000}
-	}
-	if _, err := e.submit(1, job, spec, step{Count: 5, CPU: 5600, MemMB: 11000, GPU: 1, Requires: "b", Persistent: true}); err != nil {
-		return "", err
-	}
-	if !waitFor(5*time.Second, func() bool { return len(e.platform.starts()) == 5 }) {
-		return "", errors.New("the tasks did not start")
-	}
-	begin := time.Now()
-	return e.watchLasting(job, begin.Add(25*time.Second), func() time.Time { return begin }), nil
-}
-
-// lastingTaskBehindGang fills most of the fleet, lets a gang of a less urgent queue wait for
-// minions, and then crashes the minion of a task that lasts. That has to be started again:
+// lastingTaskNearItsData crashes the minion of a task that lasts. All other minions in the rack
+// of its data are busy, and three in the other rack are empty. The task has to be started again:
 // there is room for it.
-func lastingTaskBehindGang(e *environment, trouble bool) (string, error) {
+func lastingTaskNearItsData(e *environment, trouble bool) (string, error) {
 	if err := e.startFleet(3, func(int) string { return "a" }); err != nil {
 		return "", err
 	}
-	const (
-		busy  = 9
-		job   = "5c0e7a21d94b5000"
-		older = 45 * time.Second // age of the job at the crash
-	)
-	// The tasks take longer than their rough estimate, and than the case.
-	if _, err := e.submit(1, "00000000000000f0", taskSpec{DurationMs: 100_000}, step{Count: busy, CPU: 26000, MemMB: 38000, GPU: 8, EstimateMs: 60_000, MaxPerServer: 1}); err != nil {
-		return "", err
-	}
-	if !waitFor(5*time.Second, func() bool { return len(e.platform.starts()) == busy }) {
-		return "", errors.New("the minions were not filled")
-	}
-	accepted, err := e.submit(1, job, taskSpec{DurationMs: time.Hour.Milliseconds()}, step{Count: 1, CPU: 5600, MemMB: 11000, GPU: 1, EstimateMs: 20_000, Persistent: true})
-	if err != nil {
+	const job = "5c0e7a21d94b5000"
+	lasting := step{Count: 1, CPU: 5600, MemMB: 11000, GPU: 1, EstimateMs: 600_000, Persistent: true, DataRack: "r1"}
+	if _, err := e.submit(1, job, taskSpec{DurationMs: time.Hour.Milliseconds()}, lasting); err != nil {
 		return "", err
 	}
-	if !waitFor(5*time.Second, func() bool { return len(e.platform.starts()) == busy+1 }) {
+	if !waitFor(5*time.Second, func() bool { return len(e.platform.starts()) == 1 }) {
 		return "", errors.New("the task that lasts did not start")
 	}
-	time.Sleep(time.Until(accepted.Add(older - 3*time.Second)))
-	// A gang that needs more minions than are free.
-	if _, err := e.submit(2, "00000000000000f1", taskSpec{DurationMs: 20_000}, step{Count: 5, CPU: 26000, MemMB: 38000, GPU: 8, EstimateMs: 20_000, Gang: true}); err != nil {
-		return "", err
+	started := 1
+	for _, busy := range []struct {
+		id, rack string
+		minions  int
+	}{{"00000000000000f0", "r1", 5}, {"00000000000000f1", "r2", 3}} {
+		full := step{Count: busy.minions, CPU: 26000, MemMB: 38000, GPU: 8, EstimateMs: 100_000, MaxPerServer: 1, Requires: busy.rack}
+		if _, err := e.submit(1, busy.id, taskSpec{DurationMs: 100_000}, full); err != nil {
+			return "", err
+		}
+		started += busy.minions
+	}
+	if !waitFor(5*time.Second, func() bool { return len(e.platform.starts()) == started }) {
+		return "", errors.New("the minions were not filled")
 	}
-	time.Sleep(time.Until(accepted.Add(older)))
+	time.Sleep(2 * time.Second)
 	calm := time.Now()
 	if trouble {
-		for _, s := range e.platform.starts() {
-			if jobOf(s.Task) == job {
-				e.platform.minionByID(s.Minion).crash(false)
-			}
-		}
+		e.platform.minionByID(e.platform.starts()[0].Minion).crash(false)
 		// The entry goes after three beats, and 4 s later the fleet has been calm.
 		calm = time.Now().Add((silentBeats+1)*heartbeat + 4*time.Second)
 	}
-	return e.watchLasting(job, time.Now().Add(25*time.Second), func() time.Time { return calm }), nil
+	return e.watchLasting(job, time.Now().Add(30*time.Second), func() time.Time { return calm }), nil
 }
 
 // lastingTaskAfterLosses takes the minion of a task that lasts and the leading daemon away for
--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -30,9 +30,9 @@
 
 var scenarios = map[string]scenario{
 	"pending": pendingAfterCrash,
+	"loop":    jobBesideFailingTask,
 	"label":   labelOfNextIncarnation,
-	"lasting": lastingTasksThatFail,
-	"blocked": lastingTaskBehindGang,
+	"rack":    lastingTaskNearItsData,
 	"gone":    lastingTaskAfterLosses,
 }
 
--- a/review/harness-2/minion.go
+++ b/review/harness-2/minion.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 )
@@ -25,15 +24,14 @@
 // taskSpec is the behaviour of the tasks of a job, in its spec.
 type taskSpec struct {
 	DurationMs int64 `json:"ms"`
-	// FailMs has the time after which the first run of a task fails, by the index of the task.
-	FailMs map[string]int64 `json:"fail_ms,omitempty"`
+	// FailsAfterMs is the time after which every run fails; 0 if none does.
+	FailsAfterMs int64 `json:"fails_after_ms,omitempty"`
 }
 
 // outcome returns how long a run takes and how it ends.
-func (s taskSpec) outcome(task string, run int64) (time.Duration, string) {
-	index := task[strings.LastIndex(task, ".")+1:]
-	if ms, fails := s.FailMs[index]; fails && run == 1 {
-		return time.Duration(ms) * time.Millisecond, "failed"
+func (s taskSpec) outcome() (time.Duration, string) {
+	if s.FailsAfterMs > 0 {
+		return time.Duration(s.FailsAfterMs) * time.Millisecond, "failed"
 	}
 	return time.Duration(s.DurationMs) * time.Millisecond, "done"
 }
@@ -248,7 +246,7 @@
 		return http.StatusBadRequest, answer{}
 	}
 	s := &start{runKey: key, Minion: m.id, Born: m.born.UnixMilli(), Labels: m.labels(), At: time.Now()}
-	takes, how := spec.outcome(o.Task, o.Run)
+	takes, how := spec.outcome()
 	s.dueAt, s.due = s.At.Add(takes), how
 	m.starts = append(m.starts, s)
 	m.running[key] = s
