--- a/review/harness-2/environment.go
+++ b/review/harness-2/environment.go
@@ -70,10 +70,16 @@
 	lastPort  = 30000
 )
 
+// drawn holds the ports that portPair has returned: they are free until a daemon listens.
+var drawn = map[int]bool{}
+
 // portPair returns the first of two free ports in a row.
 func portPair() (int, error) {
 	for range 100 {
 		port := firstPort + rand.IntN(lastPort-firstPort)
+		if drawn[port] || drawn[port+1] {
+			continue
+		}
 		first, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
 			continue
@@ -84,33 +90,53 @@
 			continue
 		}
 		_ = second.Close()
+		drawn[port], drawn[port+1] = true, true
 		return port, nil
 	}
 	return 0, errors.New("no two free ports in a row")
 }
 
+// startAttempts is how often the daemons are started: another program may take one of their
+// ports before they listen.
+const startAttempts = 3
+
 // startDaemons starts daemons, one in each zone in turn, and waits until they are ready.
 func (e *environment) startDaemons(n int) error {
-	for i := range n {
-		d, err := e.newDaemon(i)
-		if err != nil {
-			return err
-		}
-		e.daemons = append(e.daemons, d)
-		if err := d.start(); err != nil {
-			return err
+	for range startAttempts {
+		for i := range n {
+			d, err := e.newDaemon(i)
+			if err != nil {
+				return err
+			}
+			e.daemons = append(e.daemons, d)
+			if err := d.start(); err != nil {
+				return err
+			}
+			e.add("daemon %s started, process %d", d.name, d.cmd.Process.Pid)
 		}
-		e.add("daemon %s started, process %d", d.name, d.cmd.Process.Pid)
-	}
-	for deadline := time.Now().Add(15 * time.Second); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
-		if e.allReady() {
+		if waitFor(5*time.Second, e.allReady) {
 			e.add("all daemons are ready")
 			return nil
 		}
+		for _, d := range e.daemons {
+			d.kill()
+			e.add("daemon %s, last line of its log: %s", d.name, d.lastLine())
+		}
+		e.daemons = nil
 	}
 	return errors.New("the daemons did not become ready")
 }
 
+// lastLine returns the last line that the daemon has logged.
+func (d *daemon) lastLine() string {
+	content, err := os.ReadFile(d.file + ".log")
+	if err != nil {
+		return err.Error()
+	}
+	lines := strings.Split(strings.TrimSpace(string(content)), "\n")
+	return lines[len(lines)-1]
+}
+
 func (e *environment) allReady() bool {
 	for _, d := range e.daemons {
 		status, _, err := e.call(http.MethodGet, "http://"+d.ready+"/ready", nil)
@@ -211,10 +237,10 @@
 		return err
 	}
 	time.Sleep(later)
+	e.daemons[i] = next
 	if err := next.start(); err != nil {
 		return err
 	}
-	e.daemons[i] = next
 	e.add("daemon %s started in its place, process %d", next.name, next.cmd.Process.Pid)
 	return nil
 }
