Add the fields of a plan that estimates, shares and preemption need

Change: run time, latest start, late release, end and evictions of a group, usage of each organisation; the expected end of a run is computed in one file. Result: filled with the values of today; no decision changes.

--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -11,10 +11,6 @@
 	"github.com/samphirepath/samphirepath/internal/placement"
 )
 
-// overdueShare is the remaining run time expected of a task that has exceeded its
-// estimate, as a share of the estimate.
-const overdueShare = 0.2
-
 // Every eviction discards work, so an urgent unit first waits for capacity that
 // becomes free without one: for a share of its slack, at most maxEvictionWait. The
 // share grows with the number of workers, up to evictionWaitWorkers: the more tasks
@@ -115,6 +111,7 @@
 	for i, w := range p.workers {
 		releases = t.placementWorker(&p.Workers[i], w, now, releases)
 	}
+	t.usage(p)
 	if urgent {
 		t.guarantees(p)
 		t.evictionGroups(p, runs, now)
@@ -159,6 +156,25 @@
 	}
 }
 
+// usage adds what the running work of each organisation holds to a snapshot.
+func (t *term) usage(p *planInput) {
+	p.Usage = map[string]placement.Usage{}
+	for _, j := range t.jobs {
+		job := &j.tracker.Job
+		use := p.Usage[job.Organisation]
+		held := &use.Other
+		if job.Priority == 0 {
+			held = &use.Urgent
+		}
+		for _, r := range j.runs {
+			if r.stopReason == "" {
+				*held = placement.Add(*held, r.need)
+			}
+		}
+		p.Usage[job.Organisation] = use
+	}
+}
+
 // demands collects the startable tasks and reports whether any of them are urgent.
 func (t *term) demands(p *planInput, now time.Time) (urgent bool) {
 	for _, j := range t.jobs {
@@ -235,7 +251,7 @@
 	return placement.Demand{
 		Key:  placement.StepKey{Job: job.ID, Occurrence: unit.Occurrence, Step: unit.Step},
 		Step: step, Service: job.Service, Organisation: job.Organisation, Tasks: tasks, Priority: job.Priority,
-		Objective: objective, CriticalPath: batch.CriticalPath(*job),
+		Objective: objective, CriticalPath: batch.CriticalPath(*job), RunTime: t.runTime(job, step),
 		StartableSince: j.startableSince[key], EvictFrom: t.earliestEviction(job, objective, j.startableSince[key]), Avoid: j.failedWorkers[key],
 	}, true
 }
@@ -269,7 +285,8 @@
 		if r.stopReason != "" {
 			out.Releasing = placement.Add(out.Releasing, r.need)
 		} else {
-			releases = append(releases, placement.Release{At: r.expectedEnd(now), Need: r.need})
+			expected, late := t.forecast(r, now)
+			releases = append(releases, placement.Release{At: expected, Late: late, Need: r.need})
 		}
 		if r.step.MaxPerWorker > 0 {
 			if out.StepTasks == nil {
@@ -282,14 +299,6 @@
 	return releases
 }
 
-func (r *run) expectedEnd(now time.Time) time.Time {
-	estimate := time.Duration(r.step.EstimateMs) * time.Millisecond
-	if end := r.startedAt.Add(estimate); end.After(now) {
-		return end
-	}
-	return now.Add(time.Duration(overdueShare * float64(estimate)))
-}
-
 // evictionGroups collects the runs that may be evicted for urgent work. The runs of
 // a gang form one group. Urgent work itself may be if its organisation holds more than its
 // guarantee. runs is the number of all runs.
@@ -323,6 +332,9 @@
 				continue
 			}
 			p.Groups[g].Loss += r.evictionLoss(now)
+			if expected, _ := t.forecast(r, now); expected.After(p.Groups[g].EndsAt) {
+				p.Groups[g].EndsAt = expected
+			}
 			task := placement.EvictionTask{Worker: w.position, Need: r.need}
 			if r.step.Gang {
 				p.Groups[g].Tasks, p.groups[g] = append(p.Groups[g].Tasks, task), append(p.groups[g], r)
--- a/internal/placement/fit.go
+++ b/internal/placement/fit.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 
 	"github.com/samphirepath/samphirepath/internal/batch"
 )
@@ -177,7 +176,7 @@
 // outlastsReservation reports whether a task of the demand would still run when the
 // gang that has reserved the worker is expected to start.
 func (p *planner) outlastsReservation(state *workerState, demand *Demand) bool {
-	end := p.Now.Add(time.Duration(demand.Step.EstimateMs) * time.Millisecond)
+	end := p.Now.Add(demand.runTime())
 	return !state.reservedFrom.IsZero() && end.After(state.reservedFrom)
 }
 
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -43,6 +43,8 @@
 	Schedulable bool
 	// Suspect workers have recently failed tasks and are chosen last.
 	Suspect bool
+	// OnTrial workers get one task at a time until it shows whether they work.
+	OnTrial bool
 	// Occupied workers have runs, also such that are being stopped.
 	Occupied bool
 	// Isolated workers are for the time being left to the task that runs there.
@@ -59,7 +61,9 @@
 
 // Release is the capacity that a running task is expected to free.
 type Release struct {
-	At   time.Time
+	At time.Time // expected end
+	// Late is the time by which the task has ended in nine of ten cases. Zero means At.
+	Late time.Time
 	Need batch.Need
 }
 
@@ -84,6 +88,12 @@
 	// CriticalPath is the estimated run time of the longest chain of steps of the
 	// occurrence, including steps that are done.
 	CriticalPath time.Duration
+	// RunTime is the expected run time of a task. Zero means the estimate of the step.
+	RunTime time.Duration
+	// LatestStart is when the tasks have to start so that the occurrence meets its objective
+	// and, for urgent work, its limit for reclaimed capacity. Zero means the objective less
+	// the critical path.
+	LatestStart time.Time
 	// StartableSince is when the tasks became startable.
 	StartableSince time.Time
 	// EvictFrom is the time from which other work may be evicted for a demand of
@@ -108,6 +118,10 @@
 	// needed for groups of priority 0, which are evicted if they are borrowers.
 	Organisation string
 	StartedAt    time.Time
+	// EndsAt is the expected end of the last task. Zero means that it is not known.
+	EndsAt time.Time
+	// Evictions is how often a task of the group was stopped for urgent work before.
+	Evictions int
 }
 
 // EvictionTask is a running task of an eviction group.
@@ -125,10 +139,26 @@
 	// Guarantees holds the guarantee of each organisation. Organisations without an entry have
 	// none. If it is nil, all work of priority 0 is equal.
 	Guarantees map[string]Guarantee
+	// Usage is what the running work of each organisation holds.
+	Usage map[string]Usage
 	// Observe is called with each demand before it is placed. It may be nil.
 	Observe func(StepKey)
 }
 
+// Usage is the capacity that the running work of an organisation holds.
+type Usage struct {
+	Urgent batch.Need // work of priority 0
+	Other  batch.Need
+}
+
+// runTime returns the expected run time of a task of the demand.
+func (d *Demand) runTime() time.Duration {
+	if d.RunTime > 0 {
+		return d.RunTime
+	}
+	return time.Duration(d.Step.EstimateMs) * time.Millisecond
+}
+
 // Placement assigns tasks of a demand to workers.
 type Placement struct {
 	Demand  int   // position in Snapshot.Demands
@@ -361,6 +391,5 @@
 	if demand.Priority == 0 || p.exceedsUnderusedWait(demand) {
 		return false
 	}
-	estimate := time.Duration(demand.Step.EstimateMs) * time.Millisecond
-	return p.Now.Sub(demand.StartableSince) < localityWaitFactor*estimate
+	return p.Now.Sub(demand.StartableSince) < localityWaitFactor*demand.runTime()
 }
