Stop runs on workers that are about to leave in time to move them

Cause: nothing was stopped on a draining worker. Change: internal/draining decides which runs cannot end in time and when to stop them; gangs are stopped whole, work with checkpoints at the last moment, the most expensive first.

--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -185,6 +185,7 @@
 	switch end.Reason {
 	case fleet.Done:
 		w.recordSuccess()
+		w.drain.ended++
 		changed = tracker.Finish(end.Run)
 	case fleet.Failed:
 		w.recordFailure(now)
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -321,6 +321,7 @@
 	for _, w := range t.workers {
 		t.checkWorker(w, now)
 	}
+	t.stopDrainingRuns(now)
 	t.forgetFinished(now)
 	t.forgetLosses(now)
 	t.forgetGivenUp(now)
--- a/internal/dispatch/workers.go
+++ b/internal/dispatch/workers.go
@@ -121,6 +121,8 @@
 	orders         []order // orders that wait
 	ordersInFlight int
 
+	drain drain // set while the worker drains
+
 	longCheckpoints bool // the worker has reported checkpoints that are too long; logged once
 
 	failures     int // failed tasks and starts, less one for each successful task
@@ -214,6 +216,7 @@
 		t.workerOrder = nil
 	}
 	w.info, w.listed, w.missingSince, w.describedMs = worker, true, time.Time{}, worker.StartedMs
+	t.updateDrain(w, now)
 	if w.clockReadAt.IsZero() {
 		w.clock, w.clockReadAt = worker.Clock, now
 	}
@@ -241,6 +244,7 @@
 
 func (t *term) markUnlisted(w *workerState) {
 	w.listed, w.missingSince = false, time.Time{}
+	t.logDrainEnd(w)
 	t.log.Info("Worker no longer listed.", zap.String("worker", w.info.ID), zap.Int("runs", len(w.runs)))
 	t.planNeeded = true
 }
@@ -280,6 +284,7 @@
 	w.lastEnd, w.storedEnd, w.ackedEnd, w.pendingAcks, w.lostEndsReported = 0, 0, 0, nil, false
 	w.clock, w.clockReadAt = clock, now
 	w.failures, w.suspectUntil = 0, time.Time{}
+	w.drain = drain{}
 	// A call makes the new incarnation reject what was sent to the earlier one and may be
 	// carried out late.
 	w.fenced, w.unread = false, true
