Bound the wait for a better worker also in a full fleet

In a fleet with more than 0.6 in use, only the run time bounded how long a task waits for the rack of its data, or behind the reservation of a gang. A persistent task with a long estimate was not started again for minutes.

A persistent task now waits at most 2 s in any fleet, also behind a reservation. Other tasks stop waiting for their rack when a later start could miss their objective. Capacity and the limits of a step hold as before.

The two tests fail without the change (no placement at 2 s and at the latest start) and pass with it; the other tests of the package pass.

--- a/internal/placement/fit.go
+++ b/internal/placement/fit.go
@@ -111,7 +111,7 @@
 	if !Covers(state.free, need) || !p.withinStepLimit(w, demand) || !p.sharable(w, demand) {
 		return false
 	}
-	if p.passesReservation(state, demand) || p.exceedsUnderusedWait(demand) {
+	if p.passesReservation(state, demand) || p.exceedsBetterWorkerWait(demand) {
 		return true
 	}
 	return !p.outlastsReservation(state, demand) || Covers(state.spare, need)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -19,12 +19,12 @@
 const localityWaitFactor = 2
 
 // In a fleet with at most underusedShare of every kind of capacity in use, no
-// demand waits longer than underusedMaxWait for a better worker. Work that waits
-// for 3 s although idle workers could run it misses the service objective, so
-// underusedMaxWait stays below that.
+// demand waits longer than maxBetterWorkerWait for a better worker, and a persistent
+// task does not in any fleet. Work that waits for 3 s although idle workers could run
+// it misses the service objective, so maxBetterWorkerWait stays below that.
 const (
-	underusedShare   = 0.6
-	underusedMaxWait = 2 * time.Second
+	underusedShare      = 0.6
+	maxBetterWorkerWait = 2 * time.Second
 )
 
 // maxReservations bounds the blocked gangs for which workers are reserved. Each
@@ -159,6 +159,14 @@
 	return time.Duration(d.Step.EstimateMs) * time.Millisecond
 }
 
+// latestStart returns the latest start with which the occurrence meets its objective.
+func (d *Demand) latestStart() time.Time {
+	if !d.LatestStart.IsZero() {
+		return d.LatestStart
+	}
+	return d.Objective.Add(-d.CriticalPath)
+}
+
 // Placement assigns tasks of a demand to workers.
 type Placement struct {
 	Demand  int   // position in Snapshot.Demands
@@ -363,10 +371,10 @@
 	return demand.Priority == 0 && !demand.Isolated && !p.Now.Before(demand.EvictFrom) && len(p.result.Evict) < maxEvictions
 }
 
-// exceedsUnderusedWait reports whether a demand has waited longer than it may
-// in an underused fleet.
-func (p *planner) exceedsUnderusedWait(demand *Demand) bool {
-	return p.underused && p.Now.Sub(demand.StartableSince) >= underusedMaxWait
+// exceedsBetterWorkerWait reports whether a demand has waited longer for a better
+// worker than it may, whatever its run time.
+func (p *planner) exceedsBetterWorkerWait(demand *Demand) bool {
+	return (p.underused || demand.Step.Persistent) && p.Now.Sub(demand.StartableSince) >= maxBetterWorkerWait
 }
 
 // isUnderused reports whether at most underusedShare of each kind of capacity
@@ -386,9 +394,9 @@
 }
 
 // waitsForLocality reports whether a demand still waits for a worker near its
-// data, or for one rack.
+// data, or for one rack. A longer wait could make it miss its objective.
 func (p *planner) waitsForLocality(demand *Demand) bool {
-	if demand.Priority == 0 || p.exceedsUnderusedWait(demand) {
+	if demand.Priority == 0 || p.exceedsBetterWorkerWait(demand) || !p.Now.Before(demand.latestStart()) {
 		return false
 	}
 	return p.Now.Sub(demand.StartableSince) < localityWaitFactor*demand.runTime()
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -178,6 +178,55 @@
 		Expect(tasksByWorker(placement.Plan(waiting), 1)).To(HaveLen(1))
 	})
 
+	// Guards against a persistent task that is not started again for twice its run time
+	// because the rack of its data is busy, in a fleet that is too full for the bound of an
+	// underused one.
+	It("bounds the wait for a better worker of a persistent task in a full fleet", func() {
+		workers := workersInRacks(2, 2)
+		for i := range 3 {
+			workers[i].Free.Accelerators = 0
+			workers[i].Releases = []placement.Release{{At: now.Add(9 * time.Second), Need: needing(8)}}
+		}
+		near := demand(2, 2, batch.Step{DataRack: "r0", Need: needing(1), EstimateMs: 60000, Persistent: true, MaxPerWorker: 1})
+		other := demand(2, 1, batch.Step{DataRack: "r0", Need: needing(1), EstimateMs: 6000})
+		other.Objective = now.Add(time.Hour)
+		waiting := placement.Snapshot{Now: now.Add(1900 * time.Millisecond), Workers: workers, Demands: []placement.Demand{near, other}}
+		Expect(placement.Plan(waiting).Placements).To(BeEmpty())
+		waiting.Now = now.Add(2 * time.Second)
+		result := placement.Plan(waiting)
+		Expect(tasksByWorker(result, 0)).To(Equal(map[int]int{3: 1}), "the limit per worker and the capacity hold")
+		Expect(tasksByWorker(result, 1)).To(BeEmpty(), "a task that is not persistent waits longer")
+		By("the same bound holds behind the reservation of a gang")
+		gang := demand(1, 4, batch.Step{Gang: true, Need: needing(8)})
+		behind := demand(2, 1, batch.Step{Need: needing(1), EstimateMs: 60000, Persistent: true})
+		waiting.Demands = []placement.Demand{gang, behind, demand(2, 1, batch.Step{Need: needing(1), EstimateMs: 60000})}
+		waiting.Now = now.Add(1900 * time.Millisecond)
+		Expect(placement.Plan(waiting).Placements).To(BeEmpty())
+		waiting.Now = now.Add(2 * time.Second)
+		result = placement.Plan(waiting)
+		Expect(tasksByWorker(result, 1)).To(Equal(map[int]int{3: 1}))
+		Expect(tasksByWorker(result, 2)).To(BeEmpty())
+	})
+
+	// Guards against a task that misses its objective while it waits for the rack of its
+	// data, although other workers are free.
+	It("ends the wait for a better worker when the objective could be missed", func() {
+		workers := workersInRacks(2, 1)
+		workers[0].Free.Accelerators = 0
+		workers[0].Releases = []placement.Release{{At: now.Add(9 * time.Second), Need: needing(8)}}
+		near := demand(2, 1, batch.Step{DataRack: "r0", Need: needing(4), EstimateMs: 6000})
+		near.CriticalPath, near.Objective = 6*time.Second, now.Add(9*time.Second)
+		waiting := placement.Snapshot{Now: now.Add(2900 * time.Millisecond), Workers: workers, Demands: []placement.Demand{near}}
+		workers[1].Free.Accelerators = 4
+		workers[1].Releases = []placement.Release{{At: now.Add(9 * time.Second), Need: needing(4)}}
+		Expect(placement.Plan(waiting).Placements).To(BeEmpty())
+		waiting.Now = now.Add(3 * time.Second)
+		Expect(tasksByWorker(placement.Plan(waiting), 0)).To(Equal(map[int]int{1: 1}))
+		By("the run times that were learned count rather than the estimate")
+		waiting.Demands[0].LatestStart = now.Add(5 * time.Second)
+		Expect(placement.Plan(waiting).Placements).To(BeEmpty())
+	})
+
 	It("respects labels, limits per worker and the racks of data", func() {
 		workers := workersInRacks(2, 2)
 		workers[3].Labels = []string{"b"}
