Count a job as waiting until a worker confirms a run of it

The count of waiting jobs left out a job as soon as the record of an assignment was stored. Jobs that were planned for a worker that never answers counted as started, also after a take-over and after their runs were dropped.

A job has now started when a worker has accepted a start, lists a run or reports its end. The field 'started' of the stored progress holds this; rows of earlier versions, which set it with the assignment, count as before. A job is stored once more when it starts. The state shown to callers stays the same.

--- a/api/api.gen.go
+++ b/api/api.gen.go
@@ -358,7 +358,7 @@
 	// Open Occurrences that are open, if their tasks are in pages.
 	Open []int64 `cbor:"7,keyasint,omitempty" json:"open,omitempty"`
 
-	// Started At least one task has been started.
+	// Started A worker has confirmed a run of a task. Earlier versions set it once a run was assigned.
 	Started bool          `cbor:"5,keyasint,omitempty" json:"started,omitempty"`
 	State   string        `cbor:"1,keyasint,omitempty" json:"state,omitempty"`
 	Units   []BatchUnit   `cbor:"2,keyasint,omitempty" json:"units,omitempty"`
--- a/internal/batch/progress.go
+++ b/internal/batch/progress.go
@@ -82,9 +82,11 @@
 
 // Tracker holds the progress of one job.
 type Tracker struct {
-	Job     Job
-	State   State
-	Units   []*Unit
+	Job   Job
+	State State
+	Units []*Unit
+	// Started means that a worker has confirmed a run of the job. In progress that was stored
+	// before confirmations were, it means that a run was assigned.
 	Started bool
 	EndedAt time.Time
 	// nextOccurrence is the first occurrence that has not been opened.
@@ -167,13 +169,23 @@
 	task := &unit.Tasks[index]
 	task.Run++
 	task.Worker, task.Isolated = worker, false
-	t.Started = true
 	if t.State == Queued {
 		t.State = Running
 	}
 	return RunRef{TaskRef: TaskRef{Job: t.Job.ID, Occurrence: unit.Occurrence, Step: unit.Step, Index: index}, Run: task.Run}
 }
 
+// Confirm records that a worker has confirmed a run, also one that has ended or was given up
+// since. It returns whether the job has started with it.
+func (t *Tracker) Confirm(run RunRef) bool {
+	task := t.Task(run.TaskRef)
+	if t.Started || task == nil || run.Run < 1 || run.Run > task.Run {
+		return false
+	}
+	t.Started = true
+	return true
+}
+
 // AlignGang gives all members of a gang the highest run number of any member and
 // the given checkpoint, so that the next runs of all members have the same number
 // and continue from the same checkpoint.
--- a/internal/batch/rows_test.go
+++ b/internal/batch/rows_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -76,6 +77,34 @@
 		Entry("overlapping occurrences of many steps", scheduled(make100(15)...)),
 	)
 
+	// Guards against jobs that count as started after a take-over because they were planned, and
+	// against jobs of earlier versions that count as waiting although they may have run.
+	It("tell whether a worker has confirmed a run", func() {
+		for _, job := range []batch.Job{{ID: "j", Steps: []batch.Step{{Tasks: 1}}}, scheduled(1)} {
+			t := batch.NewTracker(job)
+			t.OpenDue(now)
+			ref := t.Assign(t.Units[0], 0, batch.WorkerIncarnation{ID: "w"})
+			Expect(t.State).To(Equal(batch.Running))
+			Expect(restore(t).Started).To(BeFalse())
+			unknown := ref
+			unknown.Run++
+			Expect(t.Confirm(unknown)).To(BeFalse())
+			Expect(t.Drop(ref, "")).To(BeTrue())
+			Expect(restore(t).Started).To(BeFalse())
+			Expect(t.Confirm(ref)).To(BeTrue(), "the run was given up, and a worker lists it")
+			Expect(t.Confirm(ref)).To(BeFalse())
+			Expect(restore(t).Started).To(BeTrue())
+		}
+		// The row of a job of one task whose run was assigned, as versions before
+		// confirmations were stored wrote it.
+		planned := batch.NewTracker(batch.Job{ID: "j", Steps: []batch.Step{{Tasks: 1}}})
+		row, err := cbor.Marshal(map[int]any{1: "running", 2: []any{map[int]any{3: []any{map[int]any{1: 1}}}}, 3: 1, 5: true})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(planned.Restore(row)).To(Succeed())
+		Expect(planned.State).To(Equal(batch.Running))
+		Expect(planned.Started).To(BeTrue())
+	})
+
 	// Guards against rows that the store rejects because many workers were unreachable.
 	It("stay below the limit of the store with presumed losses of all tasks", func() {
 		t := batch.NewTracker(batch.Job{ID: "0123456789abcdef", Steps: []batch.Step{{Tasks: 300}}})
--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -299,8 +299,23 @@
 	}
 }
 
+// confirmStart records that a worker has confirmed a run: it has accepted its start, lists it
+// or reports its end.
+func (t *term) confirmStart(ref batch.RunRef) {
+	if j := t.jobs[ref.Job]; j != nil && j.tracker.Confirm(ref) {
+		t.markChanged(j)
+		j.startedRevision = j.revision
+	}
+}
+
+// startStored reports whether the stored progress has that the job has started.
+func (j *jobState) startStored() bool {
+	return j.tracker.Started && j.storedRevision >= j.startedRevision
+}
+
 // pendingCounts counts the jobs of each queue of which no start is stored, and reports
-// whether the counts are to be stored now.
+// whether the counts are to be stored now. A job has started when a worker has confirmed a run
+// of it: a run that was only assigned may never be carried out.
 func (t *term) pendingCounts(now time.Time) (map[string]int64, bool) {
 	if !t.jobsListed || now.Sub(t.countedAt) < countsInterval {
 		return nil, false
@@ -308,7 +323,7 @@
 	t.countedAt = now
 	counts := map[string]int64{}
 	for _, j := range t.jobs {
-		if j.storedState == batch.Queued && !j.tracker.State.Final() {
+		if !j.startStored() && !j.tracker.State.Final() {
 			counts[j.tracker.Job.Queue]++
 		}
 	}
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -254,6 +254,7 @@
 	listed := make(map[batch.RunRef]bool, len(report.Running))
 	for _, r := range report.Running {
 		listed[r.Run] = true
+		t.confirmStart(r.Run)
 		if known := w.runs[r.Run]; known != nil {
 			t.updateRun(known, r)
 			continue
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -132,6 +132,7 @@
 	switch reply.Outcome {
 	case fleet.Accepted:
 		r.phase, r.confirmedAt, r.seenAt = phaseRunning, now, now
+		t.confirmStart(r.ref)
 		t.noteFenced(r.worker, now)
 		t.noteBegun(r)
 		if r.stopReason != "" {
@@ -180,6 +181,7 @@
 	t.log.Info("Run ended.", zap.Stringer("task", end.Run.TaskRef), zap.Int64("run", end.Run.Run), zap.String("worker", w.info.ID),
 		zap.String("how", string(end.Reason)), zap.Int64("end", end.Number))
 	t.scope.Tagged(map[string]string{"how": string(end.Reason)}).Counter("ends").Inc(1)
+	t.confirmStart(end.Run)
 	r := j.runs[end.Run]
 	var changed bool
 	switch end.Reason {
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -97,6 +97,8 @@
 	changedAt      time.Time // when the oldest change was made that no commit has taken
 	storedRevision int64
 	storedState    batch.State
+	// startedRevision is the revision in which the job had started, if it has in this term.
+	startedRevision int64
 	// uncertain is set while a commit of the progress is in flight or of unknown outcome, or
 	// has stored only a part of the rows.
 	uncertain bool
