Give waiting organisations fair shares of the capacity

Within a priority, work was started by objective, so an organisation that submits ten times as much as another one crowded it out.

Within a band of urgency and cover, the next demand is now that of the organisation with the smallest dominant share of processors, memory and accelerators, without what its guarantee covers of its urgent work. What a plan places, reserves or evicts for counts at once. Urgent demands that have waited for agingWait still go by age, and with one organisation the plans are the same as before.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -116,7 +116,8 @@
 	// maxFence is the highest fence used by a term of this process. The next term uses
 	// a higher one even if it has the same epoch, because workers reject orders with a
 	// lower fence than the highest that they have seen.
-	maxFence int64
+	maxFence  int64
+	shareTags shareTags
 }
 
 // New returns a dispatcher.
@@ -246,6 +247,7 @@
 	}
 	d.log.Info("Term started.", zap.Int64("epoch", status.Epoch), zap.Strings("former", status.Former))
 	reason := t.run() //nolint:contextcheck // the term stores its context, because results of calls return through its event queue
+	t.setShares(nil)
 	unstoredJobs, unstoredEnds := t.unstored()
 	d.log.Info("Term ended.", zap.Int64("epoch", status.Epoch), zap.String("reason", reason),
 		zap.Int("unstored_jobs", unstoredJobs), zap.Int("unstored_ends", unstoredEnds),
--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -64,7 +64,13 @@
 			oldest = max(oldest, p.Now.Sub(d.StartableSince))
 		}
 	}
+	organisation, since := longestWaiting(p.Demands)
+	longest := time.Duration(0)
+	if !since.IsZero() {
+		longest = p.Now.Sub(since)
+	}
 	t.log.Info("Plan computed.", zap.Int("waiting_groups", len(p.Demands)), zap.Int("urgent_groups", urgent), zap.Duration("longest_urgent_wait", oldest),
+		zap.String("longest_waiting_organisation", organisation), zap.Duration("longest_wait", longest),
 		zap.Int("starts", starts), zap.Int("evicted_groups", len(result.Evict)), zap.Int("workers", len(p.Workers)), zap.Duration("took", times.whole),
 		zap.Duration("snapshot", times.snapshot), zap.Duration("since_last", times.gap), zap.Int("events", t.use.events),
 		zap.Duration("handling", t.use.handling), zap.Duration("storing", t.use.storing))
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -67,6 +67,7 @@
 	if !t.waiting {
 		return
 	}
+	t.noteShares(p)
 	p.Observe = func(key placement.StepKey) { t.planning.Store(&key.Job) }
 	result := t.cfg.Plan(p.Snapshot)
 	t.planning.Store(nil)
@@ -112,8 +113,8 @@
 		releases = t.placementWorker(&p.Workers[i], w, now, releases)
 	}
 	t.usage(p)
+	t.guarantees(p)
 	if urgent {
-		t.guarantees(p)
 		t.evictionGroups(p, runs, now)
 	}
 	return p
--- a/internal/placement/bench_test.go
+++ b/internal/placement/bench_test.go
@@ -45,6 +45,23 @@
 	return demands
 }
 
+// BenchmarkPlanOfOrganisations plans work that ten organisations wait with.
+func BenchmarkPlanOfOrganisations(b *testing.B) {
+	for _, groups := range []int{10, 200} {
+		b.Run(fmt.Sprintf("workers=1104/groups=%d", groups), func(b *testing.B) {
+			fleet, running := busyFleet(1104)
+			snapshot := placement.Snapshot{Now: now, Workers: fleet, Demands: waitingGroups(groups), Groups: running, Usage: map[string]placement.Usage{}}
+			for i := range snapshot.Demands {
+				snapshot.Demands[i].Organisation = fmt.Sprint(i % 10)
+				snapshot.Usage[fmt.Sprint(i%10)] = placement.Usage{Other: needing(int64(100 * (i % 10)))}
+			}
+			for b.Loop() {
+				placement.Plan(snapshot)
+			}
+		})
+	}
+}
+
 func BenchmarkPlan(b *testing.B) {
 	for _, workers := range []int{352, 1104, 3000} {
 		for _, groups := range []int{10, 200} {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -207,6 +207,8 @@
 	sortedReleases [][]Release  // releases of each worker by time, sorted on first use
 	reservations   int
 	underused      bool // at most underusedShare is in use
+	fleetCapacity  amounts
+	holdings       map[string]*holding // by organisation
 	result         Result
 }
 
@@ -228,12 +230,8 @@
 // Plan places the demands that fit, the most urgent first.
 func Plan(snapshot Snapshot) Result {
 	p := newPlanner(snapshot)
-	for _, d := range p.order() {
-		if p.Observe != nil {
-			p.Observe(p.Demands[d].Key)
-		}
-		p.place(d)
-	}
+	p.setHoldings()
+	p.placeInOrder(p.order())
 	return p.result
 }
 
@@ -303,7 +301,7 @@
 
 // order returns the positions of the demands by urgency: priority 0 first, of these the
 // covered ones, then those that can still meet their objective, by priority and objective,
-// then the rest.
+// then the rest. Where several organisations wait, placeInOrder changes it by their shares.
 func (p *planner) order() []int {
 	order := make([]int, len(p.Demands))
 	for i := range order {
@@ -326,12 +324,17 @@
 // that have waited for agingWait are ordered by age instead, which puts them
 // first.
 func (p *planner) sortTime(d *Demand) time.Time {
-	if d.Priority == 0 && p.Now.Sub(d.StartableSince) >= agingWait {
+	if p.aged(d) {
 		return d.StartableSince
 	}
 	return d.Objective
 }
 
+// aged reports whether a demand goes ahead of newer ones of its band.
+func (p *planner) aged(d *Demand) bool {
+	return d.Priority == 0 && p.Now.Sub(d.StartableSince) >= agingWait
+}
+
 // missedBand is added to the priority of demands that can no longer meet their
 // objective. It is larger than any priority, so they come last.
 const missedBand = 1 << 16
