--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -19,12 +19,12 @@
 const localityWaitFactor = 2
 
 // In a fleet with at most underusedShare of every kind of capacity in use, no
-// demand waits longer than underusedMaxWait for a better worker. Work that waits
-// for 3 s although idle workers could run it misses the service objective, so
-// underusedMaxWait stays below that.
+// demand waits longer than maxBetterWorkerWait for a better worker, and a persistent
+// task does not in any fleet. Work that waits for 3 s although idle workers could run
+// it misses the service objective, so maxBetterWorkerWait stays below that.
 const (
-	underusedShare   = 0.6
-	underusedMaxWait = 2 * time.Second
+	underusedShare      = 0.6
+	maxBetterWorkerWait = 2 * time.Second
 )
 
 // maxReservations bounds the blocked gangs for which workers are reserved. Each
@@ -159,6 +159,14 @@
 	return time.Duration(d.Step.EstimateMs) * time.Millisecond
 }
 
+// latestStart returns the latest start with which the occurrence meets its objective.
+func (d *Demand) latestStart() time.Time {
+	if !d.LatestStart.IsZero() {
+		return d.LatestStart
+	}
+	return d.Objective.Add(-d.CriticalPath)
+}
+
 // Placement assigns tasks of a demand to workers.
 type Placement struct {
 	Demand  int   // position in Snapshot.Demands
@@ -199,6 +207,8 @@
 	sortedReleases [][]Release  // releases of each worker by time, sorted on first use
 	reservations   int
 	underused      bool // at most underusedShare is in use
+	fleetCapacity  amounts
+	holdings       map[string]*holding // by organisation
 	result         Result
 }
 
@@ -220,12 +230,8 @@
 // Plan places the demands that fit, the most urgent first.
 func Plan(snapshot Snapshot) Result {
 	p := newPlanner(snapshot)
-	for _, d := range p.order() {
-		if p.Observe != nil {
-			p.Observe(p.Demands[d].Key)
-		}
-		p.place(d)
-	}
+	p.setHoldings()
+	p.placeInOrder(p.order())
 	return p.result
 }
 
@@ -295,7 +301,7 @@
 
 // order returns the positions of the demands by urgency: priority 0 first, of these the
 // covered ones, then those that can still meet their objective, by priority and objective,
-// then the rest.
+// then the rest. Where several organisations wait, placeInOrder changes it by their shares.
 func (p *planner) order() []int {
 	order := make([]int, len(p.Demands))
 	for i := range order {
@@ -318,12 +324,17 @@
 // that have waited for agingWait are ordered by age instead, which puts them
 // first.
 func (p *planner) sortTime(d *Demand) time.Time {
-	if d.Priority == 0 && p.Now.Sub(d.StartableSince) >= agingWait {
+	if p.aged(d) {
 		return d.StartableSince
 	}
 	return d.Objective
 }
 
+// aged reports whether a demand goes ahead of newer ones of its band.
+func (p *planner) aged(d *Demand) bool {
+	return d.Priority == 0 && p.Now.Sub(d.StartableSince) >= agingWait
+}
+
 // missedBand is added to the priority of demands that can no longer meet their
 // objective. It is larger than any priority, so they come last.
 const missedBand = 1 << 16
@@ -363,10 +374,10 @@
 	return demand.Priority == 0 && !demand.Isolated && !p.Now.Before(demand.EvictFrom) && len(p.result.Evict) < maxEvictions
 }
 
-// exceedsUnderusedWait reports whether a demand has waited longer than it may
-// in an underused fleet.
-func (p *planner) exceedsUnderusedWait(demand *Demand) bool {
-	return p.underused && p.Now.Sub(demand.StartableSince) >= underusedMaxWait
+// exceedsBetterWorkerWait reports whether a demand has waited longer for a better
+// worker than it may, whatever its run time.
+func (p *planner) exceedsBetterWorkerWait(demand *Demand) bool {
+	return (p.underused || demand.Step.Persistent) && p.Now.Sub(demand.StartableSince) >= maxBetterWorkerWait
 }
 
 // isUnderused reports whether at most underusedShare of each kind of capacity
@@ -386,9 +397,9 @@
 }
 
 // waitsForLocality reports whether a demand still waits for a worker near its
-// data, or for one rack.
+// data, or for one rack. A longer wait could make it miss its objective.
 func (p *planner) waitsForLocality(demand *Demand) bool {
-	if demand.Priority == 0 || p.exceedsUnderusedWait(demand) {
+	if demand.Priority == 0 || p.exceedsBetterWorkerWait(demand) || !p.Now.Before(demand.latestStart()) {
 		return false
 	}
 	return p.Now.Sub(demand.StartableSince) < localityWaitFactor*demand.runTime()
