Forecast the ends of runs from learned run times

Plans took the caller's estimate as the run time of a task, and added a fifth of it to an overdue run. The term now has a model of run times: it learns from ends that were done and from progress, and forecast, runTime and the critical path of demands ask it. Objectives stay on the caller's estimate. Runs of a gang share their course; adopted runs count from their stored assignment.

--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -188,19 +188,25 @@
 	return job, nil
 }
 
-// CriticalPath returns the estimated run time of the longest chain of dependent
-// steps of one occurrence.
+// CriticalPath returns the run time of the longest chain of dependent steps of one
+// occurrence by the caller's estimates.
 func CriticalPath(job Job) time.Duration {
-	finish := make([]int64, len(job.Steps))
-	longest := int64(0)
-	for i, step := range job.Steps {
-		for _, after := range step.After {
+	return LongestChain(&job, func(step *Step) time.Duration { return time.Duration(step.EstimateMs) * time.Millisecond })
+}
+
+// LongestChain returns the run time of the longest chain of dependent steps of one
+// occurrence, by a run time for each step of at most MaxEstimateMs.
+func LongestChain(job *Job, runTime func(*Step) time.Duration) time.Duration {
+	finish := make([]time.Duration, len(job.Steps))
+	longest := time.Duration(0)
+	for i := range job.Steps {
+		for _, after := range job.Steps[i].After {
 			finish[i] = max(finish[i], finish[after])
 		}
-		finish[i] += step.EstimateMs
+		finish[i] += runTime(&job.Steps[i])
 		longest = max(longest, finish[i])
 	}
-	return time.Duration(longest) * time.Millisecond
+	return longest
 }
 
 // maxObjective bounds the time allowed for the critical path of an occurrence, in ns.
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -31,7 +31,7 @@
 // earliestEviction returns the time from which other runs may be evicted for an
 // urgent unit that has been startable since the given time.
 func (t *term) earliestEviction(job *batch.Job, objective, since time.Time) time.Time {
-	slack := objective.Sub(since) - batch.CriticalPath(*job) - t.cfg.MaxStopTime - startOverhead
+	slack := objective.Sub(since) - t.criticalPath(job) - t.cfg.MaxStopTime - startOverhead
 	share := evictionWaitShare * min(1, float64(len(t.workers))/evictionWaitWorkers)
 	return since.Add(min(maxEvictionWait, max(0, time.Duration(share*float64(slack)))))
 }
@@ -251,7 +251,7 @@
 	return placement.Demand{
 		Key:  placement.StepKey{Job: job.ID, Occurrence: unit.Occurrence, Step: unit.Step},
 		Step: step, Service: job.Service, Organisation: job.Organisation, Tasks: tasks, Priority: job.Priority,
-		Objective: objective, CriticalPath: batch.CriticalPath(*job), RunTime: t.runTime(job, step),
+		Objective: objective, CriticalPath: t.criticalPath(job), RunTime: t.runTime(job, step),
 		StartableSince: j.startableSince[key], EvictFrom: t.earliestEviction(job, objective, j.startableSince[key]), Avoid: j.failedWorkers[key],
 	}, true
 }
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -58,6 +58,7 @@
 	stopReason string // why the run is to be stopped; empty while it is not
 	stopSentAt time.Time
 	checkpoint string
+	timing     *timing
 }
 
 // assign records a run of a task on a worker and sends the start once the record is
@@ -79,6 +80,7 @@
 	r := &run{ref: ref, job: j, unit: unit, step: step, need: taskNeed(step), worker: w, phase: p, startedAt: now}
 	w.runs[ref] = r
 	j.runs[ref] = r
+	t.addTiming(r)
 	return r
 }
 
@@ -131,6 +133,7 @@
 	t.updateClock(r.worker, reply.Clock, now)
 	switch reply.Outcome {
 	case fleet.Accepted:
+		t.noteConfirmed(r, now, false)
 		r.phase, r.confirmedAt, r.seenAt = phaseRunning, now, now
 		t.noteFenced(r.worker, now)
 		t.noteBegun(r)
@@ -161,9 +164,11 @@
 func (t *term) updateRun(r *run, status fleet.RunStatus) {
 	now := time.Now()
 	if r.phase == phaseUnknown {
+		t.noteConfirmed(r, now, true)
 		r.phase, r.confirmedAt = phaseRunning, now
 	}
 	r.seenAt = now
+	t.noteProgress(r, status.Percent, now)
 	if status.Checkpoint != "" {
 		r.checkpoint = status.Checkpoint
 	}
@@ -186,6 +191,9 @@
 	case fleet.Done:
 		w.recordSuccess()
 		changed = tracker.Finish(end.Run)
+		if r != nil {
+			t.noteDone(r, now)
+		}
 	case fleet.Failed:
 		w.recordFailure(now)
 		changed = tracker.Fail(end.Run, now)
@@ -245,6 +253,7 @@
 func (t *term) removeRun(r *run) {
 	delete(r.worker.runs, r.ref)
 	delete(r.job.runs, r.ref)
+	t.removeTiming(r)
 }
 
 // handleGangEnd stops the remaining members of a gang when one of them has ended
@@ -353,6 +362,7 @@
 	r := t.newRun(j, unit, ref, w, phaseUnknown)
 	r.checkpoint, r.isolated, r.incarnation = unit.Tasks[index].Checkpoint, unit.Tasks[index].Isolated, incarnation.StartedMs
 	r.setAge(unit.Tasks[index], t.startedAt)
+	t.noteAdopted(r, unit.Tasks[index])
 	// The start was sent with a lower fence than any call of this term.
 	r.fence = w.fence - 1
 	if incarnation.StartedMs != 0 && w.info.StartedMs > incarnation.StartedMs {
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -54,6 +54,7 @@
 	// reentryEnd is when workers whose entry is missing count as gone after an outage.
 	reentryEnd time.Time
 
+	forecasts   forecasts
 	changedJobs map[string]bool // jobs whose progress is to be stored
 	committing  bool
 	committed   bool // a commit was sent
@@ -112,6 +113,7 @@
 	suspectSince   map[unitKey]time.Time       // when tasks under suspicion became startable again
 	runs           map[batch.RunRef]*run
 	nextDue        time.Time // when the next occurrence is due
+	path           pathForecast
 	endLogged      bool
 }
 
@@ -152,7 +154,7 @@
 		events: make(chan func(), eventQueueSize), results: make(chan func(), 1), done: make(chan struct{}),
 		jobs: map[string]*jobState{}, earlyCancels: map[string]earlyCancel{}, finished: map[string]finishedJob{}, deleted: map[string]deletedJob{}, invalid: map[string]bool{}, workers: map[string]*workerState{},
 		presumed: map[fleet.Incarnation][]presumedLoss{}, silences: map[string]*silence{}, givenUp: map[batch.RunRef]givenUpRun{},
-		changedJobs: map[string]bool{},
+		forecasts: newForecasts(), changedJobs: map[string]bool{},
 	}
 }
 
--- a/internal/runtimes/runtimes.go
+++ b/internal/runtimes/runtimes.go
@@ -148,7 +148,7 @@
 // Progress learns from a run in progress, as long as few runs of its kind have ended. It is
 // called at most once for a run. It reports whether the progress was meaningful.
 func (m *Model) Progress(of Kind, worker string, estimate time.Duration, p Progress) (bool, error) {
-	total, share := p.total()
+	total, share := p.bounded().total()
 	if share < 1 {
 		return false, nil
 	}
