Take no progress of a run that its worker has not confirmed

A report may come ahead of the answer to the start. The time of the start is not known then, and the extrapolation was of an absurd length until the next report.

--- a/internal/dispatch/forecast.go
+++ b/internal/dispatch/forecast.go
@@ -220,7 +220,11 @@
 
 // complete reports whether a run, and all of its gang, have been confirmed.
 func (r *run) complete() bool {
-	return !r.step.Gang || r.timing.adopted || r.timing.confirmed >= len(r.unit.Tasks)
+	members := 1
+	if r.step.Gang {
+		members = len(r.unit.Tasks)
+	}
+	return r.timing.adopted || r.timing.confirmed >= members
 }
 
 // noteProgress notes the progress of a run that its worker reports.
--- a/internal/dispatch/forecast_test.go
+++ b/internal/dispatch/forecast_test.go
@@ -40,10 +40,13 @@
 	return f.term.jobs[id]
 }
 
-// start starts a task of a job on a worker and lets the worker confirm it.
+// start starts a task of a job on a worker and lets the worker confirm it. A report of the
+// worker comes ahead of the confirmation.
 func (f *forecastFixture) start(j *jobState, index int, w *workerState) *run {
 	ref := j.tracker.Assign(j.tracker.Units[0], index, batch.WorkerIncarnation{ID: w.info.ID})
 	r := f.term.newRun(j, j.tracker.Units[0], ref, w, phaseStarting)
+	f.term.updateRun(r, fleet.RunStatus{Run: ref, Percent: 10})
+	f.Expect(r.timing.reported).To(gomega.BeFalse(), "the time of the start is not known")
 	f.term.handleStartReply(r, fleet.Reply{Outcome: fleet.Accepted}, time.Now())
 	return r
 }
--- a/internal/runtimes/runtimes_test.go
+++ b/internal/runtimes/runtimes_test.go
@@ -345,16 +345,3 @@
 	median, _ := m.RunTime(used, 0)
 	g.Expect(median).To(gomega.BeNumerically("~", time.Second, 30*time.Millisecond))
 }
-
-func BenchmarkRemaining(b *testing.B) {
-	m := New()
-	kind := Kind{Queue: "reports", Image: "image"}
-	for n := range 1000 {
-		if _, err := m.Observe(Observation{Kind: kind, Worker: fmt.Sprint(n % 100), Estimate: time.Second, RunTime: time.Duration(n+1) * time.Millisecond}); err != nil {
-			b.Fatal(err)
-		}
-	}
-	for b.Loop() {
-		m.Remaining(kind, "7", time.Second, 300*time.Millisecond, Progress{Percent: 30, At: 200 * time.Millisecond})
-	}
-}
