Let urgent demands wait for capacity that becomes free in time

Change: such a demand waits until its latest start, at most until EvictBy if a guarantee covers it, and its room is held. Runs that end within the time of a stop are no victims before then. The cost of a victim rises with earlier evictions and with an objective that it misses; a group evicted three times is evicted again for guaranteed demands only.

--- a/internal/placement/evict.go
+++ b/internal/placement/evict.go
@@ -10,14 +10,16 @@
 type victim struct {
 	group  int
 	held   batch.Need
-	loss   float64 // of the whole group
+	cost   float64 // of the whole group, see EvictionGroup.cost
 	urgent bool    // a borrower, see findBorrowers
+	worn   bool    // evicted maxEvictionsPerTask times
+	ending bool    // ends before a stop would have ended it
 }
 
 // evictionCost is what one more task costs on a worker.
 type evictionCost struct {
 	fits bool
-	loss float64 // work that the evictions lose, as EvictionGroup.Loss
+	loss float64 // what the evictions cost, see EvictionGroup.cost
 	left float64 // capacity that the task leaves, see leftover
 }
 
@@ -70,8 +72,8 @@
 	}
 	found.version, found.complete, found.choices, found.reach = p.changes[rack], false, found.choices[:0], 0
 	for i, w := range workers {
-		found.reach += tasksThatFit(Add(p.expectedFree(w), p.evictable(w, s)), s.need, batch.MaxTasks)
-		found.workers[i] = searchedWorker{worker: w, stepTasks: p.tasksOfStep(w, s.demand), free: p.expectedFree(w), cost: p.firstCost(s, w)}
+		found.reach += tasksThatFit(Add(p.expectedFree(w, s), p.evictable(w, s)), s.need, batch.MaxTasks)
+		found.workers[i] = searchedWorker{worker: w, stepTasks: p.tasksOfStep(w, s.demand), free: p.expectedFree(w, s), cost: p.firstCost(s, w)}
 	}
 	return found
 }
@@ -80,7 +82,7 @@
 func (p *planner) firstCost(s *shape, w int) evictionCost {
 	known := &s.costs[w]
 	if !known.known || known.version != p.workerChanges[w] {
-		*known = knownCost{known: true, version: p.workerChanges[w], cost: p.costOf(s, &searchedWorker{worker: w, stepTasks: p.tasksOfStep(w, s.demand), free: p.expectedFree(w)})}
+		*known = knownCost{known: true, version: p.workerChanges[w], cost: p.costOf(s, &searchedWorker{worker: w, stepTasks: p.tasksOfStep(w, s.demand), free: p.expectedFree(w, s)})}
 	}
 	return known.cost
 }
@@ -160,9 +162,14 @@
 }
 
 // expectedFree returns the free capacity of a worker after all tasks that are being stopped
-// have ended.
-func (p *planner) expectedFree(w int) batch.Need {
-	return Add(p.workers[w].free, p.workers[w].releasing)
+// have ended, and for most shapes also those that end by themselves as soon.
+func (p *planner) expectedFree(w int, s *shape) batch.Need {
+	state := &p.workers[w]
+	free := Sub(Add(state.free, state.releasing), state.owed)
+	if s.key.countsEnding {
+		return Add(free, p.ending[w])
+	}
+	return free
 }
 
 // evictable returns the capacity of a worker that may be evicted for demands of a shape.
@@ -194,7 +201,7 @@
 	}
 	victims, fits := p.neededVictims(s, w)
 	for _, v := range victims {
-		cost.loss += v.loss
+		cost.loss += v.cost
 	}
 	cost.fits = fits
 	return cost
@@ -214,14 +221,14 @@
 }
 
 // neededVictims returns the victims whose eviction lets a task fit on a worker. It adds them
-// in the order of their loss until the task fits, and then leaves out those that turned out
+// in the order of their cost until the task fits, and then leaves out those that turned out
 // not to be needed, the most expensive ones first. The result is valid until the next call.
 func (p *planner) neededVictims(s *shape, w *searchedWorker) ([]victim, bool) {
 	candidates, fits, free := p.candidates[:0], false, w.free
 	victims := p.victims[w.worker]
 	for i := range victims {
 		v := &victims[i]
-		if v.urgent && !s.key.reclaims || p.evicted[v.group] || w.evicted != nil && w.evicted[i] {
+		if v.urgent && !s.key.reclaims || v.worn && s.key.sparesWorn || v.ending && s.key.countsEnding || p.evicted[v.group] || w.evicted != nil && w.evicted[i] {
 			continue
 		}
 		candidates = append(candidates, *v)
@@ -250,12 +257,12 @@
 // keeps this capacity for them.
 func (p *planner) evictForTasks(demand *Demand, missing int) {
 	for _, reclaims := range p.evictionRounds(demand) {
-		s := p.shapeOf(demand, reclaims)
+		s := p.evictionShape(demand, reclaims)
 		search := p.search(s, p.fleet)
 		for len(search.choices) < missing && search.extend(p, s) {
 		}
 		choices := search.choices[:min(missing, len(search.choices))]
-		p.apply(s, choices)
+		p.apply(s, choices, p.evictionFor(demand))
 		if missing -= len(choices); missing == 0 {
 			return
 		}
@@ -266,9 +273,9 @@
 // the least work is lost. It reports whether the gang then fits.
 func (p *planner) evictForGang(demand *Demand, racks []int) bool {
 	for _, reclaims := range p.evictionRounds(demand) {
-		s := p.shapeOf(demand, reclaims)
+		s := p.evictionShape(demand, reclaims)
 		if best := p.cheapestRack(s, racks, len(demand.Tasks)); best != nil {
-			p.apply(s, best.choices[:len(demand.Tasks)])
+			p.apply(s, best.choices[:len(demand.Tasks)], p.evictionFor(demand))
 			return true
 		}
 	}
@@ -340,31 +347,23 @@
 
 // apply evicts the groups of some choices and keeps the capacity that the tasks need: nothing
 // else in this plan may use it, now or when it becomes free.
-func (p *planner) apply(s *shape, choices []evictionChoice) {
-	after := map[int]batch.Need{}
-	expected := func(w int) batch.Need {
-		if free, ok := after[w]; ok {
-			return free
-		}
-		return p.expectedFree(w)
-	}
+func (p *planner) apply(s *shape, choices []evictionChoice, eviction Eviction) {
 	for _, choice := range choices {
 		for _, g := range choice.groups {
 			p.evicted[g] = true
 			p.result.Evict = append(p.result.Evict, p.Groups[g].ID)
+			p.result.Evictions = append(p.result.Evictions, eviction)
+			held := p.heldBy(g)
 			for _, task := range p.Groups[g].Tasks {
-				after[task.Worker] = Add(expected(task.Worker), task.Need)
-				held := p.heldBy(g)
+				state := &p.workers[task.Worker]
+				state.releasing = Add(state.releasing, task.Need)
 				held[task.Worker] = Sub(held[task.Worker], task.Need)
+				p.touch(task.Worker)
 			}
 		}
-		after[choice.worker] = Sub(expected(choice.worker), s.need)
 	}
-	for w, free := range after {
-		state := &p.workers[w]
-		state.free = minNeed(state.free, free)
-		state.releasing = Sub(free, state.free)
-		p.touch(w)
+	for _, choice := range choices {
+		p.hold(choice.worker, s.need)
 	}
 }
 
--- a/internal/placement/fill_test.go
+++ b/internal/placement/fill_test.go
@@ -114,5 +114,5 @@
 		{ID: "w0", Service: "s", Schedulable: true, Free: free, StepTasks: map[StepKey]int{demand.Key: 2}},
 		{ID: "w1", Service: "s", Schedulable: true, Free: free, StepTasks: map[StepKey]int{demand.Key: 1}},
 	}})
-	g.Expect(p.slots(p.shapeOf(&demand, false), p.fleet, 3)).To(gomega.Equal([]slot{{worker: 1}}))
+	g.Expect(p.slots(p.shapeOf(&demand, false), p.fleet, 3, false)).To(gomega.Equal([]slot{{worker: 1}}))
 }
--- a/internal/placement/gang.go
+++ b/internal/placement/gang.go
@@ -12,12 +12,12 @@
 func (p *planner) placeGang(d int) {
 	demand := &p.Demands[d]
 	racks, oneRack := p.racksFor(demand)
-	if p.placeGangIn(d, racks) || p.mayEvict(demand) && p.evictForGang(demand, racks) {
+	if p.placeGangIn(d, racks) || p.preemptForGang(d, racks) {
 		return
 	}
 	if oneRack && !p.waitsForLocality(demand) && (demand.Priority > 0 || p.mayEvict(demand)) {
 		fleet := []int{p.fleet}
-		if p.placeGangIn(d, fleet) || p.mayEvict(demand) && p.evictForGang(demand, fleet) {
+		if p.placeGangIn(d, fleet) || p.preemptForGang(d, fleet) {
 			return
 		}
 	}
@@ -110,7 +110,7 @@
 	s := p.shapeOf(demand, false)
 	var best []slot
 	for _, rack := range racks {
-		slots := p.slots(s, rack, len(demand.Tasks))
+		slots := p.slots(s, rack, len(demand.Tasks), false)
 		if len(slots) < len(demand.Tasks) {
 			continue
 		}
@@ -124,22 +124,28 @@
 	p.reservations++
 	at := p.Now.Add(best[len(best)-1].after)
 	for _, reserved := range best {
-		state := &p.workers[reserved.worker]
-		if state.reservedFrom.IsZero() {
-			state.reservedFrom = at
-			state.reservedForCovered = demand.Priority == 0 && p.covered(demand)
-			state.spare = p.freeAt(reserved.worker, at)
-			p.reserved[p.rackOf[reserved.worker]]++
-		}
-		state.spare = Sub(state.spare, s.need)
+		p.reserveWorker(demand, reserved.worker, at)
 	}
 }
 
+// reserveWorker reserves room for a task on a worker.
+func (p *planner) reserveWorker(demand *Demand, w int, at time.Time) {
+	state := &p.workers[w]
+	if state.reservedFrom.IsZero() {
+		state.reservedFrom = at
+		state.reservedForCovered = demand.Priority == 0 && p.covered(demand)
+		state.spare = p.freeAt(w, at)
+		p.reserved[p.rackOf[w]]++
+	}
+	state.spare = Sub(state.spare, ChargedNeed(demand.Step))
+}
+
 // slots returns when the workers of a rack can take n tasks of a gang, or as many of them as
-// ever fit, earliest first. Workers that are reserved for another gang are left out.
-func (p *planner) slots(s *shape, rack, n int) []slot {
+// ever fit, earliest first by their expected or by their late times. Workers that are reserved
+// for another gang are left out.
+func (p *planner) slots(s *shape, rack, n int, late bool) []slot {
 	if rack != p.fleet {
-		slots := p.slotsOfRack(s, rack)
+		slots := p.slotsOfRack(s, rack).sorted(late)
 		return slots[:min(n, len(slots))]
 	}
 	lists := make([][]slot, 0, len(p.racks))
@@ -147,7 +153,7 @@
 		if r == p.fleet {
 			continue
 		}
-		if slots := p.slotsOfRack(s, r); len(slots) > 0 {
+		if slots := p.slotsOfRack(s, r).sorted(late); len(slots) > 0 {
 			lists = append(lists, slots)
 		}
 	}
@@ -155,7 +161,7 @@
 	for len(merged) < n {
 		first := -1
 		for i := range lists {
-			if len(lists[i]) > 0 && (first < 0 || lists[i][0].after < lists[first][0].after) {
+			if len(lists[i]) > 0 && (first < 0 || lists[i][0].at(late) < lists[first][0].at(late)) {
 				first = i
 			}
 		}
@@ -169,10 +175,10 @@
 }
 
 // slotsOfRack returns all slots of a rack that the largest gang can need.
-func (p *planner) slotsOfRack(s *shape, rack int) []slot {
+func (p *planner) slotsOfRack(s *shape, rack int) *rackSlots {
 	version := p.changes[rack] + p.reserved[rack]
 	if known := s.slots[rack]; known != nil && known.version == version {
-		return known.slots
+		return known
 	}
 	slots := p.slotBuffer[:0]
 	for _, w := range s.workers[rack] {
@@ -184,14 +190,14 @@
 	slots = slices.Clone(slots)
 	slices.SortFunc(slots, func(a, b slot) int { return cmp.Or(cmp.Compare(a.after, b.after), a.worker-b.worker) })
 	s.slots[rack] = &rackSlots{version: version, slots: slots}
-	return slots
+	return s.slots[rack]
 }
 
 // appendSlots appends the slots of a worker.
 func (p *planner) appendSlots(slots []slot, s *shape, w int) []slot {
-	free := Add(p.workers[w].free, p.workers[w].releasing)
+	free := Sub(Add(p.workers[w].free, p.workers[w].releasing), p.workers[w].owed)
 	releases := p.releases(w)
-	after, most := time.Duration(0), p.largestGang
+	after, late, most := time.Duration(0), time.Duration(0), p.largestGang
 	if limit := s.demand.Step.MaxPerWorker; limit > 0 {
 		most = min(most, limit-p.Workers[w].StepTasks[s.demand.Key]-p.workers[w].stepTasks[s.demand.Key])
 	}
@@ -199,14 +205,14 @@
 		n := tasksThatFit(free, s.need, most)
 		for range n {
 			free = Sub(free, s.need)
-			slots = append(slots, slot{after: after, worker: w})
+			slots = append(slots, slot{after: after, late: late, worker: w})
 		}
 		most -= n
 		if next >= len(releases) {
 			break
 		}
 		free = Add(free, releases[next].Need)
-		after = max(after, releases[next].At.Sub(p.Now))
+		after, late = max(after, releases[next].At.Sub(p.Now)), max(late, releases[next].late().Sub(p.Now))
 	}
 	return slots
 }
@@ -222,7 +228,7 @@
 
 // freeAt returns the expected free capacity of a worker at a time.
 func (p *planner) freeAt(w int, at time.Time) batch.Need {
-	free := Add(p.workers[w].free, p.workers[w].releasing)
+	free := Sub(Add(p.workers[w].free, p.workers[w].releasing), p.workers[w].owed)
 	for _, release := range p.Workers[w].Releases {
 		if !release.At.After(at) {
 			free = Add(free, release.Need)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -99,6 +99,9 @@
 	// EvictFrom is the time from which other work may be evicted for a demand of
 	// priority 0. Before, it waits for capacity that becomes free by itself.
 	EvictFrom time.Time
+	// EvictBy is the time from which a demand that a guarantee covers no longer waits for
+	// capacity that becomes free by itself. Zero means EvictFrom.
+	EvictBy time.Time
 	// Avoid holds the IDs of workers on which a task of this demand has failed;
 	// they are chosen last.
 	Avoid map[string]bool
@@ -122,6 +125,8 @@
 	EndsAt time.Time
 	// Evictions is how often a task of the group was stopped for urgent work before.
 	Evictions int
+	// MissesObjective means that the job would meet its objective, but not after an eviction.
+	MissesObjective bool
 }
 
 // EvictionTask is a running task of an eviction group.
@@ -139,6 +144,8 @@
 	// Guarantees holds the guarantee of each organisation. Organisations without an entry have
 	// none. If it is nil, all work of priority 0 is equal.
 	Guarantees map[string]Guarantee
+	// StopTime is the longest time until an eviction has freed the capacity.
+	StopTime time.Duration
 	// Usage is what the running work of each organisation holds.
 	Usage map[string]Usage
 	// Observe is called with each demand before it is placed. It may be nil.
@@ -171,6 +178,11 @@
 	Placements []Placement
 	// Evict holds the IDs of the groups to evict for demands of priority 0.
 	Evict []int
+	// Evictions tells for each entry of Evict why it is evicted.
+	Evictions []Eviction
+	// Waits holds the positions of the demands that wait for capacity which becomes free in
+	// time, although work might be evicted for them.
+	Waits []int
 }
 
 // planner is the working state of Plan. Workers, demands and groups are given by
@@ -192,13 +204,17 @@
 	reserved       []uint32 // by rack: reservations of its workers
 	workerChanges  []uint32 // by worker
 	shapes         map[shapeKey]*shape
+	ending         []batch.Need // by worker: becomes free within the time of a stop
+	anyEnding      bool
+	anyWorn        bool         // a group was evicted maxEvictionsPerTask times
 	totals         []batch.Need // by worker, see totalOf
 	candidates     []victim     // buffer of costOf
 	slotBuffer     []slot       // buffer of slotsOfRack
-	largestGang    int          // tasks
+	largestGang    int          // tasks of the largest demand that reserves workers
 	sortedReleases [][]Release  // releases of each worker by time, sorted on first use
 	reservations   int
 	underused      bool // at most underusedShare is in use
+	placing        int  // demand that is being placed
 	result         Result
 }
 
@@ -206,6 +222,9 @@
 type workerState struct {
 	free      batch.Need
 	releasing batch.Need
+	// owed is capacity that is still in use and that the plan keeps for urgent demands once
+	// it is released.
+	owed batch.Need
 	// If a gang has reserved the worker, reservedFrom is when the gang is expected
 	// to start. Other work must end before, or fit into spare.
 	reservedFrom time.Time
@@ -224,6 +243,7 @@
 		if p.Observe != nil {
 			p.Observe(p.Demands[d].Key)
 		}
+		p.placing = d
 		p.place(d)
 	}
 	return p.result
@@ -241,38 +261,41 @@
 	p.setRacks()
 	p.underused = isUnderused(snapshot.Workers)
 	for i := range p.Demands {
-		if p.Demands[i].Step.Gang {
+		if p.Demands[i].Step.Gang || p.Demands[i].Priority == 0 {
 			p.largestGang = max(p.largestGang, len(p.Demands[i].Tasks))
 		}
 	}
 	p.applyGuarantees()
+	p.setEnding()
 	p.setVictims()
 	return p
 }
 
-// setVictims lists the eviction groups of each worker, in the order of their loss.
+// setVictims lists the eviction groups of each worker, in the order of their cost.
 func (p *planner) setVictims() {
-	type loss struct {
+	type groupCost struct {
 		group int
-		work  float64
+		cost  float64
 	}
-	byLoss := make([]loss, len(p.Groups))
-	for g := range byLoss {
-		byLoss[g] = loss{g, p.Groups[g].Loss}
+	byCost := make([]groupCost, len(p.Groups))
+	for g := range byCost {
+		byCost[g] = groupCost{g, p.Groups[g].cost()}
 	}
-	slices.SortFunc(byLoss, func(a, b loss) int {
-		if a.work != b.work {
-			return cmp.Compare(a.work, b.work)
+	slices.SortFunc(byCost, func(a, b groupCost) int {
+		if a.cost != b.cost {
+			return cmp.Compare(a.cost, b.cost)
 		}
 		return a.group - b.group
 	})
 	p.preemptible, p.borrowed = make([]batch.Need, len(p.Workers)), make([]batch.Need, len(p.Workers))
-	for _, next := range byLoss {
+	for _, next := range byCost {
 		g := next.group
 		if p.Groups[g].Priority == 0 && !p.borrowers[g] {
 			continue // never evicted
 		}
 		held := p.heldBy(g)
+		worn, ending := p.Groups[g].worn(), p.endsBeforeStop(p.Groups[g].EndsAt)
+		p.anyWorn, p.anyEnding = p.anyWorn || worn, p.anyEnding || ending
 		for _, task := range p.Groups[g].Tasks {
 			held[task.Worker] = Add(held[task.Worker], task.Need)
 			victims := p.victims[task.Worker]
@@ -280,7 +303,7 @@
 				victims[n-1].held = Add(victims[n-1].held, task.Need)
 				continue
 			}
-			p.victims[task.Worker] = append(victims, victim{group: g, held: task.Need, loss: next.work, urgent: p.Groups[g].Priority == 0})
+			p.victims[task.Worker] = append(victims, victim{group: g, held: task.Need, cost: next.cost, urgent: p.Groups[g].Priority == 0, worn: worn, ending: ending})
 		}
 	}
 }
@@ -348,8 +371,8 @@
 	if len(placement.Tasks) > 0 {
 		p.result.Placements = append(p.result.Placements, placement)
 	}
-	if missing := len(demand.Tasks) - len(placement.Tasks); missing > 0 && p.mayEvict(demand) {
-		p.evictForTasks(demand, missing)
+	if missing := len(demand.Tasks) - len(placement.Tasks); missing > 0 && demand.Priority == 0 && !demand.Isolated {
+		p.preemptForTasks(d, missing)
 	}
 }
 
--- /dev/null
+++ b/internal/placement/preempt.go
@@ -0,0 +1,216 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/samphirepath/samphirepath/internal/batch"
+)
+
+const (
+	// maxEvictionsPerTask bounds how often a task is evicted for demands that no guarantee
+	// covers, so that long work ends in a fleet with many urgent jobs.
+	maxEvictionsPerTask = 3
+	// missedObjectiveFactor is the cost of an eviction that makes a job miss its objective, as
+	// a multiple of the work that is lost: the caller also loses a part of the value.
+	missedObjectiveFactor = 2
+)
+
+// EvictionCause is why a demand does not wait for capacity that becomes free by itself.
+type EvictionCause string
+
+const (
+	CauseReclaimLimit EvictionCause = "reclaim_limit" // a guarantee covers it, and EvictBy has passed
+	CauseLatestStart  EvictionCause = "latest_start"  // its latest start has passed
+	CauseTooLate      EvictionCause = "too_late"      // not enough becomes free by its latest start
+)
+
+// Eviction tells for which demand and why a group is evicted.
+type Eviction struct {
+	Demand int // position in Snapshot.Demands
+	Cause  EvictionCause
+}
+
+// cost is what the callers lose by an eviction of the group. It rises with each earlier
+// eviction, so that the same work is not stopped again and again.
+func (g *EvictionGroup) cost() float64 {
+	cost := g.Loss * float64(1+g.Evictions)
+	if g.MissesObjective {
+		cost *= missedObjectiveFactor
+	}
+	return cost
+}
+
+func (g *EvictionGroup) worn() bool { return g.Evictions >= maxEvictionsPerTask }
+
+// late returns the time by which the run has ended in nine of ten cases.
+func (r *Release) late() time.Time {
+	if r.Late.IsZero() {
+		return r.At
+	}
+	return r.Late
+}
+
+// endsBeforeStop reports whether an end comes before a stop would have freed the capacity.
+func (p *planner) endsBeforeStop(end time.Time) bool {
+	return p.StopTime > 0 && !end.IsZero() && !end.After(p.Now.Add(p.StopTime))
+}
+
+// setEnding sums up what becomes free on each worker within the time of a stop.
+func (p *planner) setEnding() {
+	p.ending = make([]batch.Need, len(p.Workers))
+	for w := range p.Workers {
+		for i := range p.Workers[w].Releases {
+			if release := &p.Workers[w].Releases[i]; p.endsBeforeStop(release.late()) {
+				p.ending[w] = Add(p.ending[w], release.Need)
+				p.anyEnding = true
+			}
+		}
+	}
+}
+
+// latestStart returns until when an urgent demand may wait for capacity that becomes free by
+// itself.
+func (p *planner) latestStart(demand *Demand) time.Time {
+	latest := demand.LatestStart
+	if latest.IsZero() {
+		latest = demand.Objective.Add(-demand.CriticalPath)
+	}
+	if by := p.evictBy(demand); p.covered(demand) && by.Before(latest) {
+		return by
+	}
+	return latest
+}
+
+func (p *planner) evictBy(demand *Demand) time.Time {
+	if demand.EvictBy.IsZero() {
+		return demand.EvictFrom
+	}
+	return demand.EvictBy
+}
+
+// mustEvict reports whether a demand no longer waits. Forecasts that were wrong so far may
+// stay wrong, so from then on no running work counts as about to end.
+func (p *planner) mustEvict(demand *Demand) bool { return !p.Now.Before(p.latestStart(demand)) }
+
+// guaranteed reports whether an organisation has a guarantee that covers a demand.
+func (p *planner) guaranteed(demand *Demand) bool { return p.Guarantees != nil && p.covered(demand) }
+
+// evictionFor describes the evictions for the demand that is being placed.
+func (p *planner) evictionFor(demand *Demand) Eviction {
+	switch {
+	case !p.mustEvict(demand):
+		return Eviction{p.placing, CauseTooLate}
+	case p.covered(demand) && !p.Now.Before(p.evictBy(demand)):
+		return Eviction{p.placing, CauseReclaimLimit}
+	}
+	return Eviction{p.placing, CauseLatestStart}
+}
+
+// preemptForGang lets a gang that does not fit wait for capacity that becomes free in time, or
+// else evicts other work for it. It reports whether one of them is enough.
+func (p *planner) preemptForGang(d int, racks []int) bool {
+	demand := &p.Demands[d]
+	if !p.mayEvict(demand) {
+		return false
+	}
+	if slots := p.timelySlots(demand, racks, len(demand.Tasks)); len(slots) == len(demand.Tasks) {
+		p.wait(d, slots)
+		return true
+	}
+	return p.evictForGang(demand, racks)
+}
+
+// preemptForTasks does the same for each of the missing tasks of a demand that is no gang.
+// Tasks that have to wait for an eviction reserve workers, as gangs do.
+func (p *planner) preemptForTasks(d, missing int) {
+	demand := &p.Demands[d]
+	if !p.mayEvict(demand) {
+		for _, reserved := range p.slots(p.shapeOf(demand, false), p.fleet, missing, false) {
+			p.reserveWorker(demand, reserved.worker, p.Now.Add(reserved.after))
+		}
+		return
+	}
+	if slots := p.timelySlots(demand, []int{p.fleet}, missing); len(slots) > 0 {
+		p.wait(d, slots)
+		missing -= len(slots)
+	}
+	if missing > 0 {
+		p.evictForTasks(demand, missing)
+	}
+}
+
+// timelySlots returns up to n slots of the rack of which the most tasks can start by the latest
+// start of an urgent demand without an eviction. Of racks with as many slots it takes the one
+// where they come first.
+func (p *planner) timelySlots(demand *Demand, racks []int, n int) []slot {
+	if p.mustEvict(demand) {
+		return nil
+	}
+	s, limit := p.shapeOf(demand, false), p.latestStart(demand).Sub(p.Now)
+	var best []slot
+	for _, rack := range racks {
+		slots := p.slots(s, rack, n, true)
+		timely := slots[:0:0]
+		for _, next := range slots {
+			if next.late > limit {
+				break
+			}
+			if !p.Workers[next.worker].Suspect && p.sharable(next.worker, demand) {
+				timely = append(timely, next)
+			}
+		}
+		if len(timely) > len(best) || len(best) > 0 && len(timely) == len(best) && timely[len(timely)-1].late < best[len(best)-1].late {
+			best = timely
+		}
+	}
+	return best
+}
+
+// wait keeps the capacity of slots for a demand: nothing else in this plan may use it, now or
+// when it becomes free. The next plan decides anew.
+func (p *planner) wait(d int, slots []slot) {
+	need := ChargedNeed(p.Demands[d].Step)
+	for _, next := range slots {
+		p.hold(next.worker, need)
+	}
+	p.result.Waits = append(p.result.Waits, d)
+}
+
+// hold keeps capacity of a worker for a task that starts later. It takes what is not usable now
+// anyway first, and what running work still holds last.
+func (p *planner) hold(w int, need batch.Need) {
+	state := &p.workers[w]
+	state.releasing, need = draw(state.releasing, need)
+	state.free, need = draw(state.free, need)
+	state.owed = Add(state.owed, need)
+	p.touch(w)
+}
+
+// draw takes as much of a need from a capacity as that has, and returns what is left of both.
+func draw(have, need batch.Need) (left, missing batch.Need) {
+	taken := minNeed(have, need)
+	taken = batch.Need{MilliCPU: max(0, taken.MilliCPU), MemoryMb: max(0, taken.MemoryMb), Accelerators: max(0, taken.Accelerators)}
+	return Sub(have, taken), Sub(need, taken)
+}
+
+// at returns the late or the expected time of a slot.
+func (s slot) at(late bool) time.Duration {
+	if late {
+		return s.late
+	}
+	return s.after
+}
+
+// sorted returns the slots, earliest first by their expected or by their late times.
+func (r *rackSlots) sorted(late bool) []slot {
+	if !late {
+		return r.slots
+	}
+	if r.byLate == nil {
+		r.byLate = slices.Clone(r.slots)
+		slices.SortStableFunc(r.byLate, func(a, b slot) int { return cmp.Compare(a.late, b.late) })
+	}
+	return r.byLate
+}
--- a/internal/placement/shape.go
+++ b/internal/placement/shape.go
@@ -19,6 +19,8 @@
 	need           batch.Need
 	isolated       bool
 	reclaims       bool // may evict borrowers
+	countsEnding   bool // waits for runs that end within the time of a stop rather than evicting them
+	sparesWorn     bool // leaves groups alone that were evicted too often
 	// limited is set for steps that limit their tasks on a worker.
 	limited StepKey
 }
@@ -58,12 +60,14 @@
 // rackSlots are the times from which the workers of a rack can take tasks, earliest first.
 type rackSlots struct {
 	version uint32
-	slots   []slot
+	slots   []slot // by their expected times
+	byLate  []slot // by their late times, sorted on first use
 }
 
 // slot is when a worker can take one task of a blocked gang, as the time from the plan.
 type slot struct {
-	after  time.Duration
+	after  time.Duration // by the expected ends of the runs
+	late   time.Duration // by the times at which nine of ten have ended
 	worker int
 }
 
@@ -73,6 +77,18 @@
 	if demand.Step.MaxPerWorker > 0 {
 		key.limited = demand.Key
 	}
+	return p.shapeOfKey(key, demand)
+}
+
+// evictionShape returns the shape of a demand for the search of evictions.
+func (p *planner) evictionShape(demand *Demand, reclaims bool) *shape {
+	key := p.shapeOf(demand, reclaims).key
+	key.countsEnding = p.anyEnding && !p.mustEvict(demand)
+	key.sparesWorn = p.anyWorn && !p.guaranteed(demand)
+	return p.shapeOfKey(key, demand)
+}
+
+func (p *planner) shapeOfKey(key shapeKey, demand *Demand) *shape {
 	if known := p.shapes[key]; known != nil {
 		return known
 	}
