Fill the limits of preemption in the dispatcher and read their settings

Cause: nothing set MaxStopTime, and a guarantee had no latest time of eviction. The dispatcher computes LatestStart and EvictBy, counts evictions of a task for the term, logs and counts evictions by cause, and counts the waits. The eviction wait no longer subtracts the time of a stop, which was 0 in the product so far.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -84,8 +84,11 @@
 	// renew the leases of workers. A successor waits at least this long before it drops the
 	// runs of a worker that it cannot reach, so all daemons need the same value. The default
 	// is 12 s.
-	LeaseOutage       time.Duration
-	MaxStopTime       time.Duration // longest time that a stop takes
+	LeaseOutage time.Duration
+	MaxStopTime time.Duration // longest time that a stop takes
+	// ReclaimLimit is the time within which urgent work that a guarantee covers has to start.
+	// The default is 2.7 s.
+	ReclaimLimit      time.Duration
 	FinishedRetention time.Duration // how long the rows of finished jobs are kept
 	// CancelRetention is how long the cancellation of an unknown job is kept. A submission
 	// that was not answered may be applied until then. The default is 30 s.
@@ -127,6 +130,9 @@
 	if cfg.StallLimit <= 0 {
 		cfg.StallLimit = defaultStallLimit
 	}
+	if cfg.ReclaimLimit <= 0 {
+		cfg.ReclaimLimit = defaultReclaimLimit
+	}
 	if cfg.LeaseOutage <= 0 {
 		cfg.LeaseOutage = defaultLeaseOutage
 	}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -11,31 +11,10 @@
 	"github.com/samphirepath/samphirepath/internal/placement"
 )
 
-// Every eviction discards work, so an urgent unit first waits for capacity that
-// becomes free without one: for a share of its slack, at most maxEvictionWait. The
-// share grows with the number of workers, up to evictionWaitWorkers: the more tasks
-// run, the sooner some end. In a fleet of 350 workers the wait avoids half of the
-// evictions; in one of 48, it avoids too few to justify the full delay.
-const (
-	evictionWaitShare   = 0.6
-	evictionWaitWorkers = 350
-	maxEvictionWait     = 600 * time.Millisecond
-	// startOverhead is the time that a start takes after the evicted runs have stopped.
-	startOverhead = 150 * time.Millisecond
-)
-
 // isolationWait is how long a task under suspicion waits for a worker to itself. After
 // that it starts beside other work: in a full fleet no worker may become empty.
 const isolationWait = time.Second
 
-// earliestEviction returns the time from which other runs may be evicted for an
-// urgent unit that has been startable since the given time.
-func (t *term) earliestEviction(job *batch.Job, objective, since time.Time) time.Time {
-	slack := objective.Sub(since) - batch.CriticalPath(*job) - t.cfg.MaxStopTime - startOverhead
-	share := evictionWaitShare * min(1, float64(len(t.workers))/evictionWaitWorkers)
-	return since.Add(min(maxEvictionWait, max(0, time.Duration(share*float64(slack)))))
-}
-
 // taskNeed returns the capacity that a task of the step occupies on its worker.
 func taskNeed(step *batch.Step) batch.Need { return placement.ChargedNeed(step) }
 
@@ -78,11 +57,8 @@
 			t.assign(p.jobs[placed.Demand], p.units[placed.Demand], task, p.workers[placed.Workers[i]], isolated)
 		}
 	}
-	for _, g := range result.Evict {
-		for _, r := range p.groups[g] {
-			t.requestStop(r, "evicted for an urgent job")
-		}
-	}
+	t.noteWaits(p, result.Waits)
+	t.evict(p, result)
 	took := time.Since(start)
 	t.notePlanDuration(took)
 	t.scope.Timer("plan").Record(took)
@@ -92,7 +68,7 @@
 }
 
 func (t *term) snapshot(now time.Time) *planInput {
-	p := &planInput{Snapshot: placement.Snapshot{Now: now}}
+	p := &planInput{Snapshot: placement.Snapshot{Now: now, StopTime: t.cfg.MaxStopTime}}
 	urgent := t.demands(p, now)
 	if len(p.Demands) == 0 {
 		return p
@@ -248,12 +224,14 @@
 		j.startableSince[key] = now
 	}
 	objective := batch.Objective(*job, unit.Occurrence)
-	return placement.Demand{
+	d := placement.Demand{
 		Key:  placement.StepKey{Job: job.ID, Occurrence: unit.Occurrence, Step: unit.Step},
 		Step: step, Service: job.Service, Organisation: job.Organisation, Tasks: tasks, Priority: job.Priority,
 		Objective: objective, CriticalPath: batch.CriticalPath(*job), RunTime: t.runTime(job, step),
-		StartableSince: j.startableSince[key], EvictFrom: t.earliestEviction(job, objective, j.startableSince[key]), Avoid: j.failedWorkers[key],
-	}, true
+		StartableSince: j.startableSince[key], Avoid: j.failedWorkers[key],
+	}
+	t.setStartLimits(j, &d, now)
+	return d, true
 }
 
 // busyTasks returns the indices of tasks that have a run which may still exist.
@@ -298,75 +276,3 @@
 	out.Releases = releases[first:len(releases):len(releases)]
 	return releases
 }
-
-// evictionGroups collects the runs that may be evicted for urgent work. The runs of
-// a gang form one group. Urgent work itself may be if its organisation holds more than its
-// guarantee. runs is the number of all runs.
-func (t *term) evictionGroups(p *planInput, runs int, now time.Time) {
-	gangs := map[*batch.Unit]int{} // position of the group, or -1 if the gang is not evictable
-	p.Groups, p.groups = make([]placement.EvictionGroup, 0, runs), make([][]*run, 0, runs)
-	single := make([]placement.EvictionTask, 0, runs) // tasks of the groups of one task
-	singleRuns := make([]*run, 0, runs)
-	for _, w := range p.workers {
-		for _, r := range w.runs {
-			job := &r.job.tracker.Job
-			if r.stopReason != "" || job.Priority == 0 && !p.Guarantees[job.Organisation].Exceeded() {
-				continue
-			}
-			g, known := 0, false
-			if r.step.Gang {
-				g, known = gangs[r.unit]
-			}
-			if !known {
-				g = -1
-				if r.evictable() {
-					g = len(p.Groups)
-					p.Groups = append(p.Groups, placement.EvictionGroup{ID: g, Priority: job.Priority, Organisation: job.Organisation, StartedAt: r.startedAt})
-					p.groups = append(p.groups, nil)
-				}
-				if r.step.Gang {
-					gangs[r.unit] = g
-				}
-			}
-			if g < 0 {
-				continue
-			}
-			p.Groups[g].Loss += r.evictionLoss(now)
-			if expected, _ := t.forecast(r, now); expected.After(p.Groups[g].EndsAt) {
-				p.Groups[g].EndsAt = expected
-			}
-			task := placement.EvictionTask{Worker: w.position, Need: r.need}
-			if r.step.Gang {
-				p.Groups[g].Tasks, p.groups[g] = append(p.Groups[g].Tasks, task), append(p.groups[g], r)
-				continue
-			}
-			single, singleRuns = append(single, task), append(singleRuns, r)
-			last := len(single) - 1
-			p.Groups[g].Tasks, p.groups[g] = single[last:last+1:last+1], singleRuns[last:last+1:last+1]
-		}
-	}
-}
-
-// evictable reports whether a run may be stopped for urgent work. A gang may if all of its
-// members may.
-func (r *run) evictable() bool {
-	if !r.step.Gang {
-		return r.unit.Tasks[r.ref.Index].Evictable()
-	}
-	return !slices.ContainsFunc(r.unit.Tasks, func(task batch.Task) bool { return !task.Evictable() })
-}
-
-// restartCostMs is the run time that an evicted task loses in addition to the work that
-// it has not saved: it waits, starts and restores the checkpoint.
-const restartCostMs = 500
-
-// evictionLoss returns the work that is lost if the run is stopped now, in
-// core-milliseconds. A task with checkpoints saves its work when it is stopped.
-func (r *run) evictionLoss(now time.Time) float64 {
-	lostMs := float64(restartCostMs)
-	if !r.step.Checkpoint {
-		lostMs += float64(now.Sub(r.startedAt).Milliseconds())
-	}
-	cores := float64(r.need.MilliCPU)/1000 + placement.AcceleratorWeight*float64(r.need.Accelerators)
-	return cores * lostMs
-}
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -110,6 +110,9 @@
 	beginnings     map[unitKey]*beginning
 	failedWorkers  map[unitKey]map[string]bool // IDs of the workers on which a task of the unit has failed
 	suspectSince   map[unitKey]time.Time       // when tasks under suspicion became startable again
+	evictions      map[batch.TaskRef]int       // how often this term has evicted each task for urgent work
+	awaited        map[unitKey]bool            // urgent units that have waited where work might have been evicted
+	pathsAfter     []time.Duration             // by step, see pathAfter
 	runs           map[batch.RunRef]*run
 	nextDue        time.Time // when the next occurrence is due
 	endLogged      bool
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -117,7 +117,7 @@
 	n.lease = leaderLease
 	n.dispatcher = dispatch.New(dispatch.Config{
 		Store: deps.Store, Lease: leaderLease, Holder: settings.Name, Zone: settings.Zone, EndFormerTerm: deps.Store.EndTermBefore, Workers: deps.Workers, Client: deps.Client, Zones: deps.Current, Guarantees: deps.Current.Guarantees, OnTerm: n.tuneCollector,
-		MaxWorkerLease: settings.MaxWorkerLease, MaxStopTime: settings.MaxStopTime, FinishedRetention: settings.FinishedRetention, Follower: n.follower(""),
+		MaxWorkerLease: settings.MaxWorkerLease, MaxStopTime: settings.MaxStopTime, ReclaimLimit: settings.ReclaimLimit, FinishedRetention: settings.FinishedRetention, Follower: n.follower(""),
 		Log: deps.Log, Scope: deps.Scope,
 	})
 	return n, nil
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -13,6 +13,7 @@
 	StoreAddress      string
 	MaxWorkerLease    time.Duration // longest lease that a worker accepts
 	MaxStopTime       time.Duration // longest time that a worker takes to stop a task
+	ReclaimLimit      time.Duration // time within which urgent work that a guarantee covers has to start
 	StopGrace         time.Duration // time between SIGTERM and SIGKILL
 	FinishedRetention time.Duration // how long the rows of finished jobs are kept
 	Cores             float64       // share of a core that the daemon may use
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -383,7 +383,8 @@
 
 // mayEvict reports whether other work may be evicted for a demand in this plan.
 func (p *planner) mayEvict(demand *Demand) bool {
-	return demand.Priority == 0 && !demand.Isolated && !p.Now.Before(demand.EvictFrom) && len(p.result.Evict) < maxEvictions
+	due := !p.Now.Before(demand.EvictFrom) || p.covered(demand) && !p.Now.Before(p.evictBy(demand))
+	return demand.Priority == 0 && !demand.Isolated && due && len(p.result.Evict) < maxEvictions
 }
 
 // exceedsUnderusedWait reports whether a demand has waited longer than it may
