--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -21,6 +21,8 @@
 	maxEvictionWait     = 600 * time.Millisecond
 	// startOverhead is the time that a start takes after the evicted runs have stopped.
 	startOverhead = 150 * time.Millisecond
+	// usualPlanInterval is how long capacity that has become free usually waits for a plan.
+	usualPlanInterval = 100 * time.Millisecond
 	// valueFactor is how many times the time to its objective a job may take until it has no
 	// value for its caller any more.
 	valueFactor = 3
@@ -36,7 +38,7 @@
 	if job.Repeats > 0 {
 		begin = batch.Due(*job, d.Key.Occurrence)
 	}
-	remaining := d.RunTime + j.pathAfter(d.Key.Step) + startOverhead
+	remaining := d.RunTime + j.pathAfter(d.Key.Step) + startOverhead + usualPlanInterval
 	d.LatestStart = d.Objective.Add(-remaining)
 	if now.After(d.Objective) {
 		d.LatestStart = begin.Add(valueFactor * d.Objective.Sub(begin)).Add(-remaining)
--- a/internal/placement/evict.go
+++ b/internal/placement/evict.go
@@ -13,7 +13,7 @@
 	cost   float64 // of the whole group, see EvictionGroup.cost
 	urgent bool    // a borrower, see findBorrowers
 	worn   bool    // evicted maxEvictionsPerTask times
-	ending bool    // ends before a stop would have ended it
+	ending int     // see endingLevel
 }
 
 // evictionCost is what one more task costs on a worker.
@@ -162,12 +162,12 @@
 }
 
 // expectedFree returns the free capacity of a worker after all tasks that are being stopped
-// have ended, and for most shapes also those that end by themselves as soon.
+// have ended, and those that end by themselves as soon.
 func (p *planner) expectedFree(w int, s *shape) batch.Need {
 	state := &p.workers[w]
 	free := Sub(Add(state.free, state.releasing), state.owed)
-	if s.key.countsEnding {
-		return Add(free, p.ending[w])
+	if s.key.ending > 0 {
+		return Add(free, p.ending[s.key.ending][w])
 	}
 	return free
 }
@@ -228,7 +228,7 @@
 	victims := p.victims[w.worker]
 	for i := range victims {
 		v := &victims[i]
-		if v.urgent && !s.key.reclaims || v.worn && s.key.sparesWorn || v.ending && s.key.countsEnding || p.evicted[v.group] || w.evicted != nil && w.evicted[i] {
+		if v.urgent && !s.key.reclaims || v.worn && s.key.sparesWorn || v.ending <= s.key.ending || p.evicted[v.group] || w.evicted != nil && w.evicted[i] {
 			continue
 		}
 		candidates = append(candidates, *v)
--- a/internal/placement/evict_scan_test.go
+++ b/internal/placement/evict_scan_test.go
@@ -93,7 +93,8 @@
 	if !p.uncovered[demand] && demand.EvictBy.Before(deadline) {
 		deadline = demand.EvictBy
 	}
-	return p.Now.Before(deadline) && group.EndsAt.Sub(p.Now) <= p.StopTime
+	part := int64(150 * time.Millisecond)
+	return p.StopTime > 0 && !group.EndsAt.After(p.Now.Add(p.StopTime)) && p.Now.Before(deadline) && group.EndsAt.UnixNano()/part < deadline.UnixNano()/part
 }
 
 func victimsByScan(p *planner, w int, demand *Demand, reclaims bool, trial *scanTrial) ([]int, float64, bool) {
@@ -174,7 +175,7 @@
 					racks = []int{p.fleet}
 				}
 				reclaims := random.IntN(2) == 0
-				wait := func() time.Time { return p.Now.Add(time.Duration(random.IntN(3)-1) * time.Second) }
+				wait := func() time.Time { return p.Now.Add(time.Duration(random.IntN(2000)-500) * time.Millisecond) }
 				demand.LatestStart, demand.EvictBy = wait(), wait()
 				p.uncovered[&demand] = random.IntN(2) == 0
 				s := p.evictionShape(&demand, reclaims)
--- a/internal/placement/gang.go
+++ b/internal/placement/gang.go
@@ -141,11 +141,11 @@
 }
 
 // slots returns when the workers of a rack can take n tasks of a gang, or as many of them as
-// ever fit, earliest first by their expected or by their late times. Workers that are reserved
-// for another gang are left out.
+// ever fit, earliest first by the expected or by the late ends of runs. Workers that are
+// reserved for another gang are left out.
 func (p *planner) slots(s *shape, rack, n int, late bool) []slot {
 	if rack != p.fleet {
-		slots := p.slotsOfRack(s, rack).sorted(late)
+		slots := p.slotsOfRack(s, rack, late)
 		return slots[:min(n, len(slots))]
 	}
 	lists := make([][]slot, 0, len(p.racks))
@@ -153,7 +153,7 @@
 		if r == p.fleet {
 			continue
 		}
-		if slots := p.slotsOfRack(s, r).sorted(late); len(slots) > 0 {
+		if slots := p.slotsOfRack(s, r, late); len(slots) > 0 {
 			lists = append(lists, slots)
 		}
 	}
@@ -161,7 +161,7 @@
 	for len(merged) < n {
 		first := -1
 		for i := range lists {
-			if len(lists[i]) > 0 && (first < 0 || lists[i][0].at(late) < lists[first][0].at(late)) {
+			if len(lists[i]) > 0 && (first < 0 || lists[i][0].after < lists[first][0].after) {
 				first = i
 			}
 		}
@@ -175,55 +175,78 @@
 }
 
 // slotsOfRack returns all slots of a rack that the largest gang can need.
-func (p *planner) slotsOfRack(s *shape, rack int) *rackSlots {
+func (p *planner) slotsOfRack(s *shape, rack int, late bool) []slot {
+	cache := s.slots
+	if late {
+		cache = s.lateSlots
+	}
 	version := p.changes[rack] + p.reserved[rack]
-	if known := s.slots[rack]; known != nil && known.version == version {
-		return known
+	if known := cache[rack]; known != nil && known.version == version {
+		return known.slots
 	}
 	slots := p.slotBuffer[:0]
 	for _, w := range s.workers[rack] {
 		if p.workers[w].reservedFrom.IsZero() {
-			slots = p.appendSlots(slots, s, w)
+			slots = p.appendSlots(slots, s, w, late)
 		}
 	}
 	p.slotBuffer = slots
 	slots = slices.Clone(slots)
 	slices.SortFunc(slots, func(a, b slot) int { return cmp.Or(cmp.Compare(a.after, b.after), a.worker-b.worker) })
-	s.slots[rack] = &rackSlots{version: version, slots: slots}
-	return s.slots[rack]
+	cache[rack] = &rackSlots{version: version, slots: slots}
+	return slots
 }
 
-// appendSlots appends the slots of a worker.
-func (p *planner) appendSlots(slots []slot, s *shape, w int) []slot {
-	free := Sub(Add(p.workers[w].free, p.workers[w].releasing), p.workers[w].owed)
-	releases := p.releases(w)
-	after, late, most := time.Duration(0), time.Duration(0), p.largestGang
+// appendSlots appends the slots of a worker. What is being stopped counts as free, or by the
+// late times as free after the longest time of a stop.
+func (p *planner) appendSlots(slots []slot, s *shape, w int, late bool) []slot {
+	free, releasing := Sub(p.workers[w].free, p.workers[w].owed), p.workers[w].releasing
+	if !late {
+		free, releasing = Add(free, releasing), batch.Need{}
+	}
+	releases := p.releases(w, late)
+	after, most := time.Duration(0), p.largestGang
 	if limit := s.demand.Step.MaxPerWorker; limit > 0 {
 		most = min(most, limit-p.Workers[w].StepTasks[s.demand.Key]-p.workers[w].stepTasks[s.demand.Key])
 	}
-	for next := 0; most > 0; next++ {
+	for next := 0; most > 0; {
 		n := tasksThatFit(free, s.need, most)
 		for range n {
 			free = Sub(free, s.need)
-			slots = append(slots, slot{after: after, late: late, worker: w})
+			slots = append(slots, slot{after: after, worker: w})
 		}
 		most -= n
-		if next >= len(releases) {
-			break
+		switch {
+		case releasing != batch.Need{} && (next >= len(releases) || releases[next].At.Sub(p.Now) > p.StopTime):
+			free, releasing = Add(free, releasing), batch.Need{}
+			after = max(after, p.StopTime)
+		case next < len(releases):
+			free = Add(free, releases[next].Need)
+			after = max(after, releases[next].At.Sub(p.Now))
+			next++
+		default:
+			return slots
 		}
-		free = Add(free, releases[next].Need)
-		after, late = max(after, releases[next].At.Sub(p.Now)), max(late, releases[next].late().Sub(p.Now))
 	}
 	return slots
 }
 
-// releases returns the expected releases of a worker, earliest first.
-func (p *planner) releases(w int) []Release {
-	if p.sortedReleases[w] == nil {
-		p.sortedReleases[w] = slices.Clone(p.Workers[w].Releases)
-		slices.SortFunc(p.sortedReleases[w], func(a, b Release) int { return a.At.Compare(b.At) })
+// releases returns the releases of a worker with their expected or late times, earliest first.
+func (p *planner) releases(w int, late bool) []Release {
+	sorted := p.sortedReleases
+	if late {
+		sorted = p.lateReleases
+	}
+	if sorted[w] == nil {
+		sorted[w] = slices.Clone(p.Workers[w].Releases)
+		for i := range sorted[w] {
+			if r := &sorted[w][i]; late {
+				r.At = r.late()
+			}
+		}
+		slices.SortFunc(sorted[w], func(a, b Release) int { return a.At.Compare(b.At) })
 	}
-	return p.sortedReleases[w]
+	return sorted[w]
 }
 
 // freeAt returns the expected free capacity of a worker at a time.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -204,7 +204,7 @@
 	reserved       []uint32 // by rack: reservations of its workers
 	workerChanges  []uint32 // by worker
 	shapes         map[shapeKey]*shape
-	ending         []batch.Need // by worker: becomes free within the time of a stop
+	ending         [endingLevels + 1][]batch.Need // by level and worker: becomes free soon, see endingLevel
 	anyEnding      bool
 	anyWorn        bool         // a group was evicted maxEvictionsPerTask times
 	totals         []batch.Need // by worker, see totalOf
@@ -212,6 +212,7 @@
 	slotBuffer     []slot       // buffer of slotsOfRack
 	largestGang    int          // tasks of the largest demand that reserves workers
 	sortedReleases [][]Release  // releases of each worker by time, sorted on first use
+	lateReleases   [][]Release  // the same with their late times
 	reservations   int
 	underused      bool // at most underusedShare is in use
 	placing        int  // demand that is being placed
@@ -254,7 +255,7 @@
 	p := &planner{Snapshot: snapshot, evicted: make([]bool, len(snapshot.Groups)), shapes: map[shapeKey]*shape{}}
 	p.workers = make([]workerState, len(snapshot.Workers))
 	p.victims = make([][]victim, len(snapshot.Workers))
-	p.sortedReleases = make([][]Release, len(snapshot.Workers))
+	p.sortedReleases, p.lateReleases = make([][]Release, len(snapshot.Workers)), make([][]Release, len(snapshot.Workers))
 	for i := range snapshot.Workers {
 		p.workers[i] = workerState{free: snapshot.Workers[i].Free, releasing: snapshot.Workers[i].Releasing}
 	}
@@ -294,8 +295,8 @@
 			continue // never evicted
 		}
 		held := p.heldBy(g)
-		worn, ending := p.Groups[g].worn(), p.endsBeforeStop(p.Groups[g].EndsAt)
-		p.anyWorn, p.anyEnding = p.anyWorn || worn, p.anyEnding || ending
+		worn, ending := p.Groups[g].worn(), p.endingLevel(p.Groups[g].EndsAt)
+		p.anyWorn, p.anyEnding = p.anyWorn || worn, p.anyEnding || ending <= endingLevels
 		for _, task := range p.Groups[g].Tasks {
 			held[task.Worker] = Add(held[task.Worker], task.Need)
 			victims := p.victims[task.Worker]
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -1,8 +1,6 @@
 package placement
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"github.com/samphirepath/samphirepath/internal/batch"
@@ -15,6 +13,10 @@
 	// missedObjectiveFactor is the cost of an eviction that makes a job miss its objective, as
 	// a multiple of the work that is lost: the caller also loses a part of the value.
 	missedObjectiveFactor = 2
+	// endingLevels is the number of parts in which the ends within the time of a stop are told
+	// apart, the first of which has begun before.
+	// Each part may cost a plan another search.
+	endingLevels = 7
 )
 
 // EvictionCause is why a demand does not wait for capacity that becomes free by itself.
@@ -52,18 +54,39 @@
 	return r.Late
 }
 
-// endsBeforeStop reports whether an end comes before a stop would have freed the capacity.
-func (p *planner) endsBeforeStop(end time.Time) bool {
-	return p.StopTime > 0 && !end.IsZero() && !end.After(p.Now.Add(p.StopTime))
+// endingLevel returns in which part of the time of a stop an end comes, from 1 to endingLevels,
+// or a larger number if it comes later: a run that ends before a stop would free its capacity
+// is not worth an eviction.
+func (p *planner) endingLevel(end time.Time) int {
+	if p.StopTime <= 0 || end.IsZero() || end.After(p.Now.Add(p.StopTime)) {
+		return endingLevels + 1
+	}
+	return min(endingLevels, max(1, p.endingPart(end)+1))
+}
+
+// awaitedLevel returns up to which level a demand waits for ends: those that come by its latest
+// start.
+func (p *planner) awaitedLevel(demand *Demand) int {
+	return min(endingLevels, max(0, p.endingPart(p.latestStart(demand))))
+}
+
+// endingPart returns how many parts of the time of a stop begin from now to a time. The parts
+// are the same in each plan, so that the end for which a plan waits counts in the next one too.
+func (p *planner) endingPart(at time.Time) int {
+	part := int64(max(1, p.StopTime/(endingLevels-1)))
+	return int(min(endingLevels, at.UnixNano()/part-p.Now.UnixNano()/part))
 }
 
 // setEnding sums up what becomes free on each worker within the time of a stop.
 func (p *planner) setEnding() {
-	p.ending = make([]batch.Need, len(p.Workers))
+	for level := range p.ending {
+		p.ending[level] = make([]batch.Need, len(p.Workers))
+	}
 	for w := range p.Workers {
 		for i := range p.Workers[w].Releases {
-			if release := &p.Workers[w].Releases[i]; p.endsBeforeStop(release.late()) {
-				p.ending[w] = Add(p.ending[w], release.Need)
+			release := &p.Workers[w].Releases[i]
+			for level := p.endingLevel(release.late()); level <= endingLevels; level++ {
+				p.ending[level][w] = Add(p.ending[level][w], release.Need)
 				p.anyEnding = true
 			}
 		}
@@ -154,14 +177,14 @@
 		slots := p.slots(s, rack, n, true)
 		timely := slots[:0:0]
 		for _, next := range slots {
-			if next.late > limit {
+			if next.after > limit {
 				break
 			}
 			if !p.Workers[next.worker].Suspect && p.sharable(next.worker, demand) {
 				timely = append(timely, next)
 			}
 		}
-		if len(timely) > len(best) || len(best) > 0 && len(timely) == len(best) && timely[len(timely)-1].late < best[len(best)-1].late {
+		if len(timely) > len(best) || len(best) > 0 && len(timely) == len(best) && timely[len(timely)-1].after < best[len(best)-1].after {
 			best = timely
 		}
 	}
@@ -194,23 +217,3 @@
 	taken = batch.Need{MilliCPU: max(0, taken.MilliCPU), MemoryMb: max(0, taken.MemoryMb), Accelerators: max(0, taken.Accelerators)}
 	return Sub(have, taken), Sub(need, taken)
 }
-
-// at returns the late or the expected time of a slot.
-func (s slot) at(late bool) time.Duration {
-	if late {
-		return s.late
-	}
-	return s.after
-}
-
-// sorted returns the slots, earliest first by their expected or by their late times.
-func (r *rackSlots) sorted(late bool) []slot {
-	if !late {
-		return r.slots
-	}
-	if r.byLate == nil {
-		r.byLate = slices.Clone(r.slots)
-		slices.SortStableFunc(r.byLate, func(a, b slot) int { return cmp.Compare(a.late, b.late) })
-	}
-	return r.byLate
-}
--- a/internal/placement/shape.go
+++ b/internal/placement/shape.go
@@ -19,7 +19,7 @@
 	need           batch.Need
 	isolated       bool
 	reclaims       bool // may evict borrowers
-	countsEnding   bool // waits for runs that end within the time of a stop rather than evicting them
+	ending         int  // level up to which runs end soon enough that they are not evicted, see endingLevel
 	sparesWorn     bool // leaves groups alone that were evicted too often
 	// limited is set for steps that limit their tasks on a worker.
 	limited StepKey
@@ -33,11 +33,12 @@
 	demand *Demand // one of the demands
 	need   batch.Need
 	// By rack:
-	workers  [][]int // those that may take the tasks when they are free
-	holds    []int   // tasks that fit once all that runs has ended
-	free     []rackFree
-	searches []*evictionSearch
-	slots    []*rackSlots
+	workers   [][]int // those that may take the tasks when they are free
+	holds     []int   // tasks that fit once all that runs has ended
+	free      []rackFree
+	searches  []*evictionSearch
+	slots     []*rackSlots
+	lateSlots []*rackSlots // by the late ends of runs
 	// By worker:
 	costs         []knownCost
 	fleetPosition []int // position in the workers of the fleet, or -1
@@ -60,14 +61,12 @@
 // rackSlots are the times from which the workers of a rack can take tasks, earliest first.
 type rackSlots struct {
 	version uint32
-	slots   []slot // by their expected times
-	byLate  []slot // by their late times, sorted on first use
+	slots   []slot
 }
 
 // slot is when a worker can take one task of a blocked gang, as the time from the plan.
 type slot struct {
-	after  time.Duration // by the expected ends of the runs
-	late   time.Duration // by the times at which nine of ten have ended
+	after  time.Duration
 	worker int
 }
 
@@ -83,7 +82,9 @@
 // evictionShape returns the shape of a demand for the search of evictions.
 func (p *planner) evictionShape(demand *Demand, reclaims bool) *shape {
 	key := p.shapeOf(demand, reclaims).key
-	key.countsEnding = p.anyEnding && !p.mustEvict(demand)
+	if p.anyEnding {
+		key.ending = p.awaitedLevel(demand)
+	}
 	key.sparesWorn = p.anyWorn && !p.guaranteed(demand)
 	return p.shapeOfKey(key, demand)
 }
@@ -93,7 +94,7 @@
 		return known
 	}
 	s := &shape{key: key, demand: demand, need: key.need, workers: make([][]int, len(p.racks)), holds: make([]int, len(p.racks)), free: make([]rackFree, len(p.racks)),
-		searches: make([]*evictionSearch, len(p.racks)), slots: make([]*rackSlots, len(p.racks)),
+		searches: make([]*evictionSearch, len(p.racks)), slots: make([]*rackSlots, len(p.racks)), lateSlots: make([]*rackSlots, len(p.racks)),
 		costs: make([]knownCost, len(p.Workers)), fleetPosition: make([]int, len(p.Workers))}
 	for w := range p.Workers {
 		s.fleetPosition[w] = -1
