--- a/internal/placement/burst_test.go
+++ b/internal/placement/burst_test.go
@@ -103,20 +103,42 @@
 func TestPlanOfAnUrgentBurstIsFast(t *testing.T) {
 	defer debug.SetGCPercent(debug.SetGCPercent(dispatcherGCPercent))
 	for _, share := range burstShares {
-		t.Run(fmt.Sprint(share), func(t *testing.T) {
-			g := gomega.NewWithT(t)
-			runtime.LockOSThread()
-			defer runtime.UnlockOSThread()
-			snapshot := burstSnapshot(burstWorkers, burstGangs, share)
-			fastest := time.Hour
-			for range 30 {
-				start := threadTime(g)
-				placement.Plan(snapshot)
-				fastest = min(fastest, threadTime(g)-start)
-			}
-			t.Log("fastest plan:", fastest)
-			g.Expect(fastest).To(gomega.BeNumerically("<=", maxBurstPlan))
-		})
+		for _, mayWait := range []bool{false, true} {
+			t.Run(fmt.Sprint(share, mayWait), func(t *testing.T) {
+				g := gomega.NewWithT(t)
+				runtime.LockOSThread()
+				defer runtime.UnlockOSThread()
+				snapshot := burstSnapshot(burstWorkers, burstGangs, share)
+				if mayWait {
+					letWait(&snapshot)
+				}
+				fastest := time.Hour
+				for range 30 {
+					start := threadTime(g)
+					placement.Plan(snapshot)
+					fastest = min(fastest, threadTime(g)-start)
+				}
+				t.Log("fastest plan:", fastest)
+				g.Expect(fastest).To(gomega.BeNumerically("<=", maxBurstPlan))
+			})
+		}
+	}
+}
+
+// letWait lets the urgent demands of a burst wait for the runs that end soon: each is at another
+// place between its eviction wait and the time by which it has to evict.
+func letWait(s *placement.Snapshot) {
+	s.StopTime = longestStop
+	for i := range s.Demands {
+		d := &s.Demands[i]
+		d.StartableSince = now.Add(-usualEvictionWait - time.Duration(i%14)*50*time.Millisecond)
+		d.EvictFrom = d.StartableSince.Add(usualEvictionWait)
+		d.EvictBy = d.StartableSince.Add(reclaimLimit - longestStop - startTime - longestGap)
+		d.LatestStart = d.EvictBy
+	}
+	for g := range s.Groups {
+		releases := s.Workers[s.Groups[g].Tasks[0].Worker].Releases
+		s.Groups[g].EndsAt = releases[g%len(releases)].At
 	}
 }
 
--- a/internal/placement/preempt_test.go
+++ b/internal/placement/preempt_test.go
@@ -44,20 +44,21 @@
 
 // play is a loop of plans over a list of runs.
 type play struct {
-	waits    bool          // with the rules for waiting; otherwise with those of ced22c4
-	wrong    bool          // no run ends when it is expected to
-	gap      time.Duration // from one plan to the next
-	slowest  time.Duration // stops take a third to two thirds of this
-	now      time.Time
-	fleet    []placement.Worker
-	runs     []*playedRun
-	demands  []*playedDemand
-	stopping []*playedRun // ends is when the stop has freed the capacity
-	evicted  map[string]int
-	started  map[string]time.Time
-	accepted map[string]time.Time
-	lost     float64 // core-seconds
-	added    int
+	waits        bool // with the rules for waiting; otherwise with those of ced22c4
+	evictionWait time.Duration
+	wrong        bool          // no run ends when it is expected to
+	gap          time.Duration // from one plan to the next
+	slowest      time.Duration // stops take a third to two thirds of this
+	now          time.Time
+	fleet        []placement.Worker
+	runs         []*playedRun
+	demands      []*playedDemand
+	stopping     []*playedRun // ends is when the stop has freed the capacity
+	evicted      map[string]int
+	started      map[string]time.Time
+	accepted     map[string]time.Time
+	lost         float64 // core-seconds
+	added        int
 }
 
 // forecast returns the expected end of a run, and when it has ended in nine of ten cases. The
@@ -184,7 +185,7 @@
 	d.Key.Job, d.StartableSince = fmt.Sprint("urgent", id), p.now
 	d.CriticalPath = d.actual
 	d.Objective = p.now.Add(d.actual*3/2 + 250*time.Millisecond)
-	d.EvictFrom = p.now.Add(usualEvictionWait)
+	d.EvictFrom = p.now.Add(p.evictionWait)
 	d.LatestStart = d.Objective.Add(-d.actual - startTime - playStep)
 	d.EvictBy = p.now.Add(reclaimLimit - longestStop - startTime - longestGap)
 	return d
@@ -197,7 +198,7 @@
 
 // newPlay returns a fleet that reports and checks have filled, with more of both that wait.
 func newPlay(g *gomega.WithT, workers int, random *rand.Rand) *play {
-	p := &play{waits: true, gap: playStep, slowest: longestStop, now: now, fleet: workersInRacks(workers/8, 8), evicted: map[string]int{}, started: map[string]time.Time{}, accepted: map[string]time.Time{}}
+	p := &play{waits: true, evictionWait: usualEvictionWait, gap: playStep, slowest: longestStop, now: now, fleet: workersInRacks(workers/8, 8), evicted: map[string]int{}, started: map[string]time.Time{}, accepted: map[string]time.Time{}}
 	for range 120 {
 		p.addOthers(random)
 		p.step(g, random)
@@ -223,10 +224,10 @@
 const playedWorkers = 352
 
 // playBurst plays six seconds of urgent gangs, and three more.
-func playBurst(g *gomega.WithT, seed uint64, waits bool) (p *play, latest map[string]time.Time) {
+func playBurst(g *gomega.WithT, seed uint64, waits bool, evictionWait time.Duration) (p *play, latest map[string]time.Time) {
 	random := rand.New(rand.NewPCG(seed, 3))
 	p = newPlay(g, playedWorkers, random)
-	p.waits, p.lost = waits, 0
+	p.waits, p.lost, p.evictionWait = waits, 0, evictionWait
 	latest = map[string]time.Time{}
 	arrivals := rand.New(rand.NewPCG(seed, 4))
 	for i := range 90 {
@@ -261,8 +262,8 @@
 	lostBefore, lostAfter := 0.0, 0.0
 	for seed := range uint64(4) {
 		g := gomega.NewWithT(t)
-		before, latest := playBurst(g, seed, false)
-		after, _ := playBurst(g, seed, true)
+		before, latest := playBurst(g, seed, false, usualEvictionWait)
+		after, _ := playBurst(g, seed, true, usualEvictionWait)
 		t.Logf("seed %d, %d gangs: lost core-seconds %.0f before, %.0f after", seed, len(latest), before.lost, after.lost)
 		lostBefore, lostAfter = lostBefore+before.lost, lostAfter+after.lost
 		lateBefore := before.lateness(latest)
@@ -278,6 +279,25 @@
 	g.Expect(lostAfter).To(gomega.BeNumerically("<=", lostBefore/2))
 }
 
+// Guards against an eviction wait that is shortened by the time of a stop without need: in the
+// same burst as above, more work is then lost and no gang starts in time that otherwise does not.
+func TestEvictionWaitLeavesOutTheTimeOfAStop(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const shortened = 270 * time.Millisecond // 0.6 of 1,350 ms of slack less 900 ms
+	lostUsual, lostShortened := 0.0, 0.0
+	for seed := range uint64(2) {
+		usual, latest := playBurst(g, seed, true, usualEvictionWait)
+		early, _ := playBurst(g, seed, true, shortened)
+		lostUsual, lostShortened = lostUsual+usual.lost, lostShortened+early.lost
+		lateEarly := early.lateness(latest)
+		for job, late := range usual.lateness(latest) {
+			g.Expect(late).To(gomega.BeNumerically("<=", lateEarly[job]), job)
+		}
+	}
+	t.Logf("lost core-seconds: %.0f, with a shortened wait %.0f", lostUsual, lostShortened)
+	g.Expect(lostUsual).To(gomega.BeNumerically("<", lostShortened))
+}
+
 // Guards against covered gangs that wait beyond the reclaim limit for runs which are always
 // about to end. Load: 8 gangs of 5 tasks on 48 full workers, forecasts that never come true,
 // plans 400 ms apart, and stops that take the longest time.
