Look at late releases only where a wait is possible

Cause: each urgent demand of a burst sorted the releases of all racks to learn that none is in time, and each level of ends built its own lists of workers. Change: a sum by worker rules most racks out; the searches of a demand share the lists.

--- a/internal/placement/gang.go
+++ b/internal/placement/gang.go
@@ -142,7 +142,7 @@
 
 // slots returns when the workers of a rack can take n tasks of a gang, or as many of them as
 // ever fit, earliest first by the expected or by the late ends of runs. Workers that are
-// reserved for another gang are left out.
+// reserved for another gang are left out, and late ends for which no demand waits.
 func (p *planner) slots(s *shape, rack, n int, late bool) []slot {
 	if rack != p.fleet {
 		slots := p.slotsOfRack(s, rack, late)
@@ -220,7 +220,7 @@
 		case releasing != batch.Need{} && (next >= len(releases) || releases[next].At.Sub(p.Now) > p.StopTime):
 			free, releasing = Add(free, releasing), batch.Need{}
 			after = max(after, p.StopTime)
-		case next < len(releases):
+		case next < len(releases) && (!late || releases[next].At.Sub(p.Now) <= p.longestWait):
 			free = Add(free, releases[next].Need)
 			after = max(after, releases[next].At.Sub(p.Now))
 			next++
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -214,8 +214,10 @@
 	sortedReleases [][]Release  // releases of each worker by time, sorted on first use
 	lateReleases   [][]Release  // the same with their late times
 	reservations   int
-	underused      bool // at most underusedShare is in use
-	placing        int  // demand that is being placed
+	underused      bool          // at most underusedShare is in use
+	placing        int           // demand that is being placed
+	longestWait    time.Duration // until the latest start of any urgent demand
+	awaited        []batch.Need  // by worker: what becomes free within longestWait
 	result         Result
 }
 
@@ -268,6 +270,7 @@
 	}
 	p.applyGuarantees()
 	p.setEnding()
+	p.setAwaited()
 	p.setVictims()
 	return p
 }
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -113,6 +113,23 @@
 	return demand.EvictBy
 }
 
+// setAwaited sums up what becomes free by the latest start of any urgent demand.
+func (p *planner) setAwaited() {
+	for i := range p.Demands {
+		if d := &p.Demands[i]; d.Priority == 0 {
+			p.longestWait = max(p.longestWait, p.latestStart(d).Sub(p.Now))
+		}
+	}
+	p.awaited = make([]batch.Need, len(p.Workers))
+	for w := range p.Workers {
+		for i := range p.Workers[w].Releases {
+			if release := &p.Workers[w].Releases[i]; release.late().Sub(p.Now) <= p.longestWait {
+				p.awaited[w] = Add(p.awaited[w], release.Need)
+			}
+		}
+	}
+}
+
 // mustEvict reports whether a demand no longer waits. Forecasts that were wrong so far may
 // stay wrong, so from then on no running work counts as about to end.
 func (p *planner) mustEvict(demand *Demand) bool { return !p.Now.Before(p.latestStart(demand)) }
@@ -174,6 +191,9 @@
 	s, limit := p.shapeOf(demand, false), p.latestStart(demand).Sub(p.Now)
 	var best []slot
 	for _, rack := range racks {
+		if demand.Step.Gang && !p.mayHoldInTime(s, rack, n) {
+			continue
+		}
 		slots := p.slots(s, rack, n, true)
 		timely := slots[:0:0]
 		for _, next := range slots {
@@ -191,6 +211,18 @@
 	return best
 }
 
+// mayHoldInTime reports whether n tasks may fit into a rack without an eviction by the latest
+// start of any urgent demand. It is much cheaper than the slots.
+func (p *planner) mayHoldInTime(s *shape, rack, n int) bool {
+	for _, w := range s.workers[rack] {
+		state := &p.workers[w]
+		if n -= tasksThatFit(Add(Sub(Add(state.free, state.releasing), state.owed), p.awaited[w]), s.need, n); n <= 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // wait keeps the capacity of slots for a demand: nothing else in this plan may use it, now or
 // when it becomes free. The next plan decides anew.
 func (p *planner) wait(d int, slots []slot) {
--- a/internal/placement/shape.go
+++ b/internal/placement/shape.go
@@ -76,20 +76,6 @@
 	if demand.Step.MaxPerWorker > 0 {
 		key.limited = demand.Key
 	}
-	return p.shapeOfKey(key, demand)
-}
-
-// evictionShape returns the shape of a demand for the search of evictions.
-func (p *planner) evictionShape(demand *Demand, reclaims bool) *shape {
-	key := p.shapeOf(demand, reclaims).key
-	if p.anyEnding {
-		key.ending = p.awaitedLevel(demand)
-	}
-	key.sparesWorn = p.anyWorn && !p.guaranteed(demand)
-	return p.shapeOfKey(key, demand)
-}
-
-func (p *planner) shapeOfKey(key shapeKey, demand *Demand) *shape {
 	if known := p.shapes[key]; known != nil {
 		return known
 	}
@@ -116,6 +102,28 @@
 	return s
 }
 
+// evictionShape returns the shape of a demand for the search of evictions. All but the searches
+// and their costs is that of shapeOf.
+func (p *planner) evictionShape(demand *Demand, reclaims bool) *shape {
+	base := p.shapeOf(demand, reclaims)
+	key := base.key
+	if p.anyEnding {
+		key.ending = p.awaitedLevel(demand)
+	}
+	key.sparesWorn = p.anyWorn && !p.guaranteed(demand)
+	if key == base.key {
+		return base
+	}
+	known := p.shapes[key]
+	if known == nil {
+		known = &shape{}
+		*known = *base
+		known.key, known.searches, known.costs = key, make([]*evictionSearch, len(p.racks)), make([]knownCost, len(p.Workers))
+		p.shapes[key] = known
+	}
+	return known
+}
+
 // totalOf returns the capacity of a worker once all that runs there has ended.
 func (p *planner) totalOf(w int) batch.Need {
 	if p.totals == nil {
