Let short work run beside the reservation of a long wait

Cause: an urgent demand that has missed its objective may wait for seconds, and held free capacity all the time. Change: waits of more than 2 s reserve their workers as gangs do. Result: go test ./internal/placement passes.

--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -138,7 +138,7 @@
 			j.awaited = map[unitKey]bool{}
 		}
 		j.awaited[key] = true
-		t.scope.Counter("evictions_avoided_by_waiting").Inc(1)
+		t.scope.Counter("eviction_waits").Inc(1)
 		t.log.Info("Urgent job waits for running work to end.", zap.String("job", j.tracker.Job.ID), zap.Int("step", key.step),
 			zap.Duration("wait", p.Now.Sub(p.Demands[d].StartableSince)), zap.Duration("until_latest_start", p.Demands[d].LatestStart.Sub(p.Now)))
 	}
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -13,6 +13,9 @@
 	// missedObjectiveFactor is the cost of an eviction that makes a job miss its objective, as
 	// a multiple of the work that is lost: the caller also loses a part of the value.
 	missedObjectiveFactor = 2
+	// maxHold is the longest wait for which capacity is held. Few tasks are shorter. Urgent work
+	// that has missed its objective may wait longer, and would leave free capacity idle.
+	maxHold = 2 * time.Second
 	// endingLevels is the number of parts in which the ends within the time of a stop are told
 	// apart, the first of which has begun before.
 	// Each part may cost a plan another search.
@@ -22,6 +25,7 @@
 // EvictionCause is why a demand does not wait for capacity that becomes free by itself.
 type EvictionCause string
 
+// Causes of evictions.
 const (
 	CauseReclaimLimit EvictionCause = "reclaim_limit" // a guarantee covers it, and EvictBy has passed
 	CauseLatestStart  EvictionCause = "latest_start"  // its latest start has passed
@@ -224,10 +228,19 @@
 }
 
 // wait keeps the capacity of slots for a demand: nothing else in this plan may use it, now or
-// when it becomes free. The next plan decides anew.
+// when it becomes free. Before a long wait, work that ends earlier may. The next plan decides
+// anew.
 func (p *planner) wait(d int, slots []slot) {
-	need := ChargedNeed(p.Demands[d].Step)
+	demand, need := &p.Demands[d], ChargedNeed(p.Demands[d].Step)
 	for _, next := range slots {
+		after := next.after
+		if demand.Step.Gang {
+			after = slots[len(slots)-1].after
+		}
+		if after > maxHold {
+			p.reserveWorker(demand, next.worker, p.Now.Add(after))
+			continue
+		}
 		p.hold(next.worker, need)
 	}
 	p.result.Waits = append(p.result.Waits, d)
--- a/internal/placement/preempt_test.go
+++ b/internal/placement/preempt_test.go
@@ -408,3 +408,23 @@
 	s.Groups[1].Evictions = 2
 	g.Expect(placement.Plan(s).Evict).To(gomega.Equal([]int{0}), "the less often evicted one")
 }
+
+// Guards against free capacity that stays idle for seconds because an urgent demand which has
+// missed its objective waits for the rest of a worker.
+func TestLongWaitLeavesRoomForShortWork(t *testing.T) {
+	for _, gang := range []bool{false, true} {
+		g := gomega.NewWithT(t)
+		s := waitingPair(gang, 8*time.Second)
+		s.Workers[0].Free, s.Workers[0].Releases[0].Need = needing(4), needing(4)
+		s.Groups[0].Tasks[0].Need = needing(4)
+		s.Guarantees = map[string]placement.Guarantee{}
+		s.Demands[0].LatestStart = now.Add(10 * time.Second)
+		short, long := demand(1, 1, batch.Step{Need: needing(4), EstimateMs: 7000}), demand(1, 1, batch.Step{Need: needing(4), EstimateMs: 9000})
+		s.Demands = append(s.Demands, long, short)
+		result := placement.Plan(s)
+		g.Expect(result.Evict).To(gomega.BeEmpty())
+		g.Expect(result.Waits).To(gomega.Equal([]int{0}))
+		g.Expect(tasksByWorker(result, 1)).To(gomega.BeEmpty())
+		g.Expect(tasksByWorker(result, 2)).To(gomega.Equal(map[int]int{0: 1}))
+	}
+}
