--- a/internal/placement/shape.go
+++ b/internal/placement/shape.go
@@ -19,6 +19,8 @@
 	need           batch.Need
 	isolated       bool
 	reclaims       bool // may evict borrowers
+	ending         int  // level up to which runs end soon enough that they are not evicted, see endingLevel
+	sparesWorn     bool // leaves groups alone that were evicted too often
 	// limited is set for steps that limit their tasks on a worker.
 	limited StepKey
 }
@@ -31,11 +33,12 @@
 	demand *Demand // one of the demands
 	need   batch.Need
 	// By rack:
-	workers  [][]int // those that may take the tasks when they are free
-	holds    []int   // tasks that fit once all that runs has ended
-	free     []rackFree
-	searches []*evictionSearch
-	slots    []*rackSlots
+	workers   [][]int // those that may take the tasks when they are free
+	holds     []int   // tasks that fit once all that runs has ended
+	free      []rackFree
+	searches  []*evictionSearch
+	slots     []*rackSlots
+	lateSlots []*rackSlots // by the late ends of runs
 	// By worker:
 	costs         []knownCost
 	fleetPosition []int // position in the workers of the fleet, or -1
@@ -77,7 +80,7 @@
 		return known
 	}
 	s := &shape{key: key, demand: demand, need: key.need, workers: make([][]int, len(p.racks)), holds: make([]int, len(p.racks)), free: make([]rackFree, len(p.racks)),
-		searches: make([]*evictionSearch, len(p.racks)), slots: make([]*rackSlots, len(p.racks)),
+		searches: make([]*evictionSearch, len(p.racks)), slots: make([]*rackSlots, len(p.racks)), lateSlots: make([]*rackSlots, len(p.racks)),
 		costs: make([]knownCost, len(p.Workers)), fleetPosition: make([]int, len(p.Workers))}
 	for w := range p.Workers {
 		s.fleetPosition[w] = -1
@@ -99,6 +102,28 @@
 	return s
 }
 
+// evictionShape returns the shape of a demand for the search of evictions. All but the searches
+// and their costs is that of shapeOf.
+func (p *planner) evictionShape(demand *Demand, reclaims bool) *shape {
+	base := p.shapeOf(demand, reclaims)
+	key := base.key
+	if p.anyEnding {
+		key.ending = p.awaitedLevel(demand)
+	}
+	key.sparesWorn = p.anyWorn && !p.guaranteed(demand)
+	if key == base.key {
+		return base
+	}
+	known := p.shapes[key]
+	if known == nil {
+		known = &shape{}
+		*known = *base
+		known.key, known.searches, known.costs = key, make([]*evictionSearch, len(p.racks)), make([]knownCost, len(p.Workers))
+		p.shapes[key] = known
+	}
+	return known
+}
+
 // totalOf returns the capacity of a worker once all that runs there has ended.
 func (p *planner) totalOf(w int) batch.Need {
 	if p.totals == nil {
--- a/internal/placement/share.go
+++ b/internal/placement/share.go
@@ -161,21 +161,22 @@
 }
 
 // placeAndCharge places a demand and adds to the share of its organisation what the plan gives
-// it, so that the turn passes on. Workers that a gang reserves, or that are evicted for a
-// demand, count in this plan as well: otherwise the blocked gangs of one organisation could take
+// it, so that the turn passes on. Workers that are reserved, held or evicted for a
+// demand count in this plan as well: otherwise the blocked gangs of one organisation could take
 // all reservations.
 func (p *planner) placeAndCharge(d int) {
 	if p.Observe != nil {
 		p.Observe(p.Demands[d].Key)
 	}
 	demand := &p.Demands[d]
-	placements, reservations, evictions := len(p.result.Placements), p.reservations, len(p.result.Evict)
+	placements, reservations, evictions, waits := len(p.result.Placements), p.reservations, len(p.result.Evict), len(p.result.Waits)
+	p.placing = d
 	p.place(d)
 	given := 0
 	for _, placed := range p.result.Placements[placements:] {
 		given += len(placed.Tasks)
 	}
-	if p.reservations > reservations || len(p.result.Evict) > evictions {
+	if p.reservations > reservations || len(p.result.Evict) > evictions || len(p.result.Waits) > waits {
 		given = len(demand.Tasks)
 	}
 	if given == 0 {
--- a/internal/placement/share_order_test.go
+++ b/internal/placement/share_order_test.go
@@ -44,6 +44,7 @@
 		snapshot := mixedSnapshot(rand.New(rand.NewPCG(seed, 1)))
 		ordered := newPlanner(snapshot)
 		for _, d := range ordered.order() {
+			ordered.placing = d
 			ordered.place(d)
 		}
 		g.Expect(Plan(snapshot)).To(gomega.Equal(ordered.result), fmt.Sprint("seed ", seed))
