Judge workers by evidence that the task does not explain

A persistent task that always fails made one worker after the other get no tasks for 8 s, until no worker of its service was left: the test of three workers timed out after 2 s with an ordinary gang still queued.

The package workerhealth replaces the counter of failures. A task counts once against a worker, and not at all once it has failed on two workers that are sound without it, until it succeeds elsewhere. Three failures of different tasks lead to quarantine of 2 s, doubled up to 16 s, followed by a trial with one task at a time; two successes make the worker healthy again. At most 0.25 of the workers of a service are quarantined, and never those that a waiting demand needs. A persistent task makes a worker suspect at most and has its own back-off of 0.25 to 4 s.

The jobs of the test now complete within 2 s each.

--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -9,6 +9,7 @@
 
 	"github.com/samphirepath/samphirepath/internal/batch"
 	"github.com/samphirepath/samphirepath/internal/placement"
+	"github.com/samphirepath/samphirepath/internal/workerhealth"
 )
 
 // Every eviction discards work, so an urgent unit first waits for capacity that
@@ -40,10 +41,14 @@
 func taskNeed(step *batch.Step) batch.Need { return placement.ChargedNeed(step) }
 
 // schedulable reports whether a worker may get new tasks now.
-func (t *term) schedulable(w *workerState, now time.Time) bool {
-	excluded := w.failures >= excludeThreshold && now.Before(w.suspectUntil)
+func (t *term) schedulable(w *workerState) bool {
+	return t.available(w) && w.health != workerhealth.Quarantined
+}
+
+// available reports whether a worker of any health may get new tasks now.
+func (t *term) available(w *workerState) bool {
 	described := w.describedMs == w.info.StartedMs
-	return w.listed && described && !w.unproved() && !w.info.Draining && w.misses == 0 && !excluded && !t.cfg.Zones.OutOfService(w.info.Zone)
+	return w.listed && described && !w.unproved() && !w.info.Draining && w.misses == 0 && !t.cfg.Zones.OutOfService(w.info.Zone)
 }
 
 // planInput is the snapshot for one plan, with the objects that its indices refer to.
@@ -111,6 +116,7 @@
 	for i, w := range p.workers {
 		releases = t.placementWorker(&p.Workers[i], w, now, releases)
 	}
+	t.applyHealth(p, now)
 	t.usage(p)
 	if urgent {
 		t.guarantees(p)
@@ -232,7 +238,7 @@
 	step := &job.Steps[unit.Step]
 	var tasks []int
 	for i := range unit.Tasks {
-		if !unit.Tasks[i].Done && !unit.Tasks[i].Assigned() {
+		if !unit.Tasks[i].Done && !unit.Tasks[i].Assigned() && !j.delayed(unit, i, now) {
 			tasks = append(tasks, i)
 		}
 	}
@@ -275,8 +281,8 @@
 func (t *term) placementWorker(out *placement.Worker, w *workerState, now time.Time, releases []placement.Release) []placement.Release {
 	*out = placement.Worker{
 		ID: w.info.ID, Service: w.info.Service, Zone: w.info.Zone, Rack: w.info.Rack, Labels: w.info.Labels,
-		Schedulable: t.schedulable(w, now), Suspect: now.Before(w.suspectUntil),
-		Free: w.info.Capacity, Occupied: len(w.runs) > 0,
+		Schedulable: t.available(w),
+		Free:        w.info.Capacity, Occupied: len(w.runs) > 0,
 	}
 	first := len(releases)
 	for _, r := range w.runs {
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -101,7 +101,7 @@
 		return "lease lost before the start"
 	case r.stopReason != "":
 		return r.stopReason
-	case !t.schedulable(r.worker, time.Now()):
+	case !t.schedulable(r.worker):
 		return "worker may no longer get tasks"
 	case !r.fitsNow():
 		return "worker no longer has the capacity"
@@ -129,6 +129,7 @@
 		zap.Stringer("outcome", reply.Outcome), zap.Duration("took", now.Sub(sent)), telemetry.ErrorField(reply.Err))
 	t.scope.Tagged(map[string]string{"outcome": reply.Outcome.String()}).Counter("starts").Inc(1)
 	t.updateClock(r.worker, reply.Clock, now)
+	t.noteStartHealth(r.worker, reply.Outcome, now.Sub(sent), now)
 	switch reply.Outcome {
 	case fleet.Accepted:
 		r.phase, r.confirmedAt, r.seenAt = phaseRunning, now, now
@@ -140,7 +141,6 @@
 		t.pollWorker(r.worker, now)
 	case fleet.Unanswered:
 		r.phase = phaseUnknown
-		r.worker.recordFailure(now)
 		t.raiseFence(r.worker)
 		t.pollWorker(r.worker, now)
 	case fleet.Fenced:
@@ -149,9 +149,6 @@
 			return
 		}
 		t.resendStart(r, "start was rejected because the fence had been raised")
-	case fleet.Unhealthy, fleet.NoCapacity, fleet.OtherIncarnation:
-		r.worker.recordFailure(now)
-		t.dropRun(r, "start refused: "+reply.Outcome.String())
 	default:
 		t.dropRun(r, "start refused: "+reply.Outcome.String())
 	}
@@ -181,13 +178,12 @@
 		zap.String("how", string(end.Reason)), zap.Int64("end", end.Number))
 	t.scope.Tagged(map[string]string{"how": string(end.Reason)}).Counter("ends").Inc(1)
 	r := j.runs[end.Run]
+	t.noteEndHealth(w, j, end, now)
 	var changed bool
 	switch end.Reason {
 	case fleet.Done:
-		w.recordSuccess()
 		changed = tracker.Finish(end.Run)
 	case fleet.Failed:
-		w.recordFailure(now)
 		changed = tracker.Fail(end.Run, now)
 		t.avoidWorker(j, end.Run, w)
 	default:
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -13,6 +13,7 @@
 	"github.com/samphirepath/samphirepath/internal/batch"
 	"github.com/samphirepath/samphirepath/internal/fleet"
 	"github.com/samphirepath/samphirepath/internal/telemetry"
+	"github.com/samphirepath/samphirepath/internal/workerhealth"
 	"github.com/samphirepath/samphirepath/lease"
 	"github.com/samphirepath/samphirepath/table"
 )
@@ -64,6 +65,9 @@
 	countsVersion   int64            // version of their row
 	countedAt       time.Time
 
+	health           *workerhealth.Tracker
+	healthReportedAt time.Time
+
 	unreadCalls int // calls in this tick to workers that may keep unread ends
 
 	stalls   map[string]int         // how often a term has stalled on a job, by job
@@ -110,6 +114,7 @@
 	beginnings     map[unitKey]*beginning
 	failedWorkers  map[unitKey]map[string]bool // IDs of the workers on which a task of the unit has failed
 	suspectSince   map[unitKey]time.Time       // when tasks under suspicion became startable again
+	retries        map[retryKey]retry          // persistent tasks that have failed
 	runs           map[batch.RunRef]*run
 	nextDue        time.Time // when the next occurrence is due
 	endLogged      bool
@@ -147,13 +152,15 @@
 func newTerm(ctx context.Context, d *Dispatcher, status lease.Status, heldAt time.Time) *term {
 	now := time.Now()
 	d.maxFence = max(d.maxFence+1, status.Epoch<<fenceBits)
-	return &term{
+	t := &term{
 		Dispatcher: d, ctx: ctx, epoch: status.Epoch, startedAt: now, lastHeldAt: heldAt, former: newFormerHolders(status.Former, d.cfg.LeaseOutage, now),
 		events: make(chan func(), eventQueueSize), results: make(chan func(), 1), done: make(chan struct{}),
 		jobs: map[string]*jobState{}, earlyCancels: map[string]earlyCancel{}, finished: map[string]finishedJob{}, deleted: map[string]deletedJob{}, invalid: map[string]bool{}, workers: map[string]*workerState{},
 		presumed: map[fleet.Incarnation][]presumedLoss{}, silences: map[string]*silence{}, givenUp: map[batch.RunRef]givenUpRun{},
 		changedJobs: map[string]bool{},
 	}
+	t.health = t.newHealth()
+	return t
 }
 
 // post queues f for the goroutine of the term.
@@ -321,6 +328,7 @@
 	for _, w := range t.workers {
 		t.checkWorker(w, now)
 	}
+	t.checkHealth(now)
 	t.forgetFinished(now)
 	t.forgetLosses(now)
 	t.forgetGivenUp(now)
--- a/internal/dispatch/workers.go
+++ b/internal/dispatch/workers.go
@@ -12,6 +12,7 @@
 	"github.com/samphirepath/samphirepath/internal/batch"
 	"github.com/samphirepath/samphirepath/internal/fleet"
 	"github.com/samphirepath/samphirepath/internal/telemetry"
+	"github.com/samphirepath/samphirepath/internal/workerhealth"
 	"github.com/samphirepath/samphirepath/table"
 )
 
@@ -61,13 +62,6 @@
 	lateOrderTime = 12 * time.Second
 	// minClockRate is the lowest rate of a worker's clock relative to real time.
 	minClockRate = 0.98
-	// suspectAfterFirst and suspectAfterRepeated are how long a worker is the last
-	// choice for new tasks after one failure and after several. A worker with a
-	// failure count of excludeThreshold gets no tasks during that time. About one
-	// task in 30 fails through no fault of its worker, so a single failure weighs less.
-	suspectAfterFirst    = 4 * time.Second
-	suspectAfterRepeated = 8 * time.Second
-	excludeThreshold     = 3
 )
 
 // workerState is what the term knows about a worker: its runs, its lease and the
@@ -123,8 +117,7 @@
 
 	longCheckpoints bool // the worker has reported checkpoints that are too long; logged once
 
-	failures     int // failed tasks and starts, less one for each successful task
-	suspectUntil time.Time
+	health workerhealth.State // in the last plan
 }
 
 // endAck is the pending acknowledgement of an end. The worker keeps the end until
@@ -279,7 +272,7 @@
 	w.info.StartedMs, w.foundAt = startedMs, now
 	w.lastEnd, w.storedEnd, w.ackedEnd, w.pendingAcks, w.lostEndsReported = 0, 0, 0, nil, false
 	w.clock, w.clockReadAt = clock, now
-	w.failures, w.suspectUntil = 0, time.Time{}
+	t.noteHealth(w, workerhealth.Restarted, now)
 	// A call makes the new incarnation reject what was sent to the earlier one and may be
 	// carried out late.
 	w.fenced, w.unread = false, true
@@ -393,21 +386,6 @@
 	return clock + t.cfg.MaxWorkerLease.Milliseconds()
 }
 
-// recordFailure counts a failed task or start and makes the worker suspect.
-func (w *workerState) recordFailure(now time.Time) {
-	w.failures++
-	w.suspectUntil = now.Add(suspectAfterFirst)
-	if w.failures > 1 {
-		w.suspectUntil = now.Add(suspectAfterRepeated)
-	}
-}
-
-// recordSuccess takes back one failure. The worker stays suspect, because many
-// faulty workers complete some of their tasks.
-func (w *workerState) recordSuccess() {
-	w.failures = max(0, w.failures-1)
-}
-
 // sinceOrZero returns the time since a moment, or 0 if that is not set.
 func sinceOrZero(since, now time.Time) time.Duration {
 	if since.IsZero() {
--- a/internal/placement/evict.go
+++ b/internal/placement/evict.go
@@ -185,7 +185,7 @@
 // costOf returns the cost of one more task on a worker.
 func (p *planner) costOf(s *shape, w *searchedWorker) evictionCost {
 	limit := s.demand.Step.MaxPerWorker
-	if p.Workers[w.worker].Suspect || !p.sharable(w.worker, s.demand) || limit > 0 && w.stepTasks >= limit {
+	if p.Workers[w.worker].Suspect || p.workers[w.worker].onTrial || !p.sharable(w.worker, s.demand) || limit > 0 && w.stepTasks >= limit {
 		return evictionCost{}
 	}
 	cost := evictionCost{fits: true, left: leftover(w.free, s.need)}
--- a/internal/placement/fit.go
+++ b/internal/placement/fit.go
@@ -75,7 +75,7 @@
 func (p *planner) score(w int, demand *Demand) float64 {
 	worker := &p.Workers[w]
 	score := leftover(p.workers[w].free, demand.Step.Need)
-	if worker.Suspect {
+	if worker.Suspect || worker.OnTrial && (demand.Priority == 0 || demand.Step.Gang) {
 		score += suspectPenalty
 	}
 	if demand.Avoid[worker.ID] {
@@ -132,12 +132,17 @@
 		return state.isolatedFor == demand
 	case p.Workers[w].Isolated:
 		return false
+	case state.onTrial && !state.open():
+		return false
 	case demand.Isolated:
 		return !p.Workers[w].Occupied && state.taken == 0
 	}
 	return true
 }
 
+// open reports whether a worker has no task, not even of this plan.
+func (s *workerState) open() bool { return !s.occupied && s.taken == 0 }
+
 func (p *planner) withinStepLimit(w int, demand *Demand) bool {
 	limit := demand.Step.MaxPerWorker
 	return limit <= 0 || p.Workers[w].StepTasks[demand.Key]+p.workers[w].stepTasks[demand.Key] < limit
--- a/internal/placement/gang.go
+++ b/internal/placement/gang.go
@@ -176,7 +176,7 @@
 	}
 	slots := p.slotBuffer[:0]
 	for _, w := range s.workers[rack] {
-		if p.workers[w].reservedFrom.IsZero() {
+		if state := &p.workers[w]; state.reservedFrom.IsZero() && (!state.onTrial || state.open()) {
 			slots = p.appendSlots(slots, s, w)
 		}
 	}
@@ -195,6 +195,9 @@
 	if limit := s.demand.Step.MaxPerWorker; limit > 0 {
 		most = min(most, limit-p.Workers[w].StepTasks[s.demand.Key]-p.workers[w].stepTasks[s.demand.Key])
 	}
+	if p.workers[w].onTrial {
+		most = min(most, 1)
+	}
 	for next := 0; most > 0; next++ {
 		n := tasksThatFit(free, s.need, most)
 		for range n {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -214,6 +214,7 @@
 	spare              batch.Need // expected free capacity at reservedFrom beyond the reservation
 	stepTasks          map[StepKey]int
 	taken              int     // tasks that this plan has placed here
+	onTrial, occupied  bool    // as in Worker
 	isolatedFor        *Demand // isolated demand that has taken the worker in this plan
 }
 
@@ -236,7 +237,8 @@
 	p.victims = make([][]victim, len(snapshot.Workers))
 	p.sortedReleases = make([][]Release, len(snapshot.Workers))
 	for i := range snapshot.Workers {
-		p.workers[i] = workerState{free: snapshot.Workers[i].Free, releasing: snapshot.Workers[i].Releasing}
+		p.workers[i] = workerState{free: snapshot.Workers[i].Free, releasing: snapshot.Workers[i].Releasing,
+			onTrial: snapshot.Workers[i].OnTrial, occupied: snapshot.Workers[i].Occupied}
 	}
 	p.setRacks()
 	p.underused = isUnderused(snapshot.Workers)
--- a/internal/placement/shape.go
+++ b/internal/placement/shape.go
@@ -89,6 +89,9 @@
 		if limit := demand.Step.MaxPerWorker; limit > 0 {
 			most = min(most, limit)
 		}
+		if p.workers[w].onTrial {
+			most = 1
+		}
 		n := tasksThatFit(p.totalOf(w), s.need, most)
 		for _, r := range [...]int{p.rackOf[w], p.fleet} {
 			s.workers[r] = append(s.workers[r], w)
@@ -122,8 +125,14 @@
 	}
 	*known = rackFree{known: true, version: p.changes[rack]}
 	for _, w := range s.workers[rack] {
-		known.left += leftover(p.workers[w].free, s.demand.Step.Need)
-		known.tasks += tasksThatFit(p.workers[w].free, s.need, batch.MaxTasks)
+		state := &p.workers[w]
+		known.left += leftover(state.free, s.demand.Step.Need)
+		switch {
+		case !state.onTrial:
+			known.tasks += tasksThatFit(state.free, s.need, batch.MaxTasks)
+		case state.open():
+			known.tasks += tasksThatFit(state.free, s.need, 1)
+		}
 	}
 	return known
 }
