Stop runs without progress and start them elsewhere

A run that stopped advancing stayed on its worker until the worker was replaced: the test of eight tasks of which two hang timed out after 14 s, and a gang of two was never started again.

Work whose percent does not advance for a quarter of its expected run time, at least 2 s, is stopped while comparable work advances on other workers, a gang as a whole. It may take four times its average percent, so that stragglers are not stopped. Persistent tasks, gangs that are not complete and runs on workers that have never reported progress are left alone, and so is covered urgent work, which is never stopped. Stops are bounded to one for a tenth of the workers a second and to four for a task, each after twice the time of the one before. The stop is no failure of the task. The evidence goes to the workers of the gang on which no other work advances.

The stand-in workers report the progress of their runs and can hang.

--- a/internal/dispatch/health_test.go
+++ b/internal/dispatch/health_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -8,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/samphirepath/samphirepath/internal/batch"
+	"github.com/samphirepath/samphirepath/internal/standinfleet"
 )
 
 // startTimes returns when the runs of a task were started, in order.
@@ -43,4 +45,51 @@
 		// Without a back-off of the task the last of these follow each other within some ms.
 		Expect(times[5].Sub(times[3])).To(BeNumerically(">", 1500*time.Millisecond))
 	})
+
+	// Guards against jobs that wait for runs which make no progress any more until their
+	// worker is replaced, and against the stop of such a run that counts as an attempt.
+	It("moves runs without progress to other workers", func() {
+		f := newFixture(4)
+		f.startDispatcher("a")
+		f.submit(batch.Job{ID: "p", Spec: `{"ms":60000}`, Steps: []batch.Step{{Tasks: 4, Persistent: true, MaxPerWorker: 1, Need: batch.Need{MilliCPU: 1000}, EstimateMs: 100}}})
+		f.submit(batch.Job{ID: "j", Spec: `{"ms":5000}`, Steps: []batch.Step{{Tasks: 8, MaxPerWorker: 2, Need: batch.Need{Accelerators: 2}, EstimateMs: 5000}}})
+		Eventually(f.running).WithTimeout(timeout).Should(HaveLen(12))
+		time.Sleep(time.Second)
+		f.workers[0].SetHung(true)
+		Eventually(f.state("j")).WithTimeout(14 * time.Second).Should(Equal(batch.Completed))
+		// The worker is the only one with room, and may get one of the tasks on trial.
+		Expect(f.ends("stopped")).To(BeElementOf(2, 3))
+		for i := range 4 {
+			Expect(f.starts()).To(HaveKeyWithValue(fmt.Sprint("p.0.0.", i), 1))
+		}
+	})
+
+	// Guards against members of a gang that run on while another one is started elsewhere.
+	It("moves a gang without progress as a whole", func() {
+		f := newFixture(3)
+		gangs := standinfleet.NewGangs(5 * time.Second)
+		for _, w := range f.workers {
+			w.Gangs = gangs
+		}
+		f.startDispatcher("a")
+		step := func(tasks int) batch.Step {
+			return batch.Step{Tasks: tasks, Gang: true, MaxPerWorker: 1, Need: batch.Need{Accelerators: 4}, EstimateMs: 6000}
+		}
+		f.submit(batch.Job{ID: "j", Spec: `{"ms":6000,"gang":2}`, Steps: []batch.Step{step(2)}})
+		Eventually(f.running).WithTimeout(timeout).Should(HaveLen(2))
+		first := slices.IndexFunc(f.workers, func(w *standinfleet.Worker) bool { return len(w.Running()) == 0 })
+		f.submit(batch.Job{ID: "k", Spec: `{"ms":8000,"gang":1}`, Steps: []batch.Step{{Tasks: 1, Gang: true, Need: batch.Need{Accelerators: 8}, EstimateMs: 6000}}})
+		Eventually(f.running).WithTimeout(timeout).Should(HaveLen(3))
+		Expect(f.workers[first].Running()).To(HaveLen(1))
+		time.Sleep(700 * time.Millisecond)
+		for i, w := range f.workers {
+			w.SetHung(i != first)
+		}
+		Eventually(func() []int { return []int{f.starts()["j.0.0.0"], f.starts()["j.0.0.1"]} }).WithTimeout(8 * time.Second).Should(Equal([]int{2, 2}))
+		Expect(f.ends("stopped") + f.ends("broken")).To(Equal(2))
+		for _, w := range f.workers {
+			w.SetHung(false)
+		}
+		Eventually(f.state("j")).WithTimeout(14 * time.Second).Should(Equal(batch.Completed))
+	})
 })
--- /dev/null
+++ b/internal/dispatch/hung.go
@@ -0,0 +1,165 @@
+package dispatch
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/samphirepath/samphirepath/internal/batch"
+	"github.com/samphirepath/samphirepath/internal/workerhealth"
+)
+
+const (
+	// hungCheckInterval is the time between two searches for hung runs. The reports of a run
+	// are at least 600 ms apart.
+	hungCheckInterval = 500 * time.Millisecond
+	// hungStopWindow is a time in which the number of stops of hung runs is bounded: one for
+	// hungStopShare of the workers, at least minHungStops. A stop takes up to 0.9 s.
+	hungStopWindow = time.Second
+	hungStopShare  = 0.1
+	minHungStops   = 4
+)
+
+// hungReason is why hung runs are stopped.
+const hungReason = "no progress"
+
+// noteProgress records the progress that a worker reports of a run.
+func (r *run) noteProgress(percent int64, now time.Time) {
+	if r.progress.Report(percent, now) {
+		r.worker.reportsProgress = true
+	}
+}
+
+// hungUnit is a task in progress, or all members of a gang.
+type hungUnit struct {
+	runs []*run
+	key  retryKey
+}
+
+// checkHung stops hung runs, so that they start again on other workers.
+func (t *term) checkHung(now time.Time) {
+	if now.Sub(t.hungCheckedAt) < hungCheckInterval || !t.canStartWork() {
+		return
+	}
+	t.hungCheckedAt = now
+	t.hungStops = slices.DeleteFunc(t.hungStops, func(at time.Time) bool { return now.Sub(at) >= hungStopWindow })
+	most := max(minHungStops, int(hungStopShare*float64(len(t.workers)))) - len(t.hungStops)
+	if most <= 0 {
+		return
+	}
+	work, units := t.work()
+	for _, h := range workerhealth.FindHung(work, most) {
+		t.stopHung(units[h.Work], &work[h.Work], h, now)
+	}
+}
+
+// work returns the tasks and gangs in progress.
+func (t *term) work() ([]workerhealth.Work, []hungUnit) {
+	var work []workerhealth.Work
+	var units []hungUnit
+	for _, j := range t.jobs {
+		gangs := map[*batch.Unit]int{}
+		covered := t.coveredUrgent(j)
+		for _, r := range j.runs {
+			i, known := 0, false
+			if r.step.Gang {
+				i, known = gangs[r.unit]
+			}
+			if !known {
+				i = len(work)
+				job, key := &j.tracker.Job, retryKeyOf(r.step, r.ref)
+				work = append(work, workerhealth.Work{
+					Kind: fmt.Sprint(job.Queue, r.need, r.step.Label, r.step.Gang), Service: job.Service, Eligible: !covered && !r.step.Persistent,
+					Expected: t.runTime(job, r.step), Moves: j.hungMoves[key],
+				})
+				units = append(units, hungUnit{key: key})
+				if r.step.Gang {
+					gangs[r.unit] = i
+				}
+			}
+			addRun(&work[i], r)
+			units[i].runs = append(units[i].runs, r)
+		}
+		for unit, i := range gangs {
+			work[i].Eligible = work[i].Eligible && len(units[i].runs) == len(unit.Tasks)
+		}
+	}
+	return work, units
+}
+
+// addRun adds a run to its work.
+func addRun(w *workerhealth.Work, r *run) {
+	w.Eligible = w.Eligible && r.phase == phaseRunning && r.stopReason == "" && r.worker.misses == 0 && r.worker.reportsProgress && !r.progress.FirstAt.IsZero()
+	w.Workers = append(w.Workers, r.worker.info.ID)
+	if r.confirmedAt.After(w.CompleteAt) {
+		w.CompleteAt = r.confirmedAt
+	}
+	// The members of a gang have the same progress; that of another member may be older.
+	if w.Progress.FirstAt.IsZero() || r.progress.AdvancedAt.After(w.Progress.AdvancedAt) ||
+		r.progress.AdvancedAt.Equal(w.Progress.AdvancedAt) && r.progress.SeenAt.After(w.Progress.SeenAt) {
+		w.Progress = r.progress
+	}
+}
+
+// coveredUrgent reports whether a job is urgent work within the guarantee of its organisation,
+// which is never stopped.
+func (t *term) coveredUrgent(j *jobState) bool {
+	job := &j.tracker.Job
+	if job.Priority != 0 || len(j.runs) == 0 {
+		return false
+	}
+	guarantee := t.cfg.Guarantees()[job.Organisation]
+	if guarantee <= 0 {
+		return false
+	}
+	held := int64(0)
+	for _, other := range t.jobs {
+		if other.tracker.Job.Priority != 0 || other.tracker.Job.Organisation != job.Organisation {
+			continue
+		}
+		for _, r := range other.runs {
+			if r.stopReason == "" {
+				held += r.need.Accelerators
+			}
+		}
+	}
+	return held <= guarantee
+}
+
+// stopHung stops a task or a gang without progress. Its workers are avoided, and the evidence
+// is shared by those that may be the cause.
+func (t *term) stopHung(unit hungUnit, work *workerhealth.Work, hung workerhealth.HungWork, now time.Time) {
+	first := unit.runs[0]
+	j := first.job
+	if j.hungMoves == nil {
+		j.hungMoves = map[retryKey]int{}
+	}
+	j.hungMoves[unit.key]++
+	t.hungStops = append(t.hungStops, now)
+	t.scope.Counter("hung_stops").Inc(1)
+	task := healthTask(first.step, first.ref)
+	t.log.Warn("Stopping work without progress.", zap.String("task", task), zap.Int64("run", first.ref.Run), zap.Strings("suspects", hung.Suspects), zap.Int("runs", len(unit.runs)),
+		zap.Int64("percent", work.Progress.Percent), zap.Time("last_progress", latest(work.Progress.AdvancedAt, work.CompleteAt)),
+		zap.Duration("expected", work.Expected), zap.Int("moves", j.hungMoves[unit.key]))
+	for _, id := range hung.Suspects {
+		w := t.workers[id]
+		if w == nil {
+			continue
+		}
+		t.avoidWorker(j, first.ref, w)
+		t.health.Note(id, w.info.StartedMs, workerhealth.Evidence{Kind: workerhealth.Hung, Task: task, Run: first.ref.Run, Share: hung.Share}, now)
+	}
+	for _, r := range unit.runs {
+		t.requestStop(r, hungReason)
+	}
+	t.planNeeded = true
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -9,6 +9,7 @@
 	"github.com/samphirepath/samphirepath/internal/fleet"
 	"github.com/samphirepath/samphirepath/internal/placement"
 	"github.com/samphirepath/samphirepath/internal/telemetry"
+	"github.com/samphirepath/samphirepath/internal/workerhealth"
 )
 
 const (
@@ -58,6 +59,7 @@
 	stopReason string // why the run is to be stopped; empty while it is not
 	stopSentAt time.Time
 	checkpoint string
+	progress   workerhealth.Progress
 }
 
 // assign records a run of a task on a worker and sends the start once the record is
@@ -164,6 +166,7 @@
 	if status.Checkpoint != "" {
 		r.checkpoint = status.Checkpoint
 	}
+	r.noteProgress(status.Percent, now)
 	t.noteLifetime(r)
 	if r.stopReason != "" && now.Sub(r.stopSentAt) > stopRetryDelay {
 		t.stopRunning(r)
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -67,6 +67,8 @@
 
 	health           *workerhealth.Tracker
 	healthReportedAt time.Time
+	hungCheckedAt    time.Time
+	hungStops        []time.Time // within the last hungStopWindow
 
 	unreadCalls int // calls in this tick to workers that may keep unread ends
 
@@ -115,6 +117,7 @@
 	failedWorkers  map[unitKey]map[string]bool // IDs of the workers on which a task of the unit has failed
 	suspectSince   map[unitKey]time.Time       // when tasks under suspicion became startable again
 	retries        map[retryKey]retry          // persistent tasks that have failed
+	hungMoves      map[retryKey]int            // stops because of no progress
 	runs           map[batch.RunRef]*run
 	nextDue        time.Time // when the next occurrence is due
 	endLogged      bool
@@ -329,6 +332,7 @@
 		t.checkWorker(w, now)
 	}
 	t.checkHealth(now)
+	t.checkHung(now)
 	t.forgetFinished(now)
 	t.forgetLosses(now)
 	t.forgetGivenUp(now)
--- a/internal/standinfleet/gangs.go
+++ b/internal/standinfleet/gangs.go
@@ -115,6 +115,18 @@
 	return "broken", run.endedAt
 }
 
+// percent returns the progress of a run at a time.
+func (g *Gangs) percent(key RunKey, now time.Time) int64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	id, _ := gangMemberOf(key)
+	run := g.runs[id]
+	if run == nil || run.startedAt.IsZero() {
+		return 0
+	}
+	return percentOf(run.startedAt, run.startedAt.Add(run.duration), now)
+}
+
 // settle ends the run if a member has lost its lease or waited in vain, or its time is over.
 func (r *gangRun) settle(timeout time.Duration, now time.Time) {
 	if !r.endedAt.IsZero() {
--- a/internal/standinfleet/worker.go
+++ b/internal/standinfleet/worker.go
@@ -99,6 +99,7 @@
 	endCount    int64
 	changed     chan struct{}
 	fault       func(*http.Request) Fault
+	hungAt      time.Time // since when the runs make no progress; zero if they do
 
 	startCounts map[RunKey]int // starts of each run
 	records     []*RunRecord
@@ -115,6 +116,34 @@
 	return w
 }
 
+// SetHung stops or continues the progress of all runs. Runs that are not members of a gang do
+// not complete meanwhile.
+func (w *Worker) SetHung(hung bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.hungAt = time.Time{}
+	if hung {
+		w.hungAt = time.Now()
+	}
+}
+
+// percent returns the progress of a run. That of a gang is 0 until all its members run.
+func (w *Worker) percent(key RunKey, run activeRun) int64 {
+	now := time.Now()
+	if !w.hungAt.IsZero() {
+		now = w.hungAt
+	}
+	if run.gang {
+		return w.Gangs.percent(key, now)
+	}
+	return percentOf(run.record.Started, run.doneAt, now)
+}
+
+func percentOf(startedAt, doneAt, now time.Time) int64 {
+	whole := max(time.Millisecond, doneAt.Sub(startedAt))
+	return max(0, min(100, int64(100*now.Sub(startedAt)/whole)))
+}
+
 // Restart simulates a crash: all runs end and a new incarnation starts.
 func (w *Worker) Restart() { w.RestartAs(w.ID) }
 
@@ -269,7 +298,7 @@
 		return
 	}
 	switch {
-	case !now.Before(run.doneAt) && run.doneAt.Before(leaseEnd):
+	case !now.Before(run.doneAt) && run.doneAt.Before(leaseEnd) && w.hungAt.IsZero():
 		w.endRun(key, run.endReason, run.doneAt)
 	case now.After(leaseEnd):
 		w.endRun(key, "lapsed", leaseEnd)
@@ -501,8 +530,8 @@
 		return noAnswer, nil
 	}
 	running := [][]any{}
-	for key := range w.running {
-		running = append(running, []any{key.Task, key.Run, "", 50})
+	for key, run := range w.running {
+		running = append(running, []any{key.Task, key.Run, "", w.percent(key, run)})
 	}
 	sort.Slice(running, func(i, j int) bool { return fmt.Sprint(running[i]) < fmt.Sprint(running[j]) })
 	ended := append([][]any{}, w.unackedEnds[:min(len(w.unackedEnds), maxEndsPerAnswer)]...)
--- a/internal/workerhealth/workerhealth.go
+++ b/internal/workerhealth/workerhealth.go
@@ -57,9 +57,10 @@
 // in 30 fails through no fault of its worker, so that three failures of different tasks are
 // needed for quarantine. Flapping workers stay for some time between two restarts, so that
 // restarts decay more slowly. A single restart does not make a worker suspect: a whole rack
-// may restart, and urgent work evicts nothing from suspect workers.
+// may restart, and urgent work evicts nothing from suspect workers. A worker where nothing
+// advances while the same work advances elsewhere is quarantined at once.
 var (
-	weights   = [kinds]float64{Failure: 1, Refused: 1, Unanswered: 0.8, Late: 0.25, Restarted: 0.65, Hung: 1.5}
+	weights   = [kinds]float64{Failure: 1, Refused: 1, Unanswered: 0.8, Late: 0.25, Restarted: 0.65, Hung: 2.5}
 	halfLives = [kinds]time.Duration{Failure: 10 * time.Second, Refused: 10 * time.Second, Unanswered: 10 * time.Second, Late: 10 * time.Second,
 		Restarted: time.Minute, Hung: 20 * time.Second}
 )
@@ -207,7 +208,7 @@
 		return
 	}
 	w.add(e, now)
-	if e.Kind == Failure && e.Task != "" {
+	if (e.Kind == Failure || e.Kind == Hung) && e.Task != "" {
 		t.noteTaskFailure(id, e, now)
 	}
 	t.evaluate(id, w, now)
@@ -319,7 +320,7 @@
 // excuse sets whether the failures of a task are excused, and reports whether any changed.
 func (w *worker) excuse(task string, excused bool) (changed bool) {
 	for i := range w.items {
-		if item := &w.items[i]; item.Kind == Failure && item.Task == task && item.excused != excused {
+		if item := &w.items[i]; item.Task == task && item.excused != excused {
 			item.excused, changed = excused, true
 		}
 	}
