Count departures, late answers and slow runs as evidence of worker health

Restarts and departures without notice count once each and decay over a minute, a worker that answers again after three missed calls counts as one unanswered order, and a single task that takes six times as long as expected counts as slow. The search for hung runs looks only at work that stands still, and covered urgent work has a test. A run without an estimate is not judged before its first percent.

--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -25,6 +25,13 @@
 	// lateAnswerTime is the time of an answer to a start that counts against a worker. An
 	// answer usually takes a few ms.
 	lateAnswerTime = 200 * time.Millisecond
+	// slowRunTime is how many times as long as expected a run takes that counts against its
+	// worker. Far from its data a task takes 3 times as long, and the estimate of its caller
+	// may be too low by half of what it takes. Of the tasks, 3 % take up to 7 times as long
+	// anywhere, so that several have to on one worker.
+	slowRunTime = 6
+	// minSilence is the number of unanswered calls in a row that count against a worker.
+	minSilence = 3
 	// healthReportInterval is the time between two log lines that list the workers that get
 	// no or few tasks.
 	healthReportInterval = 30 * time.Second
@@ -107,6 +114,9 @@
 	switch end.Reason {
 	case fleet.Done:
 		e.Kind = workerhealth.Success
+		if t.slow(j, step, j.runs[end.Run], now) {
+			e.Kind = workerhealth.Slow
+		}
 	case fleet.Failed:
 		e.Kind = workerhealth.Failure
 	default:
@@ -118,7 +128,7 @@
 	}
 	key := retryKeyOf(step, end.Run)
 	r := j.runs[end.Run]
-	if e.Kind == workerhealth.Success || r != nil && now.Sub(r.startedAt) >= steadyRunTime {
+	if end.Reason == fleet.Done || r != nil && now.Sub(r.startedAt) >= steadyRunTime {
 		delete(j.retries, key)
 		return
 	}
@@ -129,6 +139,29 @@
 	j.retries[key] = retry{delay: delay, at: now.Add(delay)}
 }
 
+// slow reports whether a run that has completed its task took far longer than expected. A gang
+// may have waited for its members, or for one that is slow.
+func (t *term) slow(j *jobState, step *batch.Step, r *run, now time.Time) bool {
+	if r == nil || step.Gang || step.Persistent || step.EstimateMs <= 0 || r.startAttempts == 0 {
+		return false
+	}
+	return now.Sub(r.startedAt) >= slowRunTime*max(t.runTime(&j.tracker.Job, step), time.Second)
+}
+
+// noteDeparture records that a worker has left that had not announced it.
+func (t *term) noteDeparture(w *workerState, now time.Time) {
+	if !w.info.Draining {
+		t.noteHealth(w, workerhealth.Restarted, now)
+	}
+}
+
+// noteAnswer records that a worker answers again after several calls without an answer.
+func (t *term) noteAnswer(w *workerState, now time.Time) {
+	if w.misses >= minSilence && len(w.runs) > 0 {
+		t.noteHealth(w, workerhealth.Unanswered, now)
+	}
+}
+
 // delayed reports whether a task waits after a failure.
 func (j *jobState) delayed(unit *batch.Unit, index int, now time.Time) bool {
 	if len(j.retries) == 0 {
--- a/internal/dispatch/health_test.go
+++ b/internal/dispatch/health_test.go
@@ -50,17 +50,20 @@
 	// worker is replaced, and against the stop of such a run that counts as an attempt.
 	It("moves runs without progress to other workers", func() {
 		f := newFixture(4)
+		f.guarantees = map[string]int64{"o": 8}
 		f.startDispatcher("a")
+		f.submit(batch.Job{ID: "u", Organisation: "o", Spec: `{"ms":60000}`, Steps: []batch.Step{{Tasks: 4, MaxPerWorker: 1, Need: batch.Need{Accelerators: 2}, EstimateMs: 100}}})
 		f.submit(batch.Job{ID: "p", Spec: `{"ms":60000}`, Steps: []batch.Step{{Tasks: 4, Persistent: true, MaxPerWorker: 1, Need: batch.Need{MilliCPU: 1000}, EstimateMs: 100}}})
 		f.submit(batch.Job{ID: "j", Spec: `{"ms":5000}`, Steps: []batch.Step{{Tasks: 8, MaxPerWorker: 2, Need: batch.Need{Accelerators: 2}, EstimateMs: 5000}}})
-		Eventually(f.running).WithTimeout(timeout).Should(HaveLen(12))
+		Eventually(f.running).WithTimeout(timeout).Should(HaveLen(16))
 		time.Sleep(time.Second)
 		f.workers[0].SetHung(true)
 		Eventually(f.state("j")).WithTimeout(14 * time.Second).Should(Equal(batch.Completed))
 		// The worker is the only one with room, and may get one of the tasks on trial.
 		Expect(f.ends("stopped")).To(BeElementOf(2, 3))
 		for i := range 4 {
-			Expect(f.starts()).To(HaveKeyWithValue(fmt.Sprint("p.0.0.", i), 1))
+			Expect(f.starts()).To(HaveKeyWithValue(fmt.Sprint("p.0.0.", i), 1), "persistent")
+			Expect(f.starts()).To(HaveKeyWithValue(fmt.Sprint("u.0.0.", i), 1), "covered urgent work")
 		}
 	})
 
--- a/internal/dispatch/hung.go
+++ b/internal/dispatch/hung.go
@@ -59,9 +59,16 @@
 func (t *term) work() ([]workerhealth.Work, []hungUnit) {
 	var work []workerhealth.Work
 	var units []hungUnit
+	held := t.urgentHeld()
+	guarantees := t.cfg.Guarantees()
 	for _, j := range t.jobs {
-		gangs := map[*batch.Unit]int{}
-		covered := t.coveredUrgent(j)
+		if len(j.runs) == 0 {
+			continue
+		}
+		job := &j.tracker.Job
+		gangs, kinds := map[*batch.Unit]int{}, map[int]string{}
+		// Covered urgent work is never stopped.
+		covered := job.Priority == 0 && guarantees[job.Organisation] > 0 && held[job.Organisation] <= guarantees[job.Organisation]
 		for _, r := range j.runs {
 			i, known := 0, false
 			if r.step.Gang {
@@ -69,9 +76,12 @@
 			}
 			if !known {
 				i = len(work)
-				job, key := &j.tracker.Job, retryKeyOf(r.step, r.ref)
+				key := retryKeyOf(r.step, r.ref)
+				if kinds[r.ref.Step] == "" {
+					kinds[r.ref.Step] = fmt.Sprint(job.Queue, r.need, r.step.Label, r.step.Gang)
+				}
 				work = append(work, workerhealth.Work{
-					Kind: fmt.Sprint(job.Queue, r.need, r.step.Label, r.step.Gang), Service: job.Service, Eligible: !covered && !r.step.Persistent,
+					Kind: kinds[r.ref.Step], Service: job.Service, Eligible: !covered && !r.step.Persistent,
 					Expected: t.runTime(job, r.step), Moves: j.hungMoves[key],
 				})
 				units = append(units, hungUnit{key: key})
@@ -103,29 +113,20 @@
 	}
 }
 
-// coveredUrgent reports whether a job is urgent work within the guarantee of its organisation,
-// which is never stopped.
-func (t *term) coveredUrgent(j *jobState) bool {
-	job := &j.tracker.Job
-	if job.Priority != 0 || len(j.runs) == 0 {
-		return false
-	}
-	guarantee := t.cfg.Guarantees()[job.Organisation]
-	if guarantee <= 0 {
-		return false
-	}
-	held := int64(0)
-	for _, other := range t.jobs {
-		if other.tracker.Job.Priority != 0 || other.tracker.Job.Organisation != job.Organisation {
+// urgentHeld returns the accelerators that the urgent work of each organisation holds.
+func (t *term) urgentHeld() map[string]int64 {
+	held := map[string]int64{}
+	for _, j := range t.jobs {
+		if j.tracker.Job.Priority != 0 {
 			continue
 		}
-		for _, r := range other.runs {
+		for _, r := range j.runs {
 			if r.stopReason == "" {
-				held += r.need.Accelerators
+				held[j.tracker.Job.Organisation] += r.need.Accelerators
 			}
 		}
 	}
-	return held <= guarantee
+	return held
 }
 
 // stopHung stops a task or a gang without progress. Its workers are avoided, and the evidence
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -192,6 +192,7 @@
 	if w.misses > 0 || w.unproved() {
 		t.planNeeded = true
 	}
+	t.noteAnswer(w, now)
 	t.retractLosses(w)
 	t.noteFenced(w, now)
 	w.misses, w.lostEndsReported = 0, false
--- a/internal/dispatch/workers.go
+++ b/internal/dispatch/workers.go
@@ -236,6 +236,7 @@
 
 func (t *term) markUnlisted(w *workerState) {
 	w.listed, w.missingSince = false, time.Time{}
+	t.noteDeparture(w, time.Now())
 	t.log.Info("Worker no longer listed.", zap.String("worker", w.info.ID), zap.Int("runs", len(w.runs)))
 	t.planNeeded = true
 }
@@ -274,7 +275,9 @@
 	w.info.StartedMs, w.foundAt = startedMs, now
 	w.lastEnd, w.storedEnd, w.ackedEnd, w.pendingAcks, w.lostEndsReported = 0, 0, 0, nil, false
 	w.clock, w.clockReadAt = clock, now
-	t.noteHealth(w, workerhealth.Restarted, now)
+	if w.listed { // otherwise its departure has counted
+		t.noteDeparture(w, now)
+	}
 	// A call makes the new incarnation reject what was sent to the earlier one and may be
 	// carried out late.
 	w.fenced, w.unread, w.reportsProgress = false, true, false
--- a/internal/workerhealth/progress.go
+++ b/internal/workerhealth/progress.go
@@ -1,6 +1,7 @@
 package workerhealth
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -62,12 +63,15 @@
 // stallLimit is how long the work may show no progress.
 func (w *Work) stallLimit() time.Duration {
 	limit := max(minStallTime, time.Duration(stallShare*float64(w.Expected))) << min(w.Moves, MaxMoves)
-	if gained := w.Progress.Percent - w.Progress.FirstPercent; gained > 0 {
+	if gained := w.gained(); gained > 0 {
 		limit = max(limit, stallSteps*w.Progress.AdvancedAt.Sub(w.Progress.FirstAt)/time.Duration(gained))
 	}
 	return limit
 }
 
+// gained returns the progress since the first report.
+func (w *Work) gained() int64 { return w.Progress.Percent - w.Progress.FirstPercent }
+
 // stalled returns for how long the reports have shown no progress.
 func (w *Work) stalled() time.Duration {
 	since := w.Progress.FirstAt
@@ -92,77 +96,76 @@
 	Share    float64
 }
 
+// peers are the positions of comparable work that advances and that does not.
+type peers struct{ advancing, stalled []int }
+
 // FindHung returns up to most pieces of work that are hung, those without progress for longest
 // first. Comparable work has to advance on other workers: work of the same kind, or if none
-// runs there, more than half of the other work of the service. Otherwise the cause is not the
-// worker.
+// runs there, at least as much of the service as does not advance. Otherwise the cause is not the worker.
 func FindHung(work []Work, most int) []HungWork {
+	type kind struct{ service, kind string }
+	kinds, services := map[kind]*peers{}, map[string]*peers{}
 	advancing := map[string]bool{} // workers
-	byKind, byService := map[string][]int{}, map[string][]int{}
 	for i := range work {
 		w := &work[i]
-		if !w.Eligible {
-			continue
+		if !w.Eligible || w.Expected <= 0 && w.gained() <= 0 {
+			continue // or nothing tells how long a percent takes
 		}
-		byKind[w.Service+"\x00"+w.Kind] = append(byKind[w.Service+"\x00"+w.Kind], i)
-		byService[w.Service] = append(byService[w.Service], i)
-		if w.advances() {
+		ofKind, ofService := entry(kinds, kind{w.Service, w.Kind}), entry(services, w.Service)
+		switch {
+		case w.advances():
+			ofKind.advancing, ofService.advancing = append(ofKind.advancing, i), append(ofService.advancing, i)
 			for _, id := range w.Workers {
 				advancing[id] = true
 			}
+		case w.stalled() >= w.stallLimit():
+			ofKind.stalled, ofService.stalled = append(ofKind.stalled, i), append(ofService.stalled, i)
 		}
 	}
 	var hung []HungWork
-	for i := range work {
-		w := &work[i]
-		if !w.Eligible || w.Moves >= MaxMoves || w.Progress.Percent >= completed || w.stalled() < w.stallLimit() {
-			continue
-		}
-		if !comparableAdvances(work, w, byKind[w.Service+"\x00"+w.Kind], byService[w.Service]) {
-			continue
-		}
-		suspects := slices.DeleteFunc(slices.Clone(w.Workers), func(id string) bool { return advancing[id] })
-		share := 1.0
-		if len(suspects) == 0 {
-			suspects, share = slices.Clone(w.Workers), advancingShare
+	for _, ofService := range services {
+		for _, i := range ofService.stalled {
+			w := &work[i]
+			if w.Moves < MaxMoves && w.Progress.Percent < completed && comparableAdvances(work, w, kinds[kind{w.Service, w.Kind}], ofService) {
+				hung = append(hung, hungWork(i, w.Workers, advancing))
+			}
 		}
-		slices.Sort(suspects)
-		suspects = slices.Compact(suspects)
-		hung = append(hung, HungWork{Work: i, Suspects: suspects, Share: share / float64(len(suspects))})
 	}
-	slices.SortStableFunc(hung, func(a, b HungWork) int {
-		return int(work[b.Work].stalled().Milliseconds() - work[a.Work].stalled().Milliseconds())
+	slices.SortFunc(hung, func(a, b HungWork) int {
+		return cmp.Or(cmp.Compare(work[b.Work].stalled(), work[a.Work].stalled()), a.Work-b.Work)
 	})
 	return hung[:min(len(hung), most)]
 }
 
-// comparableAdvances reports whether work of the same kind advances on other workers, or if
-// none that has run for long enough is there, most of the work of the service.
-func comparableAdvances(work []Work, w *Work, kind, service []int) bool {
-	known := false
-	for _, i := range kind {
-		if other := &work[i]; !sharesWorker(w, other) {
-			if other.advances() {
-				return true
-			}
-			known = known || other.stalled() >= other.stallLimit()
-		}
+func entry[K comparable](groups map[K]*peers, key K) *peers {
+	if groups[key] == nil {
+		groups[key] = &peers{}
 	}
-	if known {
-		return false
+	return groups[key]
+}
+
+// hungWork divides the evidence among the workers of hung work.
+func hungWork(i int, workers []string, advancing map[string]bool) HungWork {
+	suspects, share := slices.DeleteFunc(slices.Clone(workers), func(id string) bool { return advancing[id] }), 1.0
+	if len(suspects) == 0 {
+		suspects, share = slices.Clone(workers), advancingShare
 	}
-	advancing, stalled := 0, 0
-	for _, i := range service {
-		if other := &work[i]; !sharesWorker(w, other) {
-			switch {
-			case other.advances():
-				advancing++
-			case other.stalled() >= other.stallLimit():
-				stalled++
-			}
-		}
+	slices.Sort(suspects)
+	suspects = slices.Compact(suspects)
+	return HungWork{Work: i, Suspects: suspects, Share: share / float64(len(suspects))}
+}
+
+// comparableAdvances reports whether work of the same kind advances on other workers, or if
+// none of it is there, at least as much of the service as does not advance.
+func comparableAdvances(work []Work, w *Work, ofKind, ofService *peers) bool {
+	elsewhere := func(i int) bool { return !sharesWorker(w, &work[i]) }
+	switch {
+	case slices.ContainsFunc(ofKind.advancing, elsewhere):
+		return true
+	case slices.ContainsFunc(ofKind.stalled, elsewhere):
+		return false
 	}
-	return advancing > stalled
+	return len(ofService.advancing) >= len(ofService.stalled) && slices.ContainsFunc(ofService.advancing, elsewhere)
 }
 
 func sharesWorker(a, b *Work) bool {
--- a/internal/workerhealth/progress_test.go
+++ b/internal/workerhealth/progress_test.go
@@ -36,6 +36,7 @@
 		{"stands still", run("b", 1, 30, nil), []workerhealth.Work{advances}, true},
 		{"has never advanced", run("b", 1, 0, nil), []workerhealth.Work{advances}, true},
 		{"for less than a quarter of the run time", run("b", 1, 36, nil), []workerhealth.Work{advances}, false},
+		{"has never advanced, of unknown run time", run("b", 1, 0, func(w *workerhealth.Work) { w.Expected = 0 }), []workerhealth.Work{advances}, false},
 		{"for less than 2 s, short", run("b", 1, 39, func(w *workerhealth.Work) { w.Expected = time.Second }), []workerhealth.Work{advances}, false},
 		{"for 2 s, short", run("b", 1, 36, func(w *workerhealth.Work) { w.Expected = time.Second }), []workerhealth.Work{advances}, true},
 		{"slow straggler", run("b", 6, 35, nil), []workerhealth.Work{advances}, false},
--- a/internal/workerhealth/workerhealth.go
+++ b/internal/workerhealth/workerhealth.go
@@ -42,15 +42,17 @@
 	Unanswered
 	// Late is an order that took much longer than usual.
 	Late
-	// Restarted is a worker that left and returned.
+	// Restarted is a worker that restarted, or left without notice.
 	Restarted
+	// Slow is a run that completed its task far too late.
+	Slow
 	// Hung is a run without progress.
 	Hung
 	kinds
 )
 
 func (k Kind) String() string {
-	return [kinds]string{"success", "failure", "refused", "unanswered", "late", "restarted", "hung"}[k]
+	return [kinds]string{"success", "failure", "refused", "unanswered", "late", "restarted", "slow", "hung"}[k]
 }
 
 // weights and halfLives say how much evidence counts and how fast it decays. About one task
@@ -60,9 +62,9 @@
 // may restart, and urgent work evicts nothing from suspect workers. A worker where nothing
 // advances while the same work advances elsewhere is quarantined at once.
 var (
-	weights   = [kinds]float64{Failure: 1, Refused: 1, Unanswered: 0.8, Late: 0.25, Restarted: 0.65, Hung: 2.5}
+	weights   = [kinds]float64{Failure: 1, Refused: 1, Unanswered: 0.8, Late: 0.25, Restarted: 0.65, Slow: 0.6, Hung: 2.5}
 	halfLives = [kinds]time.Duration{Failure: 10 * time.Second, Refused: 10 * time.Second, Unanswered: 10 * time.Second, Late: 10 * time.Second,
-		Restarted: time.Minute, Hung: 20 * time.Second}
+		Restarted: time.Minute, Slow: 30 * time.Second, Hung: 20 * time.Second}
 )
 
 const (
@@ -183,7 +185,7 @@
 // Note records evidence about an incarnation of a worker. That of an earlier incarnation is
 // ignored, except for the tasks that have failed there.
 func (t *Tracker) Note(id string, incarnation int64, e Evidence, now time.Time) {
-	if e.Kind == Success {
+	if e.Kind == Success || e.Kind == Slow {
 		t.exonerate(e.Task, now)
 	}
 	w := t.workers[id]
--- a/internal/workerhealth/workerhealth_test.go
+++ b/internal/workerhealth/workerhealth_test.go
@@ -188,6 +188,20 @@
 	g.Expect(f.state("w0")).To(gomega.Equal(workerhealth.Quarantined))
 }
 
+// Guards against a worker that completes all of its tasks, but far too late, and against one
+// that is judged by a single straggler.
+func TestSlowWorkers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newTracked()
+	f.note("w0", workerhealth.Slow, "a", 1)
+	g.Expect(f.state("w0")).To(gomega.Equal(workerhealth.Healthy))
+	for i := range 5 {
+		f.pass(time.Second)
+		f.note("w0", workerhealth.Slow, fmt.Sprint(i), 1)
+	}
+	g.Expect(f.state("w0")).To(gomega.Equal(workerhealth.Quarantined))
+}
+
 // Guards against memory that grows with the workers and tasks of the past.
 func TestEvidenceIsForgotten(t *testing.T) {
 	g := gomega.NewWithT(t)
@@ -201,3 +215,19 @@
 	g.Expect(f.List()).To(gomega.BeEmpty())
 	g.Expect(f.Apply(f.workers, nil, f.now)).To(gomega.BeNil())
 }
+
+func BenchmarkApply(b *testing.B) {
+	f := newTracked()
+	f.workers = nil
+	var demands []placement.Demand
+	for i := range 1104 {
+		f.workers = append(f.workers, placement.Worker{ID: fmt.Sprint("w", i), Service: "s", Schedulable: true, Free: batch.Need{MilliCPU: 8000, Accelerators: 8}})
+		if i%5 == 0 {
+			f.fail(fmt.Sprint("w", i), 3)
+		}
+		demands = append(demands, placement.Demand{Service: "s", Tasks: []int{0, 1, 2, 3}, Step: &batch.Step{Tasks: 4, Gang: i%2 == 0, Need: batch.Need{MilliCPU: int64(i % 50), Accelerators: 1}}})
+	}
+	for b.Loop() {
+		f.Apply(f.workers, demands, f.now)
+	}
+}
