Test that a successor finds the hung runs that it adopts

A new term has no health state. In the test the dispatcher is killed when a worker hangs; the next one moves the runs, and the job of 5 s is completed within the bound of the test for one dispatcher (14 s).

--- a/internal/dispatch/health_test.go
+++ b/internal/dispatch/health_test.go
@@ -48,16 +48,21 @@
 
 	// Guards against jobs that wait for runs which make no progress any more until their
 	// worker is replaced, and against the stop of such a run that counts as an attempt.
-	It("moves runs without progress to other workers", func() {
+	// After a take-over the next dispatcher has to judge the runs that it adopts.
+	DescribeTable("moves runs without progress to other workers", func(takeOver bool) {
 		f := newFixture(4)
 		f.guarantees = map[string]int64{"o": 8}
-		f.startDispatcher("a")
+		_, kill := f.startDispatcher("a")
 		f.submit(batch.Job{ID: "u", Organisation: "o", Spec: `{"ms":60000}`, Steps: []batch.Step{{Tasks: 4, MaxPerWorker: 1, Need: batch.Need{Accelerators: 2}, EstimateMs: 100}}})
 		f.submit(batch.Job{ID: "p", Spec: `{"ms":60000}`, Steps: []batch.Step{{Tasks: 4, Persistent: true, MaxPerWorker: 1, Need: batch.Need{MilliCPU: 1000}, EstimateMs: 100}}})
 		f.submit(batch.Job{ID: "j", Spec: `{"ms":5000}`, Steps: []batch.Step{{Tasks: 8, MaxPerWorker: 2, Need: batch.Need{Accelerators: 2}, EstimateMs: 5000}}})
 		Eventually(f.running).WithTimeout(timeout).Should(HaveLen(16))
 		time.Sleep(time.Second)
 		f.workers[0].SetHung(true)
+		if takeOver {
+			kill()
+			f.startDispatcher("b")
+		}
 		Eventually(f.state("j")).WithTimeout(14 * time.Second).Should(Equal(batch.Completed))
 		// The worker is the only one with room, and may get one of the tasks on trial.
 		Expect(f.ends("stopped")).To(BeElementOf(2, 3))
@@ -65,7 +70,7 @@
 			Expect(f.starts()).To(HaveKeyWithValue(fmt.Sprint("p.0.0.", i), 1), "persistent")
 			Expect(f.starts()).To(HaveKeyWithValue(fmt.Sprint("u.0.0.", i), 1), "covered urgent work")
 		}
-	})
+	}, Entry("found by the same dispatcher", false), Entry("found by its successor", true))
 
 	// Guards against members of a gang that run on while another one is started elsewhere.
 	It("moves a gang without progress as a whole", func() {
