--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -9,6 +9,7 @@
 	"github.com/samphirepath/samphirepath/internal/fleet"
 	"github.com/samphirepath/samphirepath/internal/placement"
 	"github.com/samphirepath/samphirepath/internal/telemetry"
+	"github.com/samphirepath/samphirepath/internal/workerhealth"
 )
 
 const (
@@ -59,6 +60,7 @@
 	stopSentAt time.Time
 	checkpoint string
 	timing     *timing
+	progress   workerhealth.Progress
 }
 
 // assign records a run of a task on a worker and sends the start once the record is
@@ -103,7 +105,7 @@
 		return "lease lost before the start"
 	case r.stopReason != "":
 		return r.stopReason
-	case !t.schedulable(r.worker, time.Now()):
+	case !t.schedulable(r.worker):
 		return "worker may no longer get tasks"
 	case !r.fitsNow():
 		return "worker no longer has the capacity"
@@ -131,6 +133,7 @@
 		zap.Stringer("outcome", reply.Outcome), zap.Duration("took", now.Sub(sent)), telemetry.ErrorField(reply.Err))
 	t.scope.Tagged(map[string]string{"outcome": reply.Outcome.String()}).Counter("starts").Inc(1)
 	t.updateClock(r.worker, reply.Clock, now)
+	t.noteStartHealth(r.worker, reply.Outcome, now.Sub(sent), now)
 	switch reply.Outcome {
 	case fleet.Accepted:
 		t.noteConfirmed(r, now, false)
@@ -144,7 +147,6 @@
 		t.pollWorker(r.worker, now)
 	case fleet.Unanswered:
 		r.phase = phaseUnknown
-		r.worker.recordFailure(now)
 		t.raiseFence(r.worker)
 		t.pollWorker(r.worker, now)
 	case fleet.Fenced:
@@ -153,9 +155,6 @@
 			return
 		}
 		t.resendStart(r, "start was rejected because the fence had been raised")
-	case fleet.Unhealthy, fleet.NoCapacity, fleet.OtherIncarnation:
-		r.worker.recordFailure(now)
-		t.dropRun(r, "start refused: "+reply.Outcome.String())
 	default:
 		t.dropRun(r, "start refused: "+reply.Outcome.String())
 	}
@@ -173,6 +172,7 @@
 	if status.Checkpoint != "" {
 		r.checkpoint = status.Checkpoint
 	}
+	r.noteProgress(status.Percent, now)
 	t.noteLifetime(r)
 	if r.stopReason != "" && now.Sub(r.stopSentAt) > stopRetryDelay {
 		t.stopRunning(r)
@@ -188,17 +188,16 @@
 	t.scope.Tagged(map[string]string{"how": string(end.Reason)}).Counter("ends").Inc(1)
 	t.confirmStart(end.Run)
 	r := j.runs[end.Run]
+	t.noteEndHealth(w, j, end, now)
 	var changed bool
 	switch end.Reason {
 	case fleet.Done:
-		w.recordSuccess()
 		w.drain.ended++
 		changed = tracker.Finish(end.Run)
 		if r != nil {
 			t.noteDone(r, now)
 		}
 	case fleet.Failed:
-		w.recordFailure(now)
 		changed = tracker.Fail(end.Run, now)
 		t.avoidWorker(j, end.Run, w)
 	default:
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -13,6 +13,7 @@
 	"github.com/samphirepath/samphirepath/internal/batch"
 	"github.com/samphirepath/samphirepath/internal/fleet"
 	"github.com/samphirepath/samphirepath/internal/telemetry"
+	"github.com/samphirepath/samphirepath/internal/workerhealth"
 	"github.com/samphirepath/samphirepath/lease"
 	"github.com/samphirepath/samphirepath/table"
 )
@@ -65,6 +66,11 @@
 	countsVersion   int64            // version of their row
 	countedAt       time.Time
 
+	health           *workerhealth.Tracker
+	healthReportedAt time.Time
+	hungCheckedAt    time.Time
+	hungStops        []time.Time // within the last hungStopWindow
+
 	unreadCalls int // calls in this tick to workers that may keep unread ends
 
 	stalls   map[string]int         // how often a term has stalled on a job, by job
@@ -116,6 +122,8 @@
 	evictions      map[batch.TaskRef]int       // how often this term has evicted each task for urgent work
 	awaited        map[unitKey]bool            // urgent units that have waited where work might have been evicted
 	pathsAfter     []time.Duration             // by step, see pathAfter
+	retries        map[retryKey]retry          // persistent tasks that have failed
+	hungMoves      map[retryKey]int            // stops because of no progress
 	runs           map[batch.RunRef]*run
 	nextDue        time.Time // when the next occurrence is due
 	path           pathForecast
@@ -154,13 +162,15 @@
 func newTerm(ctx context.Context, d *Dispatcher, status lease.Status, heldAt time.Time) *term {
 	now := time.Now()
 	d.maxFence = max(d.maxFence+1, status.Epoch<<fenceBits)
-	return &term{
+	t := &term{
 		Dispatcher: d, ctx: ctx, epoch: status.Epoch, startedAt: now, lastHeldAt: heldAt, former: newFormerHolders(status.Former, d.cfg.LeaseOutage, now),
 		events: make(chan func(), eventQueueSize), results: make(chan func(), 1), done: make(chan struct{}),
 		jobs: map[string]*jobState{}, earlyCancels: map[string]earlyCancel{}, finished: map[string]finishedJob{}, deleted: map[string]deletedJob{}, invalid: map[string]bool{}, workers: map[string]*workerState{},
 		presumed: map[fleet.Incarnation][]presumedLoss{}, silences: map[string]*silence{}, givenUp: map[batch.RunRef]givenUpRun{},
 		forecasts: newForecasts(), changedJobs: map[string]bool{},
 	}
+	t.health = t.newHealth()
+	return t
 }
 
 // post queues f for the goroutine of the term.
@@ -329,6 +339,8 @@
 		t.checkWorker(w, now)
 	}
 	t.stopDrainingRuns(now)
+	t.checkHealth(now)
+	t.checkHung(now)
 	t.forgetFinished(now)
 	t.forgetLosses(now)
 	t.forgetGivenUp(now)
--- a/internal/dispatch/workers.go
+++ b/internal/dispatch/workers.go
@@ -12,6 +12,7 @@
 	"github.com/samphirepath/samphirepath/internal/batch"
 	"github.com/samphirepath/samphirepath/internal/fleet"
 	"github.com/samphirepath/samphirepath/internal/telemetry"
+	"github.com/samphirepath/samphirepath/internal/workerhealth"
 	"github.com/samphirepath/samphirepath/table"
 )
 
@@ -61,13 +62,6 @@
 	lateOrderTime = 12 * time.Second
 	// minClockRate is the lowest rate of a worker's clock relative to real time.
 	minClockRate = 0.98
-	// suspectAfterFirst and suspectAfterRepeated are how long a worker is the last
-	// choice for new tasks after one failure and after several. A worker with a
-	// failure count of excludeThreshold gets no tasks during that time. About one
-	// task in 30 fails through no fault of its worker, so a single failure weighs less.
-	suspectAfterFirst    = 4 * time.Second
-	suspectAfterRepeated = 8 * time.Second
-	excludeThreshold     = 3
 )
 
 // workerState is what the term knows about a worker: its runs, its lease and the
@@ -125,8 +119,9 @@
 
 	longCheckpoints bool // the worker has reported checkpoints that are too long; logged once
 
-	failures     int // failed tasks and starts, less one for each successful task
-	suspectUntil time.Time
+	health workerhealth.State // in the last plan
+	// reportsProgress means that this incarnation has reported the progress of a run.
+	reportsProgress bool
 }
 
 // endAck is the pending acknowledgement of an end. The worker keeps the end until
@@ -245,6 +240,7 @@
 func (t *term) markUnlisted(w *workerState) {
 	w.listed, w.missingSince = false, time.Time{}
 	t.logDrainEnd(w)
+	t.noteDeparture(w, time.Now())
 	t.log.Info("Worker no longer listed.", zap.String("worker", w.info.ID), zap.Int("runs", len(w.runs)))
 	t.planNeeded = true
 }
@@ -283,11 +279,13 @@
 	w.info.StartedMs, w.foundAt = startedMs, now
 	w.lastEnd, w.storedEnd, w.ackedEnd, w.pendingAcks, w.lostEndsReported = 0, 0, 0, nil, false
 	w.clock, w.clockReadAt = clock, now
-	w.failures, w.suspectUntil = 0, time.Time{}
+	if w.listed { // otherwise its departure has counted
+		t.noteDeparture(w, now)
+	}
 	w.drain = drain{}
 	// A call makes the new incarnation reject what was sent to the earlier one and may be
 	// carried out late.
-	w.fenced, w.unread = false, true
+	w.fenced, w.unread, w.reportsProgress = false, true, false
 	for _, r := range w.runs {
 		if r.phase == phaseCommitting {
 			continue
@@ -398,21 +396,6 @@
 	return clock + t.cfg.MaxWorkerLease.Milliseconds()
 }
 
-// recordFailure counts a failed task or start and makes the worker suspect.
-func (w *workerState) recordFailure(now time.Time) {
-	w.failures++
-	w.suspectUntil = now.Add(suspectAfterFirst)
-	if w.failures > 1 {
-		w.suspectUntil = now.Add(suspectAfterRepeated)
-	}
-}
-
-// recordSuccess takes back one failure. The worker stays suspect, because many
-// faulty workers complete some of their tasks.
-func (w *workerState) recordSuccess() {
-	w.failures = max(0, w.failures-1)
-}
-
 // sinceOrZero returns the time since a moment, or 0 if that is not set.
 func sinceOrZero(since, now time.Time) time.Duration {
 	if since.IsZero() {
