--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -261,7 +261,7 @@
 	*out = placement.Worker{
 		ID: w.info.ID, Service: w.info.Service, Zone: w.info.Zone, Rack: w.info.Rack, Labels: w.info.Labels,
 		Schedulable: t.available(w), Speed: t.forecasts.model.Speed(w.info.ID),
-		Free:        w.info.Capacity, Occupied: len(w.runs) > 0,
+		Free: w.info.Capacity, Occupied: len(w.runs) > 0,
 	}
 	first := len(releases)
 	for _, r := range w.runs {
