Limit the bodies and connections of callers of the platform daemon

Clients that stop just before the end of a body held 256 KB each for as long as they liked: the front read whole bodies without a time limit, a limit on their total or one on connections.

internal/ingress bounds both. Budget, Victim and CheckJSON decide without I/O; Guard applies them to an http.Server. A body is charged piece by piece before a piece is allocated, must arrive within the timeout of its queue and at 1 KiB/s or more, and is given up for others under pressure. Connections beyond the limit take the place of idle ones or of those that send slowly, or are closed at accept. Requests that are being carried out are never closed. Bodies are checked for depth and lengths before they are decoded, four at a time. limits.max_fds is a new optional setting of the platform. The listeners for health checks and metrics get 64 connections each.

--- a/cmd/samphirepathd/platform.go
+++ b/cmd/samphirepathd/platform.go
@@ -6,11 +6,13 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"github.com/samphirepath/samphirepath/internal/catalogue"
+	"github.com/samphirepath/samphirepath/internal/ingress"
 	"github.com/samphirepath/samphirepath/internal/intake"
 	"github.com/samphirepath/samphirepath/internal/node"
 	"github.com/samphirepath/samphirepath/internal/relay"
@@ -53,10 +55,12 @@
 	store := relay.NewStore(directStore, settings.Name, log, metrics.Scope)
 	current := &catalogue.Current{}
 	jobs := intake.New(store, log, metrics.Scope)
-	front := &platform.Front{Current: current, Intake: jobs}
+	limits := ingress.DefaultLimits(settings.MemoryMB, settings.MaxFDs, platform.DefaultMaxBodyBytes)
+	guard := ingress.New(limits, time.Now, log, metrics.Scope.Tagged(map[string]string{"listener": "callers"}))
+	front := &platform.Front{Current: current, Intake: jobs, Guard: guard}
 	n, err := node.New(settings, node.Dependencies{
 		Store: store, DirectStore: directStore, Operator: platform.Operator(), Workers: platform.Discovery(), Client: platform.NewWorkers(),
-		Current: current, Front: front.Handler(), Metrics: metrics.Handler, Log: log, Scope: metrics.Scope,
+		Current: current, Front: front.Handler(), Guard: guard, Metrics: metrics.Handler, Log: log, Scope: metrics.Scope,
 	})
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/ingress/limits.go
@@ -0,0 +1,85 @@
+// Package ingress bounds the memory and the connections that clients outside our control
+// can take from a daemon. The decisions (Budget, Victim, CheckJSON) are free of I/O; Guard
+// applies them to an HTTP server.
+package ingress
+
+import (
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// connectionBytes is the memory of a connection without a body: two buffers of 4 KB and
+	// the stack of its goroutine, with room for the header and the answer.
+	connectionBytes = 32 << 10
+	// memoryShare is the divisor of the machine's memory for bodies, and again for
+	// connections. The rest is for the daemon's own work and for the collector.
+	memoryShare = 8
+	// minBodies is the least number of largest bodies in the budget.
+	minBodies = 4
+	// sourceShare is the divisor of the budget for one source.
+	sourceShare = 4
+	// SmallListener is the number of connections of the listeners for health checks, metrics
+	// and operators. Each has a few clients.
+	SmallListener = 64
+	// smallestMemoryMB is the memory of the smallest machine, assumed if none is configured.
+	smallestMemoryMB = 144
+
+	defaultBodyTime  = 3 * time.Second
+	defaultWriteTime = 10 * time.Second
+	// decodings is the number of bodies that are decoded at the same time. A body of 5 KB is
+	// decoded in less than a millisecond.
+	decodings = 4
+	// RetryAfter is the delay after which a refused caller may try again.
+	RetryAfter = time.Second
+)
+
+// Limits are the limits of a Guard. Zero values of times get their defaults.
+type Limits struct {
+	Connections int
+	BodyBytes   int64 // bytes of all request bodies in flight
+	SourceBytes int64 // bytes of the request bodies in flight of one source
+	// BodyTime is the time in which a body must arrive if its handler sets none. It applies
+	// to bodies that no handler reads, too.
+	BodyTime time.Duration
+	// WriteTime is how long a client may take to read 64 KiB of an answer.
+	WriteTime time.Duration
+}
+
+// DefaultLimits returns the limits of a daemon on a machine of memoryMB (0 if it is not
+// known) that may open maxFDs descriptors, with bodies of up to maxBody bytes.
+func DefaultLimits(memoryMB float64, maxFDs int, maxBody int64) Limits {
+	if memoryMB <= 0 {
+		memoryMB = smallestMemoryMB
+	}
+	share := int64(memoryMB * (1 << 20) / memoryShare)
+	return BodyLimits(min(maxFDs/2, int(share/connectionBytes)), share, maxBody)
+}
+
+// BodyLimits returns limits with a budget of at least minBodies bodies of maxBody bytes.
+func BodyLimits(connections int, budget, maxBody int64) Limits {
+	l := Limits{Connections: max(connections, 1), BodyBytes: max(budget, minBodies*(maxBody+1))}
+	l.SourceBytes = max(l.BodyBytes/sourceShare, maxBody+1)
+	return l
+}
+
+func (l Limits) withDefaults() Limits {
+	if l.BodyTime <= 0 {
+		l.BodyTime = defaultBodyTime
+	}
+	if l.WriteTime <= 0 {
+		l.WriteTime = defaultWriteTime
+	}
+	return l
+}
+
+// Refusals of a body. Each means that nothing was done.
+var (
+	ErrTooLarge  = eris.New("the body is too large")
+	ErrTooSlow   = eris.New("the body did not arrive in time")
+	ErrSource    = eris.New("too many bytes of this caller are in flight")
+	ErrExhausted = eris.New("too many bytes of requests are in flight")
+	// ErrIncomplete means that the client ended the body early.
+	ErrIncomplete = eris.New("the body ended early")
+)
--- /dev/null
+++ b/internal/ingress/victim.go
@@ -0,0 +1,66 @@
+package ingress
+
+import "time"
+
+// Phase is what happens on a connection.
+type Phase int
+
+const (
+	// PhaseNew is a connection whose first header has not arrived.
+	PhaseNew Phase = iota
+	// PhaseIdle is a connection between two requests.
+	PhaseIdle
+	// PhaseReceiving is a connection whose request body is arriving.
+	PhaseReceiving
+	// PhaseRefused is a connection whose request was refused and that is about to be closed.
+	PhaseRefused
+	// PhaseBusy is a connection with a complete request. It is never closed under pressure.
+	PhaseBusy
+)
+
+// victimGrace is the age from which a connection may be closed for others while it sends a
+// request. A well-behaved client sends header and body at once.
+const victimGrace = 500 * time.Millisecond
+
+// Conn describes a connection for Victim.
+type Conn struct {
+	Phase    Phase
+	Held     int64     // bytes of its body that are in memory
+	Since    time.Time // start of the phase
+	Progress time.Time // when bytes last arrived
+}
+
+// Victim returns the index of the connection to close under pressure. Idle and refused
+// connections come before those with a request in flight. Of these it takes the one that
+// holds most, longest, with least progress. It returns false if none may be closed.
+func Victim(conns []Conn, now time.Time) (int, bool) {
+	best, bestRank, bestCost := -1, 0, 0.0
+	for i, c := range conns {
+		rank := c.rank(now)
+		if rank == 0 {
+			continue
+		}
+		if cost := c.cost(now); best < 0 || rank > bestRank || rank == bestRank && cost > bestCost {
+			best, bestRank, bestCost = i, rank, cost
+		}
+	}
+	return best, best >= 0
+}
+
+// rank returns 0 if the connection must not be closed; a higher rank is closed first.
+func (c Conn) rank(now time.Time) int {
+	switch {
+	case c.Phase == PhaseIdle || c.Phase == PhaseRefused:
+		return 2
+	case (c.Phase == PhaseNew || c.Phase == PhaseReceiving) && now.Sub(c.Since) >= victimGrace:
+		return 1
+	}
+	return 0
+}
+
+// cost is the memory of the connection times its age. The time without progress counts
+// four times as much as other time.
+func (c Conn) cost(now time.Time) float64 {
+	age, stalled := now.Sub(c.Since), now.Sub(c.Progress)
+	return float64(c.Held+connectionBytes) * (age + 3*min(stalled, age)).Seconds()
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,7 @@
 	"github.com/samphirepath/samphirepath/internal/catalogue"
 	"github.com/samphirepath/samphirepath/internal/dispatch"
 	"github.com/samphirepath/samphirepath/internal/fleet"
+	"github.com/samphirepath/samphirepath/internal/ingress"
 	"github.com/samphirepath/samphirepath/internal/relay"
 	"github.com/samphirepath/samphirepath/internal/telemetry"
 	"github.com/samphirepath/samphirepath/lease"
@@ -84,7 +85,8 @@
 	Workers     dispatch.Discovery
 	Client      fleet.Client
 	Current     *catalogue.Current
-	Front       http.Handler // serves callers
+	Front       http.Handler   // serves callers
+	Guard       *ingress.Guard // limits the callers
 	Metrics     http.Handler
 	Log         *zap.Logger
 	Scope       tally.Scope
@@ -166,21 +168,21 @@
 
 // Run serves callers until ctx ends, and then stops gracefully.
 func (n *Node) Run(ctx context.Context) error {
-	front, err := n.listen(n.settings.FrontAddress, n.deps.Front)
+	front, err := n.listen(n.settings.FrontAddress, n.deps.Front, n.deps.Guard)
 	if err != nil {
 		return err
 	}
-	ready, err := n.listen(n.settings.ReadyAddress, http.HandlerFunc(n.serveReady))
+	ready, err := n.listen(n.settings.ReadyAddress, http.HandlerFunc(n.serveReady), n.smallGuard("ready"))
 	if err != nil {
 		return err
 	}
-	peers, err := n.listen(n.settings.PeerAddress, relay.Handler(n.settings.Name, n.deps.DirectStore, peerDispatcher{n.dispatcher}, n.deps.Log))
+	peers, err := n.listen(n.settings.PeerAddress, relay.Handler(n.settings.Name, n.deps.DirectStore, peerDispatcher{n.dispatcher}, n.deps.Log), nil)
 	if err != nil {
 		return err
 	}
 	servers := []*server{ready, peers}
 	if n.settings.MetricsAddress != "" {
-		metrics, err := n.listen(n.settings.MetricsAddress, n.deps.Metrics)
+		metrics, err := n.listen(n.settings.MetricsAddress, n.deps.Metrics, n.smallGuard("metrics"))
 		if err != nil {
 			return err
 		}
@@ -213,12 +215,22 @@
 // server is an HTTP server that is listening.
 type server struct{ http *http.Server }
 
-func (n *Node) listen(address string, handler http.Handler) (*server, error) {
+// smallGuard returns the guard of a listener with few clients.
+func (n *Node) smallGuard(name string) *ingress.Guard {
+	return ingress.New(ingress.BodyLimits(ingress.SmallListener, 0, 0), time.Now, n.deps.Log.With(zap.String("listener", name)), n.deps.Scope.Tagged(map[string]string{"listener": name}))
+}
+
+// listen starts to serve on an address. guard may be nil.
+func (n *Node) listen(address string, handler http.Handler, guard *ingress.Guard) (*server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, eris.Wrapf(err, "listen on %s", address)
 	}
 	s := &server{http: &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}}
+	if guard != nil {
+		guard.Attach(s.http)
+		listener = guard.Listener(listener)
+	}
 	go func() {
 		if err := s.http.Serve(listener); err != nil && !eris.Is(err, http.ErrServerClosed) {
 			n.log.Error("HTTP server failed.", zap.String("address", address), telemetry.ErrorField(err))
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -18,4 +18,5 @@
 	Cores             float64       // share of a core that the daemon may use
 	LinkMbps          float64
 	MemoryMB          float64 // 0 if it is not known
+	MaxFDs            int     // descriptors that the daemon may have open
 }
