Limit the bodies and connections of callers of the own API

The handlers decoded bodies from the connection, without a time limit and without a limit on their total or on connections: 1,200 clients that stop one byte short took 570 to 673 MB.

Bodies are now received by ingress.Guard after the caller is known, are checked for depth and lengths, and are decoded four at a time. New settings with defaults: limits.max_connections (512), limits.body_memory_bytes (24 MiB, a quarter for one organisation) and timing.body_timeout (30 s). The listener for operators has 64 connections and a budget of 8 MiB of its own. A budget always holds four of the largest bodies, one of a source.

--- a/api/api.gen.go
+++ b/api/api.gen.go
@@ -717,9 +717,15 @@
 
 // LimitSettings Limits of this daemon.
 type LimitSettings struct {
+	// BodyMemoryBytes Maximum number of bytes of all request bodies in flight; one caller may use a quarter of it. At least four of the largest bodies are always allowed. Default 25165824.
+	BodyMemoryBytes int64 `json:"body_memory_bytes" toml:"body_memory_bytes"`
+
 	// MaxBodyBytes Maximum size of a request body in bytes. Default 1048576.
 	MaxBodyBytes int64 `json:"max_body_bytes" toml:"max_body_bytes"`
 
+	// MaxConnections Maximum number of connections of callers. Default 512.
+	MaxConnections int `json:"max_connections" toml:"max_connections"`
+
 	// MaxQueuedRequests Maximum number of waiting requests. Default 1024.
 	MaxQueuedRequests int `json:"max_queued_requests" toml:"max_queued_requests"`
 
@@ -1380,6 +1386,9 @@
 
 // TimingSettings Intervals and timeouts.
 type TimingSettings struct {
+	// BodyTimeout Maximum time in which the body of a request must arrive. Default 30s.
+	BodyTimeout Duration `json:"body_timeout" toml:"body_timeout"`
+
 	// CheckpointEvery Interval between checkpoints of running jobs that support them. Default 10m.
 	CheckpointEvery Duration `json:"checkpoint_every" toml:"checkpoint_every"`
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -221,7 +221,8 @@
 	s := d.settings
 	d.server = entry.New(entry.Config{
 		CallersAddress: s.Listen.Callers, OperatorsAddress: s.Listen.Operators, OperatorTokenHash: s.Operators.TokenSha256,
-		MaxBodyBytes: s.Limits.MaxBodyBytes, GracefulStop: s.Timing.GracefulStop.Std(),
+		MaxBodyBytes: s.Limits.MaxBodyBytes, MaxConnections: s.Limits.MaxConnections, BodyMemoryBytes: s.Limits.BodyMemoryBytes,
+		BodyTimeout: s.Timing.BodyTimeout.Std(), GracefulStop: s.Timing.GracefulStop.Std(),
 		View: d.configuration, Metrics: d.metrics.Handler, Ready: d.ready,
 		Handlers: d.handlers(),
 		Log:      d.log, Scope: d.metrics.Scope, Tracer: d.traces.Tracer("entry"),
--- a/internal/entry/auth.go
+++ b/internal/entry/auth.go
@@ -56,6 +56,7 @@
 				return next(c)
 			}
 		}
+		guardOf(c).Abandon(c.Response().Writer, c.Request())
 		if s.config.View.Current().Head.Revision == 0 {
 			p := NewProblem(http.StatusServiceUnavailable, api.OutcomeNotRun, "the configuration is not known yet")
 			p.RetryAfterMs = time.Second.Milliseconds()
--- a/internal/entry/decode.go
+++ b/internal/entry/decode.go
@@ -27,7 +27,11 @@
 
 // Deserialize implements echo.JSONSerializer.
 func (strictSerializer) Deserialize(c echo.Context, into any) error {
-	if err := DecodeStrict(c.Request().Body, into); err != nil {
+	var err error
+	if refused := decodeBody(c, func(body io.Reader) { err = DecodeStrict(body, into) }); refused != nil {
+		return echo.NewHTTPError(refused.Status, refused.Detail)
+	}
+	if err != nil {
 		problem := decodeProblem(err)
 		return echo.NewHTTPError(problem.Status, problem.Detail).SetInternal(err)
 	}
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -119,9 +119,16 @@
 }
 
 // decodeSpec decodes the body, which must be one JSON object without unknown fields.
-func (h *JobHandlers) decodeSpec(c echo.Context) (api.JobSpec, *api.Problem) {
+func (h *JobHandlers) decodeSpec(c echo.Context) (spec api.JobSpec, problem *api.Problem) {
+	if refused := decodeBody(c, func(body io.Reader) { spec, problem = h.decodeSpecFrom(c, body) }); refused != nil {
+		return spec, refused
+	}
+	return spec, problem
+}
+
+func (h *JobHandlers) decodeSpecFrom(c echo.Context, r io.Reader) (api.JobSpec, *api.Problem) {
 	var spec api.JobSpec
-	body := http.MaxBytesReader(c.Response(), c.Request().Body, h.cfg.MaxBodyBytes)
+	body := http.MaxBytesReader(c.Response(), io.NopCloser(r), h.cfg.MaxBodyBytes)
 	decoder := json.NewDecoder(body)
 	decoder.DisallowUnknownFields()
 	err := decoder.Decode(&spec)
--- a/internal/entry/middleware.go
+++ b/internal/entry/middleware.go
@@ -61,17 +61,20 @@
 	return "none"
 }
 
+// bodyLimit is the largest body with a payload of maxBody bytes.
+func bodyLimit(maxBody int64) int64 { return maxBody/3*4 + jsonOverhead }
+
 // limitBody rejects bodies that are larger than a JSON object with a base64 payload
 // of maxBody bytes.
 func limitBody(maxBody int64) echo.MiddlewareFunc {
-	limit := maxBody/3*4 + jsonOverhead
+	limit := bodyLimit(maxBody)
 	return func(next echo.HandlerFunc) echo.HandlerFunc {
 		return func(c echo.Context) error {
 			request := c.Request()
 			if request.ContentLength > limit {
+				guardOf(c).Abandon(c.Response().Writer, request)
 				return echo.NewHTTPError(http.StatusRequestEntityTooLarge, "the body is too large")
 			}
-			request.Body = http.MaxBytesReader(c.Response(), request.Body, limit)
 			return next(c)
 		}
 	}
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -214,8 +214,15 @@
 // decodeOperatorBody decodes the body into target. The body must be one JSON value
 // without unknown fields, and must have all required fields. A required field in an
 // object is given by its path, joined by dots.
-func decodeOperatorBody(c echo.Context, target any, required ...string) *api.Problem {
-	text, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, maxOperatorBodyBytes))
+func decodeOperatorBody(c echo.Context, target any, required ...string) (problem *api.Problem) {
+	if refused := decodeBody(c, func(body io.Reader) { problem = decodeOperator(c, body, target, required) }); refused != nil {
+		return refused
+	}
+	return problem
+}
+
+func decodeOperator(c echo.Context, r io.Reader, target any, required []string) *api.Problem {
+	text, err := io.ReadAll(http.MaxBytesReader(c.Response(), io.NopCloser(r), maxOperatorBodyBytes))
 	if err != nil {
 		p := badRequest("The body cannot be read: " + err.Error())
 		if len(text) >= maxOperatorBodyBytes {
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -48,7 +48,11 @@
 
 // SubmitRequest runs a request and answers with its result.
 func (h *RequestHandlers) SubmitRequest(c echo.Context) error {
-	submission, err := DecodeRequest(c.Request().Body)
+	var submission api.RequestSubmit
+	var err error
+	if refused := decodeBody(c, func(body io.Reader) { submission, err = DecodeRequest(body) }); refused != nil {
+		return writeProblemWithID(c, *refused)
+	}
 	if err != nil {
 		return writeProblemWithID(c, decodeProblem(err))
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -18,6 +18,7 @@
 
 	"github.com/samphirepath/samphirepath/api"
 	"github.com/samphirepath/samphirepath/internal/configuration"
+	"github.com/samphirepath/samphirepath/internal/ingress"
 	"github.com/samphirepath/samphirepath/internal/telemetry"
 )
 
@@ -29,6 +30,14 @@
 	idleTimeout = 2 * time.Minute
 	// defaultGracefulStop is the default of the setting timing.graceful_stop.
 	defaultGracefulStop = time.Minute
+	// The defaults of the settings limits.max_connections, limits.body_memory_bytes and
+	// timing.body_timeout.
+	defaultMaxConnections  = 512
+	defaultBodyMemoryBytes = 24 << 20
+	defaultBodyTimeout     = 30 * time.Second
+	// operatorBodyMemoryBytes is the budget of the listener for operators, who send a
+	// catalogue now and then.
+	operatorBodyMemoryBytes = 8 << 20
 )
 
 // Config holds the dependencies and settings of a Server. Logger, scope and
@@ -42,6 +51,12 @@
 	OperatorsAddress  string // IP address and port of the listener for operators
 	OperatorTokenHash string // hex SHA-256 of the bearer token of operators
 	MaxBodyBytes      int64  // largest payload of a request; 0 means 1 MiB
+	// MaxConnections bounds the connections of callers; 0 means 512.
+	MaxConnections int
+	// BodyMemoryBytes bounds the bytes of request bodies in flight; 0 means 24 MiB.
+	BodyMemoryBytes int64
+	// BodyTimeout bounds the time in which a body must arrive; 0 means 30 s.
+	BodyTimeout time.Duration
 	// GracefulStop bounds the wait for requests in flight when Run ends; 0 means 1 min.
 	GracefulStop time.Duration
 
@@ -68,6 +83,7 @@
 type httpListener struct {
 	server   *http.Server
 	listener net.Listener
+	guard    *ingress.Guard
 }
 
 // New returns a server. Listen opens its listeners, and Run serves on them.
@@ -83,41 +99,53 @@
 		config: config, log: config.Log.Named("entry"), scope: config.Scope.SubScope("entry"), tracer: config.Tracer,
 		authenticator: authenticator{view: config.View, operatorHash: config.OperatorTokenHash},
 	}
-	s.callers.server = s.httpServer(s.callerHandler())
-	s.operators.server = s.httpServer(s.operatorHandler())
+	s.callers.guard = s.newGuard("callers", orDefault(config.MaxConnections, defaultMaxConnections), orDefault(config.BodyMemoryBytes, defaultBodyMemoryBytes))
+	s.operators.guard = s.newGuard("operators", ingress.SmallListener, operatorBodyMemoryBytes)
+	s.callers.server = s.httpServer(s.callerHandler(), s.callers.guard)
+	s.operators.server = s.httpServer(s.operatorHandler(), s.operators.guard)
 	return s
 }
 
-func (s *Server) httpServer(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+func (s *Server) newGuard(listener string, connections int, bodyBytes int64) *ingress.Guard {
+	limits := ingress.BodyLimits(connections, bodyBytes, bodyLimit(s.config.MaxBodyBytes))
+	if limits.BodyTime = s.config.BodyTimeout; limits.BodyTime <= 0 {
+		limits.BodyTime = defaultBodyTimeout
+	}
+	return ingress.New(limits, time.Now, s.log.With(zap.String("listener", listener)), s.scope.Tagged(map[string]string{"listener": listener}))
+}
+
+func (s *Server) httpServer(handler http.Handler, guard *ingress.Guard) *http.Server {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
 		ErrorLog: zap.NewStdLog(s.log)}
+	guard.Attach(server)
+	return server
 }
 
-func (s *Server) newEcho() *echo.Echo {
+func (s *Server) newEcho(guard *ingress.Guard) *echo.Echo {
 	e := echo.New()
 	e.HideBanner, e.HidePort = true, true
 	e.Logger.SetOutput(io.Discard)
 	e.JSONSerializer = strictSerializer{}
 	e.HTTPErrorHandler = handleError
-	e.Use(assignRequestID, s.instrument, limitBody(s.config.MaxBodyBytes))
+	e.Use(assignRequestID, s.instrument, setGuard(guard), limitBody(s.config.MaxBodyBytes))
 	return e
 }
 
 func (s *Server) callerHandler() http.Handler {
-	e := s.newEcho()
-	e.Use(s.authenticate)
+	e := s.newEcho(s.callers.guard)
+	e.Use(s.authenticate, receiveBody(s.config.MaxBodyBytes, callerElements))
 	api.RegisterHandlers(callerRouter{e}, s.config.Handlers)
 	return e
 }
 
 func (s *Server) operatorHandler() http.Handler {
-	e := s.newEcho()
+	e := s.newEcho(s.operators.guard)
 	e.GET("/healthz", func(c echo.Context) error { return c.NoContent(http.StatusOK) })
 	e.GET("/readyz", s.readyz)
 	if s.config.Metrics != nil {
 		e.GET("/metrics", echo.WrapHandler(s.config.Metrics))
 	}
-	authenticated := e.Group("", s.authenticate, s.restrictOperatorRoutes)
+	authenticated := e.Group("", s.authenticate, s.restrictOperatorRoutes, receiveBody(s.config.MaxBodyBytes, operatorElements))
 	api.RegisterHandlers(authenticated, s.config.Handlers)
 	return e
 }
@@ -156,7 +184,7 @@
 			s.close()
 			return eris.Wrapf(err, "listen on %s", l.address)
 		}
-		l.target.listener = listener
+		l.target.listener = l.target.guard.Listener(listener)
 	}
 	return nil
 }
--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -52,6 +52,7 @@
 		body.Time = g.limits.BodyTime
 	}
 	g.mu.Lock()
+	g.budget.Allow(body.Max)
 	c.source, c.evicted = body.Source, nil
 	g.setPhaseLocked(c, PhaseReceiving)
 	g.mu.Unlock()
--- a/internal/ingress/budget.go
+++ b/internal/ingress/budget.go
@@ -14,6 +14,12 @@
 	return &Budget{limit: limit, sourceLimit: sourceLimit, sources: map[string]int64{}}
 }
 
+// Allow raises the limits to hold bodies of up to maxBody bytes: minBodies of them in total,
+// one of a source. A lower limit would refuse a single request without any load.
+func (b *Budget) Allow(maxBody int64) {
+	b.limit, b.sourceLimit = max(b.limit, minBodies*(maxBody+1)), max(b.sourceLimit, maxBody+1)
+}
+
 // Charge adds n bytes of a source. If a limit does not allow them, it changes nothing and
 // returns ErrSource or ErrExhausted.
 func (b *Budget) Charge(source string, n int64) error {
--- a/internal/ingress/guard.go
+++ b/internal/ingress/guard.go
@@ -283,7 +283,7 @@
 
 func (g *Guard) figuresLocked() []zap.Field {
 	return []zap.Field{zap.Int("connections", len(g.conns)), zap.Int("connection_limit", g.limits.Connections),
-		zap.Int64("body_bytes", g.budget.Used()), zap.Int64("body_bytes_limit", g.limits.BodyBytes)}
+		zap.Int64("body_bytes", g.budget.Used()), zap.Int64("body_bytes_limit", g.budget.limit)}
 }
 
 func (g *Guard) gaugesLocked() {
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -32,6 +32,8 @@
 	"limits.retry_budget_percent":    {0, 100},
 	"limits.starts_per_second":       {1, 100000},
 	"limits.store_writes_per_second": {1, 10000},
+	"limits.max_connections":         {16, 1 << 20},
+	"limits.body_memory_bytes":       {1 << 20, 1 << 40},
 	"traces.sample_percent":          {0, 100},
 }
 
@@ -58,6 +60,7 @@
 	"timing.start_wait":          {100 * time.Millisecond, time.Minute},
 	"timing.graceful_stop":       {0, time.Hour},
 	"timing.late_answer_wait":    {0, time.Hour},
+	"timing.body_timeout":        {time.Second, time.Hour},
 	"timing.report_every":        {100 * time.Millisecond, time.Hour},
 }
 
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -23,6 +23,8 @@
 			RetryBudgetPercent:   10,
 			StartsPerSecond:      100,
 			StoreWritesPerSecond: 20,
+			MaxConnections:       512,
+			BodyMemoryBytes:      25165824,
 		},
 		Timing: defaultTiming(),
 		Logs:   api.LogSettings{Level: "info", Format: "json"},
@@ -47,5 +49,6 @@
 		GracefulStop:      api.Duration(60 * time.Second),
 		LateAnswerWait:    api.Duration(60 * time.Second),
 		ReportEvery:       api.Duration(30 * time.Second),
+		BodyTimeout:       api.Duration(30 * time.Second),
 	}
 }
