Test the decisions and the guard of the ingress limits

Tests of the guard on loopback cover late, oversized and abandoned bodies, Expect: 100-continue, pipelined requests, headers that do not end, answers that are not read, and what is closed under pressure.

--- /dev/null
+++ b/internal/ingress/guard_test.go
@@ -0,0 +1,227 @@
+package ingress_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+
+	"github.com/samphirepath/samphirepath/internal/ingress"
+)
+
+// testServer is an HTTP server with a guard. POST reads the body, and other methods answer
+// with 64 bytes. The source of a body is the path.
+type testServer struct {
+	address string
+	done    atomic.Int64 // requests that were carried out
+	logs    *observer.ObservedLogs
+	scope   tally.TestScope
+	hold    chan struct{} // closed to let the requests to /hold end
+}
+
+const (
+	maxBody  = 100_000
+	waitTime = 10 * time.Second
+)
+
+func serve(limits ingress.Limits) *testServer {
+	core, logs := observer.New(zapcore.InfoLevel)
+	s := &testServer{logs: logs, scope: tally.NewTestScope("", nil), hold: make(chan struct{})}
+	guard := ingress.New(limits, time.Now, zap.New(core), s.scope)
+	server := &http.Server{ReadHeaderTimeout: time.Second, IdleTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			if _, err := guard.ReadBody(w, r, ingress.Body{Source: r.URL.Path, Max: maxBody}); err != nil {
+				http.Error(w, err.Error(), ingress.Status(err))
+				return
+			}
+		}
+		if r.URL.Path == "/unknown" {
+			guard.Abandon(w, r)
+			w.WriteHeader(http.StatusUnauthorized)
+			return
+		}
+		if r.URL.Path == "/hold" {
+			<-s.hold
+		}
+		s.done.Add(1)
+		_, _ = io.WriteString(w, strings.Repeat("a", 64))
+	})}
+	guard.Attach(server)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	s.address = listener.Addr().String()
+	go func() { _ = server.Serve(guard.Listener(listener)) }()
+	DeferCleanup(server.Close)
+	return s
+}
+
+// send opens a connection and sends a text.
+func (s *testServer) send(text string) net.Conn {
+	c, err := net.Dial("tcp", s.address)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() { c.Close() })
+	_, err = io.WriteString(c, text)
+	Expect(err).NotTo(HaveOccurred())
+	return c
+}
+
+// status waits for an answer and returns its status, or 0 if the connection was closed.
+func status(c net.Conn) int {
+	Expect(c.SetReadDeadline(time.Now().Add(20 * time.Second))).To(Succeed())
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		Expect(err).NotTo(MatchError(ContainSubstring("timeout")))
+		return 0
+	}
+	return response.StatusCode
+}
+
+func (s *testServer) counter(name string) int64 {
+	for _, c := range s.scope.Snapshot().Counters() {
+		if c.Name()+" "+c.Tags()["reason"] == name {
+			return c.Value()
+		}
+	}
+	return 0
+}
+
+func (s *testServer) gauge(name string) float64 {
+	for _, g := range s.scope.Snapshot().Gauges() {
+		if g.Name() == name {
+			return g.Value()
+		}
+	}
+	return -1
+}
+
+func post(path string, length int, body string) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", path, length, body)
+}
+
+var small = post("/small", 4, "body")
+
+var _ = Describe("Guard", func() {
+	limits := ingress.Limits{Connections: 8, BodyBytes: 4 * (maxBody + 1), SourceBytes: maxBody + 1, BodyTime: 2 * time.Second}
+
+	DescribeTable("refuses and has done nothing", func(request string, want int) {
+		s := serve(limits)
+		Expect(status(s.send(request))).To(Equal(want))
+		Expect(s.done.Load()).To(BeZero())
+		Eventually(func() float64 { return s.gauge("ingress.body_bytes") }).WithTimeout(waitTime).Should(BeZero())
+		Expect(status(s.send(small))).To(Equal(http.StatusOK))
+	},
+		Entry("a body that stops short", post("/a", 1000, strings.Repeat(" ", 999)), http.StatusRequestTimeout),
+		Entry("a body that does not begin", post("/a", 1000, ""), http.StatusRequestTimeout),
+		Entry("a chunked body that does not end", "POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n", http.StatusRequestTimeout),
+		Entry("a body that announces too much", post("/a", maxBody+1, ""), http.StatusRequestEntityTooLarge),
+		Entry("a chunked body that is too large", "POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n186a1\r\n"+strings.Repeat(" ", maxBody+1)+"\r\n", http.StatusRequestEntityTooLarge),
+		Entry("a body of an unknown caller, at once", "PUT /unknown HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\n", http.StatusUnauthorized),
+		Entry("a header that does not end", "POST /a HTTP/1.1\r\nHost: a\r\n", 0),
+	)
+
+	// Guards against clients that ask for 100 Continue and hold their connections.
+	It("refuses a body that is not sent after Expect", func() {
+		s := serve(limits)
+		c := s.send("POST /a HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n")
+		Expect(status(c)).To(Equal(http.StatusContinue))
+		Expect(status(c)).To(Equal(http.StatusRequestTimeout))
+		Expect(s.done.Load()).To(BeZero())
+	})
+
+	// Guards against a deadline of the body that ends the request itself.
+	It("serves a request that takes longer than its body may", func() {
+		s := serve(ingress.Limits{Connections: 8, BodyBytes: 1000, SourceBytes: 1000, BodyTime: 200 * time.Millisecond})
+		c := s.send(post("/hold", 4, "body"))
+		time.AfterFunc(600*time.Millisecond, func() { close(s.hold) })
+		Expect(status(c)).To(Equal(http.StatusOK))
+	})
+
+	It("serves pipelined requests one after the other", func() {
+		s := serve(limits)
+		c := s.send(strings.Repeat(small, 50))
+		reader := bufio.NewReader(c)
+		for range 50 {
+			response, err := http.ReadResponse(reader, nil)
+			Expect(err).NotTo(HaveOccurred())
+			_, err = io.Copy(io.Discard, response.Body)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(response.StatusCode).To(Equal(http.StatusOK))
+		}
+		Eventually(func() float64 { return s.gauge("ingress.body_bytes") }).WithTimeout(waitTime).Should(BeZero())
+	})
+
+	// Guards against one source that keeps its whole share, and against memory that the
+	// unfinished bodies of many sources hold.
+	It("gives up stalled bodies for others", func() {
+		s := serve(limits)
+		var stalled []net.Conn
+		for i := range 4 {
+			stalled = append(stalled, s.send(post(fmt.Sprintf("/%d", i), maxBody, strings.Repeat(" ", maxBody-1))))
+		}
+		Eventually(func() float64 { return s.gauge("ingress.body_bytes") }).WithTimeout(waitTime).Should(BeNumerically(">=", 4*maxBody))
+		Expect(status(s.send(post("/0", 4, "body")))).To(Equal(http.StatusTooManyRequests), "before the time of grace")
+		Expect(status(s.send(small))).To(Equal(http.StatusServiceUnavailable), "before the time of grace")
+		time.Sleep(600 * time.Millisecond)
+		Expect(status(s.send(post("/0", 4, "body")))).To(Equal(http.StatusOK))
+		Expect(status(stalled[0])).To(Equal(http.StatusTooManyRequests))
+		Expect(s.done.Load()).To(Equal(int64(1)))
+		Expect(s.counter("ingress.closed source")).To(Equal(int64(1)))
+		Expect(s.counter("ingress.refused budget")).To(Equal(int64(1)))
+	})
+
+	// Guards against connections without requests that keep others out.
+	It("closes idle connections for new ones, and never a request that is carried out", func() {
+		s := serve(ingress.Limits{Connections: 2, BodyBytes: 1000, SourceBytes: 1000})
+		idle := s.send(small)
+		Expect(status(idle)).To(Equal(http.StatusOK))
+		busy := s.send(post("/hold", 4, "body"))
+		Eventually(func() float64 { return s.gauge("ingress.body_bytes") }).WithTimeout(waitTime).Should(Equal(4.0))
+		other := s.send(post("/hold", 4, "body"))
+		Expect(status(idle)).To(Equal(0))
+		Eventually(func() float64 { return s.gauge("ingress.body_bytes") }).WithTimeout(waitTime).Should(Equal(8.0))
+		Expect(status(s.send(small))).To(Equal(0), "both connections are busy")
+		close(s.hold)
+		Expect(status(busy)).To(Equal(http.StatusOK))
+		Expect(status(other)).To(Equal(http.StatusOK))
+		Expect(s.done.Load()).To(Equal(int64(3)))
+	})
+
+	// Guards against goroutines and descriptors that wait for clients which do not read.
+	It("closes a connection whose answers are not read", func() {
+		s := serve(ingress.Limits{Connections: 8, BodyBytes: 1000, SourceBytes: 1000, WriteTime: 200 * time.Millisecond})
+		c, err := net.Dial("tcp", s.address)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func() { c.Close() })
+		requests := strings.Repeat("GET / HTTP/1.1\r\nHost: a\r\n\r\n", 10_000)
+		Expect(c.SetWriteDeadline(time.Now().Add(20 * time.Second))).To(Succeed())
+		for err == nil {
+			_, err = io.WriteString(c, requests)
+		}
+		Expect(err).NotTo(MatchError(ContainSubstring("timeout")))
+		Eventually(func() float64 { return s.gauge("ingress.connections") }).WithTimeout(waitTime).Should(BeZero())
+	})
+
+	It("logs when pressure begins and ends", func() {
+		s := serve(ingress.Limits{Connections: 1, BodyBytes: 1000, SourceBytes: 1000})
+		s.send(post("/hold", 4, "body"))
+		Eventually(func() float64 { return s.gauge("ingress.body_bytes") }).WithTimeout(waitTime).Should(Equal(4.0))
+		for range 5 {
+			Expect(status(s.send(small))).To(Equal(0))
+		}
+		close(s.hold)
+		Eventually(s.logs.Len).WithTimeout(waitTime).Should(Equal(2))
+		Expect(s.logs.All()[0].Message).To(Equal("Limits of clients reached."))
+		Expect(s.logs.All()[1].ContextMap()["events"]).To(Equal(map[string]int{"refused connections": 5}))
+	})
+})
--- a/test/ingress/load_test.go
+++ b/test/ingress/load_test.go
@@ -70,7 +70,7 @@
 
 func (l load) start(t target) *clients {
 	c := &clients{leave: make(chan struct{})}
-	dialing := make(chan struct{}, dialers)
+	openings := make(chan struct{}, dialers)
 	headers, body := map[string]string{}, ""
 	for _, token := range t.tokens {
 		headers[token], body = l.request(t, token)
@@ -79,9 +79,9 @@
 		header := headers[t.tokens[i%len(t.tokens)]]
 		c.sent.Add(1)
 		c.ended.Go(func() {
-			dialing <- struct{}{}
+			openings <- struct{}{}
 			connection, err := net.Dial("tcp", t.address)
-			<-dialing
+			<-openings
 			if err != nil { // refused by the daemon, which is allowed
 				c.sent.Done()
 				return
