Add tests of headers that do not end and of reads from a slow store

Two of the three still fail: parsed fields take about 20 times the bytes of the header, and each read of the store opens a connection.

--- a/test/ingress/load_test.go
+++ b/test/ingress/load_test.go
@@ -15,6 +15,8 @@
 	// fewClients send complete bodies that take many times their size when decoded: 256 KiB
 	// of empty steps are 87,000 steps.
 	fewClients = 48
+	// headerBytes fits into the largest header of the platform, 16 KB.
+	headerBytes = 16_000
 	// bodyBytes is the largest body of the platform by default. The settings permit the same
 	// on the own API.
 	bodyBytes = 256 << 10
@@ -33,6 +35,8 @@
 	pieces   int // number of writes
 	pause    time.Duration
 	complete bool
+	reads    bool // reads the state of a job that does not exist, while the store is slow
+	header   bool // sends only a header of many short fields, which does not end
 }
 
 var loads = []load{
@@ -41,11 +45,25 @@
 	{title: "chunks of 16 bytes", clients: manyClients, chunk: 16, pieces: 1},
 	{title: "chunks of 64 KiB", clients: manyClients, chunk: 64 << 10, pieces: 1},
 	{title: "complete bodies of many small values", clients: fewClients, pieces: 1, complete: true},
+	{title: "headers of many short fields that do not end", clients: manyClients, pieces: 1, header: true},
 }
 
+// slowReads is a load of the platform daemon: each of the clients makes it read the store.
+var slowReads = load{title: "reads of unknown jobs from a slow store", clients: manyClients, pieces: 1, reads: true}
+
 // request returns the header and the body, in the form in which they are sent.
 func (l load) request(t target, token string) (header, body string) {
 	header = fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nAuthorization: %s %s\r\nContent-Type: application/json\r\n", t.path, t.host, t.scheme, token)
+	if l.reads {
+		return strings.Replace(header, "POST", "GET", 1) + "\r\n", ""
+	}
+	if l.header {
+		var fields strings.Builder
+		for i := 0; fields.Len() < headerBytes; i++ {
+			fmt.Fprintf(&fields, "%c%c%c:\r\n", 'a'+i%26, 'a'+i/26%26, 'a'+i/676)
+		}
+		return header, fields.String()
+	}
 	if l.complete {
 		return header + fmt.Sprintf("Content-Length: %d\r\n\r\n", len(t.smallValues)), t.smallValues
 	}
--- a/test/ingress/platform_test.go
+++ b/test/ingress/platform_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -29,7 +30,7 @@
 )
 
 var _ = Describe("Platform daemon", func() {
-	for _, l := range loads {
+	for _, l := range append(slices.Clone(loads), slowReads) {
 		It("stays within its limits with "+l.title, func() { startPlatform().checkUnderLoad(l) })
 	}
 })
@@ -37,10 +38,16 @@
 // startPlatform starts a platform daemon over a stand-in for the store.
 func startPlatform() target {
 	store := standinfleet.NewStore()
-	server := httptest.NewServer(store)
+	slow := &atomic.Bool{}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if slow.Load() {
+			time.Sleep(storeDelay)
+		}
+		store.ServeHTTP(w, r)
+	}))
 	DeferCleanup(server.Close)
 	DeferCleanup(server.CloseClientConnections)
-	t := target{path: "/batch/00000000000000aa", host: jobsHost, scheme: "Token", body: `{"steps":[{"count":1}]`,
+	t := target{slowStore: slow, path: "/batch/00000000000000aa", host: jobsHost, scheme: "Token", body: `{"steps":[{"count":1}]`,
 		smallValues: `{"steps":[{}` + strings.Repeat(",{}", bodyBytes/3-8) + `]}`, descriptors: platformDescriptors}
 	var organisations []map[string]any
 	for i := range callerTokens {
--- a/test/ingress/suite_test.go
+++ b/test/ingress/suite_test.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -34,6 +35,8 @@
 	// answerTimeout bounds the wait for the answer to an ordinary request.
 	answerTimeout = 30 * time.Second
 	samplePeriod  = 20 * time.Millisecond
+	// storeDelay is the time that a slow store takes for a call.
+	storeDelay = 500 * time.Millisecond
 )
 
 func TestIngress(t *testing.T) {
@@ -61,6 +64,7 @@
 	submit      func() error // submits a small job with a new name
 	healthCheck func() error // the check of the load balancer
 	descriptors int
+	slowStore   *atomic.Bool // makes the store of the platform daemon take storeDelay for a call
 }
 
 // checkUnderLoad overloads the daemon and checks its bounds. It guards against a daemon
@@ -68,9 +72,13 @@
 // that serves nobody while such clients stay connected.
 func (t target) checkUnderLoad(l load) {
 	descriptors := observeDescriptors(t.process.PID())
+	if l.reads {
+		t.slowStore.Store(true)
+	}
 	clients := l.start(t)
 	clients.waitSent()
 	time.Sleep(settleTime)
+	t.slowStore.Store(false)
 	gomega.Eventually(t.submit).WithTimeout(answerTimeout).WithPolling(100*time.Millisecond).Should(gomega.Succeed(), "while the clients are connected")
 	gomega.Eventually(t.healthCheck).WithTimeout(answerTimeout).Should(gomega.Succeed())
 	clients.close()
