Update the gauge of header bytes when a header is released

The gauge kept its last value after a request, because only later changes of the bodies wrote it; found by a new test of the header budget. More tests: requests admitted to the store, limits.max_fds of the platform settings, and the problem document of the own API for a body that does not arrive (408, not_run).

make check-format vet lint check-generated and the tests of ingress, entry and platform with the race detector pass.

--- a/internal/entry/server_test.go
+++ b/internal/entry/server_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"crypto/sha256"
@@ -8,6 +9,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -128,6 +130,24 @@
 		return answer, data
 	}
 
+	// Guards against bodies that never end, and a refusal of them that does not say that
+	// nothing was done.
+	It("refuses a body that does not arrive", func() {
+		connection, err := net.Dial("tcp", server.CallersAddress())
+		Expect(err).NotTo(HaveOccurred())
+		defer connection.Close()
+		Expect(connection.SetDeadline(time.Now().Add(20 * time.Second))).To(Succeed())
+		_, err = io.WriteString(connection, "POST /v1/requests HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer crew-token\r\nContent-Length: 100\r\n\r\n{")
+		Expect(err).NotTo(HaveOccurred())
+		answer, err := http.ReadResponse(bufio.NewReader(connection), nil)
+		Expect(err).NotTo(HaveOccurred())
+		defer answer.Body.Close()
+		var problem api.Problem
+		Expect(json.NewDecoder(answer.Body).Decode(&problem)).To(Succeed())
+		Expect(answer.StatusCode).To(Equal(http.StatusRequestTimeout))
+		Expect(problem.Outcome).To(Equal(api.OutcomeNotRun))
+	})
+
 	// Guards against wrong statuses, and against refusals whose outcome is not "not run".
 	DescribeTable("refuses", func(token, body string, status int) {
 		answer, data := send(server.CallersAddress(), "POST", "/v1/requests", token, body)
--- a/internal/ingress/guard.go
+++ b/internal/ingress/guard.go
@@ -213,6 +213,7 @@
 	defer g.mu.Unlock()
 	g.releaseHeaderLocked(c)
 	g.setPhaseLocked(c, PhaseIdle)
+	g.gaugesLocked()
 }
 
 type connKey struct{}
@@ -270,6 +271,7 @@
 	if header < c.header {
 		g.headers -= c.header - header
 		c.header = header
+		g.gaugesLocked()
 	}
 	g.setPhaseLocked(c, PhaseBusy)
 	return true
--- a/internal/ingress/guard_test.go
+++ b/internal/ingress/guard_test.go
@@ -212,6 +212,30 @@
 		Eventually(func() float64 { return s.gauge("ingress.connections") }).WithTimeout(waitTime).Should(BeZero())
 	})
 
+	// Guards against headers that take many times their bytes when parsed.
+	It("closes connections whose headers take too much", func() {
+		s := serve(ingress.Limits{Connections: 8, BodyBytes: 1000, SourceBytes: 1000, HeaderBytes: 20_000})
+		part := "GET / HTTP/1.1\r\nHost: a\r\n" + strings.Repeat("a:\r\n", 200)
+		Expect(status(s.send(part + strings.Repeat("a:\r\n", 200)))).To(Equal(0))
+		first := s.send(part)
+		Eventually(func() float64 { return s.gauge("ingress.header_bytes") }).WithTimeout(waitTime).Should(BeNumerically(">", 0))
+		time.Sleep(600 * time.Millisecond)
+		Expect(status(s.send(part + "\r\n"))).To(Equal(http.StatusOK))
+		Expect(status(first)).To(Equal(0))
+		Eventually(func() float64 { return s.gauge("ingress.header_bytes") }).WithTimeout(waitTime).Should(BeZero())
+	})
+
+	It("admits a limited number of requests to the store", func() {
+		guard := ingress.New(ingress.Limits{Connections: 2, BodyBytes: 1000, SourceBytes: 1000}, time.Now, nil, nil)
+		leave, err := guard.Enter()
+		Expect(err).NotTo(HaveOccurred())
+		_, err = guard.Enter()
+		Expect(ingress.Status(err)).To(Equal(http.StatusServiceUnavailable))
+		leave()
+		_, err = guard.Enter()
+		Expect(err).NotTo(HaveOccurred())
+	})
+
 	It("logs when pressure begins and ends", func() {
 		s := serve(ingress.Limits{Connections: 1, BodyBytes: 1000, SourceBytes: 1000})
 		s.send(post("/hold", 4, "body"))
