--- a/internal/dispatch/draining.go
+++ b/internal/dispatch/draining.go
@@ -33,13 +33,23 @@
 	switch {
 	case !w.info.Draining:
 		w.drain = drain{}
-	case w.info.Remaining > 0 && t.workersListed:
-		w.drain.leavesAt = now.Add(w.info.Remaining)
-	case w.info.Remaining > 0 && w.drain.leavesAt.IsZero():
-		w.drain.leavesAt = now.Add(w.info.Remaining - entryAge)
+	case w.info.Remaining > 0:
+		w.drain.leavesAt = now.Add(w.info.Remaining - t.ageOfEntry(w, now))
 	}
 }
 
+// ageOfEntry returns how long ago a worker wrote its entry, by the clock of the worker. An entry
+// that a new term reads first may be as old as entryAge.
+func (t *term) ageOfEntry(w *workerState, now time.Time) time.Duration {
+	if clock := w.estimateClock(now); clock > 0 && w.info.Clock > 0 {
+		return max(0, time.Duration(clock-w.info.Clock)*time.Millisecond)
+	}
+	if t.workersListed {
+		return 0
+	}
+	return entryAge
+}
+
 // drainGroups are the runs that may be stopped because a worker leaves.
 type drainGroups struct {
 	groups []draining.Group
@@ -97,11 +107,6 @@
 		}
 		group.AtStake += member.evictionLoss(now)
 	}
-	if r.step.Persistent {
-		// It has no end, whatever its estimate says.
-		group.Expected = now.Add(batch.MaxEstimateMs * time.Millisecond)
-		group.Late = group.Expected
-	}
 	collected.groups = append(collected.groups, group)
 	collected.runs = append(collected.runs, members)
 }
--- a/internal/dispatch/forecast.go
+++ b/internal/dispatch/forecast.go
@@ -111,10 +111,8 @@
 func (t *term) forecast(r *run, now time.Time) (expected, late time.Time) {
 	estimate := estimateOf(r.step)
 	if r.step.Persistent {
-		expected = r.startedAt.Add(estimate)
-		if !expected.After(now) {
-			expected = now.Add(time.Duration(overdueShare * float64(estimate)))
-		}
+		// It has no end, whatever its estimate says.
+		expected = now.Add(batch.MaxEstimateMs * time.Millisecond)
 		return expected, expected
 	}
 	tm := r.timing
--- a/internal/dispatch/forecast_test.go
+++ b/internal/dispatch/forecast_test.go
@@ -47,7 +47,7 @@
 	r := f.term.newRun(j, j.tracker.Units[0], ref, w, phaseStarting)
 	f.term.updateRun(r, fleet.RunStatus{Run: ref, Percent: 10})
 	f.Expect(r.timing.reported).To(gomega.BeFalse(), "the time of the start is not known")
-	f.term.handleStartReply(r, fleet.Reply{Outcome: fleet.Accepted}, time.Now())
+	f.term.handleStartReply(r, fleet.Reply{Outcome: fleet.Accepted}, time.Millisecond)
 	return r
 }
 
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -25,13 +25,13 @@
 	// lateAnswerTime is the time of an answer to a start that counts against a worker. An
 	// answer usually takes a few ms.
 	lateAnswerTime = 200 * time.Millisecond
-	// slowRunTime is how many times as long as expected a run takes that counts against its
-	// worker. Far from its data a task takes 3 times as long, and the estimate of its caller
-	// may be too low by half of what it takes. Of the tasks, 3 % take up to 7 times as long
-	// anywhere, so that several have to on one worker.
-	slowRunTime = 6
-	// minSilence is the number of unanswered calls in a row that count against a worker.
-	minSilence = 3
+	// slowRunTimeFactor is how many times as long as expected at its start a run takes that
+	// counts against its worker. The expectation has the distance to the data and the known
+	// speed of the worker, but may rest on an estimate that is too low by half. Of the tasks,
+	// 3 % take up to 7 times as long anywhere, so that several have to on one worker.
+	slowRunTimeFactor = 6
+	// minUnansweredCalls is the number of unanswered calls in a row that count against a worker.
+	minUnansweredCalls = 3
 	// healthReportInterval is the time between two log lines that list the workers that get
 	// no or few tasks.
 	healthReportInterval = 30 * time.Second
@@ -94,7 +94,7 @@
 	switch outcome {
 	case fleet.Unanswered:
 		t.noteHealth(w, workerhealth.Unanswered, now)
-	case fleet.Unhealthy, fleet.NoCapacity, fleet.OtherIncarnation:
+	case fleet.Unhealthy, fleet.NoCapacity: // the departure of another incarnation has counted
 		t.noteHealth(w, workerhealth.Refused, now)
 	case fleet.Accepted:
 		if took >= lateAnswerTime {
@@ -114,7 +114,7 @@
 	switch end.Reason {
 	case fleet.Done:
 		e.Kind = workerhealth.Success
-		if t.slow(j, step, j.runs[end.Run], now) {
+		if j.runs[end.Run].slow(step, now) {
 			e.Kind = workerhealth.Slow
 		}
 	case fleet.Failed:
@@ -141,11 +141,11 @@
 
 // slow reports whether a run that has completed its task took far longer than expected. A gang
 // may have waited for its members, or for one that is slow.
-func (t *term) slow(j *jobState, step *batch.Step, r *run, now time.Time) bool {
-	if r == nil || step.Gang || step.Persistent || step.EstimateMs <= 0 || r.startAttempts == 0 {
+func (r *run) slow(step *batch.Step, now time.Time) bool {
+	if r == nil || step.Gang || step.Persistent || r.startAttempts == 0 || r.timing.median <= 0 {
 		return false
 	}
-	return now.Sub(r.startedAt) >= slowRunTime*max(t.runTime(&j.tracker.Job, step), time.Second)
+	return now.Sub(r.startedAt) >= slowRunTimeFactor*max(r.timing.median, time.Second)
 }
 
 // noteDeparture records that a worker has left that had not announced it.
@@ -157,7 +157,7 @@
 
 // noteAnswer records that a worker answers again after several calls without an answer.
 func (t *term) noteAnswer(w *workerState, now time.Time) {
-	if w.misses >= minSilence && len(w.runs) > 0 {
+	if w.misses >= minUnansweredCalls && len(w.runs) > 0 {
 		t.noteHealth(w, workerhealth.Unanswered, now)
 	}
 }
--- a/internal/dispatch/hung.go
+++ b/internal/dispatch/hung.go
@@ -25,10 +25,11 @@
 // hungReason is why hung runs are stopped.
 const hungReason = "no progress"
 
-// noteProgress records the progress that a worker reports of a run.
-func (r *run) noteProgress(percent int64, now time.Time) {
+// noteReported records the progress that a worker reports of a run, for the search for hung
+// runs.
+func (t *term) noteReported(r *run, percent int64, now time.Time) {
 	if r.progress.Report(percent, now) {
-		r.worker.reportsProgress = true
+		t.reportsProgress[r.worker.info.Service] = true
 	}
 }
 
@@ -85,7 +86,7 @@
 					gangs[r.unit] = i
 				}
 			}
-			addRun(&work[i], r)
+			addRun(&work[i], r, t.reportsProgress[job.Service])
 			units[i].runs = append(units[i].runs, r)
 		}
 		for unit, i := range gangs {
@@ -95,9 +96,10 @@
 	return work, units
 }
 
-// addRun adds a run to its work.
-func addRun(w *workerhealth.Work, r *run) {
-	w.Eligible = w.Eligible && r.phase == phaseRunning && r.stopReason == "" && r.worker.misses == 0 && r.worker.reportsProgress && !r.progress.FirstAt.IsZero()
+// addRun adds a run to its work. Where no worker of its service has reported progress, nothing
+// is hung.
+func addRun(w *workerhealth.Work, r *run, reportsProgress bool) {
+	w.Eligible = w.Eligible && r.phase == phaseRunning && r.stopReason == "" && r.worker.misses == 0 && reportsProgress && !r.progress.FirstAt.IsZero()
 	w.Workers = append(w.Workers, r.worker.info.ID)
 	if r.confirmedAt.After(w.CompleteAt) {
 		w.CompleteAt = r.confirmedAt
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -30,7 +30,7 @@
 // it.
 type orderCall struct {
 	send  func(context.Context) fleet.Reply
-	apply func(fleet.Reply)
+	apply func(reply fleet.Reply, answered time.Time)
 }
 
 // queueOrder sends an order once fewer than maxConcurrentOrders are in flight to the
@@ -59,9 +59,10 @@
 			ctx, cancel := context.WithTimeout(t.ctx, orderTimeout)
 			defer cancel()
 			reply := call.send(ctx)
+			answered := time.Now()
 			t.post(func() {
 				w.ordersInFlight--
-				call.apply(reply)
+				call.apply(reply, answered)
 				t.sendOrders(w)
 			})
 		}()
@@ -96,7 +97,7 @@
 	worker, epoch := r.worker.info, t.epoch
 	return &orderCall{
 		send:  func(ctx context.Context) fleet.Reply { return t.callStart(ctx, epoch, worker, start) },
-		apply: func(reply fleet.Reply) { t.handleStartReply(r, reply, now) },
+		apply: func(reply fleet.Reply, answered time.Time) { t.handleStartReply(r, reply, answered.Sub(now)) },
 	}
 }
 
@@ -117,7 +118,7 @@
 		worker, stop := w.info, fleet.Stop{Run: ref, Fence: w.fence}
 		return &orderCall{
 			send:  func(ctx context.Context) fleet.Reply { return t.callStop(ctx, worker, stop) },
-			apply: func(fleet.Reply) {},
+			apply: func(fleet.Reply, time.Time) {},
 		}
 	})
 }
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -241,6 +241,15 @@
 	return d, true
 }
 
+// stopMargin is added to the longest time of a stop: its order, and the report of the end.
+const stopMargin = 500 * time.Millisecond
+
+// stopOverdue reports whether a run that was to be stopped should have ended. Its worker may not
+// carry out the stop, so that its capacity does not count as about to be free.
+func (r *run) stopOverdue(now time.Time, maxStopTime time.Duration) bool {
+	return r.stopReason != "" && now.Sub(r.stopRequestedAt) > maxStopTime+stopMargin
+}
+
 // busyTasks returns the indices of tasks that have a run which may still exist.
 func (t *term) busyTasks(j *jobState, unit *batch.Unit) map[int]bool {
 	var busy map[int]bool
@@ -267,9 +276,13 @@
 	for _, r := range w.runs {
 		out.Isolated = out.Isolated || r.isolated
 		out.Free = placement.Sub(out.Free, r.need)
-		if r.stopReason != "" {
+		switch {
+		case r.stopOverdue(now, t.cfg.MaxStopTime):
+			at := now.Add(t.cfg.MaxWorkerLease)
+			releases = append(releases, placement.Release{At: at, Late: at, Need: r.need})
+		case r.stopReason != "":
 			out.Releasing = placement.Add(out.Releasing, r.need)
-		} else {
+		default:
 			expected, late := t.forecast(r, now)
 			releases = append(releases, placement.Release{At: expected, Late: late, Need: r.need})
 		}
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -40,7 +40,8 @@
 	}
 	remaining := d.RunTime + j.pathAfter(d.Key.Step) + startOverhead + usualPlanInterval
 	d.LatestStart = d.Objective.Add(-remaining)
-	if now.After(d.Objective) {
+	if now.After(d.LatestStart) {
+		// An eviction does not help the demand to meet its objective any more.
 		d.LatestStart = begin.Add(valueFactor * d.Objective.Sub(begin)).Add(-remaining)
 	}
 	if d.Priority > 0 {
--- a/internal/dispatch/preempt_test.go
+++ b/internal/dispatch/preempt_test.go
@@ -52,6 +52,8 @@
 	second := demand(1, since, since)
 	g.Expect(second.LatestStart).To(gomega.BeTemporally("==", accepted.Add(4750*time.Millisecond-1250*time.Millisecond)))
 	g.Expect(second.EvictBy).To(gomega.BeTemporally("==", first.EvictBy.Add(100*time.Millisecond)), "counted from when the step became startable")
+	late := demand(0, since, first.LatestStart.Add(time.Millisecond))
+	g.Expect(late.LatestStart).To(gomega.BeTemporally("==", accepted.Add(3*4750*time.Millisecond-3250*time.Millisecond)), "no eviction helps it to meet its objective")
 	missed := demand(1, since, accepted.Add(5*time.Second))
 	g.Expect(missed.LatestStart).To(gomega.BeTemporally("==", accepted.Add(3*4750*time.Millisecond-1250*time.Millisecond)))
 	g.Expect(missed.EvictBy).To(gomega.BeTemporally("==", second.EvictBy))
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -58,9 +58,11 @@
 	isolated   bool
 	stopReason string // why the run is to be stopped; empty while it is not
 	stopSentAt time.Time
-	checkpoint string
-	timing     *timing
-	progress   workerhealth.Progress
+	// stopRequestedAt is when the run was first to be stopped.
+	stopRequestedAt time.Time
+	checkpoint      string
+	timing          *timing
+	progress        workerhealth.Progress
 }
 
 // assign records a run of a task on a worker and sends the start once the record is
@@ -124,16 +126,18 @@
 	return placement.Covers(free, r.need)
 }
 
-func (t *term) handleStartReply(r *run, reply fleet.Reply, sent time.Time) {
+// handleStartReply applies the answer to a start. took is how long the worker has needed,
+// without the wait behind other events.
+func (t *term) handleStartReply(r *run, reply fleet.Reply, took time.Duration) {
 	if r.worker.runs[r.ref] != r || r.phase != phaseStarting {
 		return
 	}
 	now := time.Now()
 	t.log.Info("Worker answered the start of a run.", zap.Stringer("task", r.ref.TaskRef), zap.Int64("run", r.ref.Run), zap.String("worker", r.worker.info.ID),
-		zap.Stringer("outcome", reply.Outcome), zap.Duration("took", now.Sub(sent)), telemetry.ErrorField(reply.Err))
+		zap.Stringer("outcome", reply.Outcome), zap.Duration("took", took), telemetry.ErrorField(reply.Err))
 	t.scope.Tagged(map[string]string{"outcome": reply.Outcome.String()}).Counter("starts").Inc(1)
 	t.updateClock(r.worker, reply.Clock, now)
-	t.noteStartHealth(r.worker, reply.Outcome, now.Sub(sent), now)
+	t.noteStartHealth(r.worker, reply.Outcome, took, now)
 	switch reply.Outcome {
 	case fleet.Accepted:
 		t.noteConfirmed(r, now, false)
@@ -172,7 +176,7 @@
 	if status.Checkpoint != "" {
 		r.checkpoint = status.Checkpoint
 	}
-	r.noteProgress(status.Percent, now)
+	t.noteReported(r, status.Percent, now)
 	t.noteLifetime(r)
 	if r.stopReason != "" && now.Sub(r.stopSentAt) > stopRetryDelay {
 		t.stopRunning(r)
@@ -303,7 +307,7 @@
 	if r.stopReason != "" {
 		return
 	}
-	r.stopReason = reason
+	r.stopReason, r.stopRequestedAt = reason, time.Now()
 	if r.phase == phaseRunning {
 		t.stopRunning(r)
 	}
@@ -371,7 +375,7 @@
 		t.raiseFence(w)
 	}
 	if j.tracker.State.Final() {
-		r.stopReason = string(j.tracker.State)
+		r.stopReason, r.stopRequestedAt = string(j.tracker.State), time.Now()
 	}
 	t.pollWorker(w, time.Now())
 }
--- a/internal/dispatch/started_test.go
+++ b/internal/dispatch/started_test.go
@@ -55,7 +55,7 @@
 	g.Expect(term.knownState("j")).To(gomega.Equal(batch.Running), "the state shown to callers is as before")
 	g.Expect(waitingJobs(term)).To(gomega.Equal(int64(1)), "the start is not answered")
 	g.Expect(waitingJobs(takeOver(g, store))).To(gomega.Equal(int64(1)), "nor after a take-over")
-	term.handleStartReply(r, fleet.Reply{Outcome: fleet.Unanswered}, time.Now())
+	term.handleStartReply(r, fleet.Reply{Outcome: fleet.Unanswered}, time.Millisecond)
 	g.Expect(waitingJobs(term)).To(gomega.Equal(int64(1)))
 	term.dropRun(r, "start was not carried out")
 	storeAll(term)
@@ -68,7 +68,7 @@
 func TestJobCountsAsStartedOnceAWorkerHasConfirmedARun(t *testing.T) {
 	for name, confirm := range map[string]func(*term, *run){
 		"accepted start": func(t *term, r *run) {
-			t.handleStartReply(r, fleet.Reply{Outcome: fleet.Accepted}, time.Now())
+			t.handleStartReply(r, fleet.Reply{Outcome: fleet.Accepted}, time.Millisecond)
 		},
 		"report that lists the run": func(t *term, r *run) {
 			r.phase = phaseUnknown
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -55,10 +55,12 @@
 	// reentryEnd is when workers whose entry is missing count as gone after an outage.
 	reentryEnd time.Time
 
-	forecasts   forecasts
-	changedJobs map[string]bool // jobs whose progress is to be stored
-	committing  bool
-	committed   bool // a commit was sent
+	forecasts forecasts
+	// reportsProgress holds the services of which a worker has reported progress of a run.
+	reportsProgress map[string]bool
+	changedJobs     map[string]bool // jobs whose progress is to be stored
+	committing      bool
+	committed       bool // a commit was sent
 	// deletingCancels is set while cancellations of unknown jobs are deleted.
 	deletingCancels bool
 	commitRetryAt   time.Time
@@ -167,7 +169,7 @@
 		events: make(chan func(), eventQueueSize), results: make(chan func(), 1), done: make(chan struct{}),
 		jobs: map[string]*jobState{}, earlyCancels: map[string]earlyCancel{}, finished: map[string]finishedJob{}, deleted: map[string]deletedJob{}, invalid: map[string]bool{}, workers: map[string]*workerState{},
 		presumed: map[fleet.Incarnation][]presumedLoss{}, silences: map[string]*silence{}, givenUp: map[batch.RunRef]givenUpRun{},
-		forecasts: newForecasts(), changedJobs: map[string]bool{},
+		forecasts: newForecasts(), reportsProgress: map[string]bool{}, changedJobs: map[string]bool{},
 	}
 	t.health = t.newHealth()
 	return t
--- a/internal/dispatch/workers.go
+++ b/internal/dispatch/workers.go
@@ -120,8 +120,6 @@
 	longCheckpoints bool // the worker has reported checkpoints that are too long; logged once
 
 	health workerhealth.State // in the last plan
-	// reportsProgress means that this incarnation has reported the progress of a run.
-	reportsProgress bool
 }
 
 // endAck is the pending acknowledgement of an end. The worker keeps the end until
@@ -285,7 +283,7 @@
 	w.drain = drain{}
 	// A call makes the new incarnation reject what was sent to the earlier one and may be
 	// carried out late.
-	w.fenced, w.unread, w.reportsProgress = false, true, false
+	w.fenced, w.unread = false, true
 	for _, r := range w.runs {
 		if r.phase == phaseCommitting {
 			continue
--- a/internal/placement/evict.go
+++ b/internal/placement/evict.go
@@ -165,7 +165,7 @@
 // have ended, and those that end by themselves as soon.
 func (p *planner) expectedFree(w int, s *shape) batch.Need {
 	state := &p.workers[w]
-	free := Sub(Add(state.free, state.releasing), state.owed)
+	free := Sub(Add(state.free, state.releasing), state.heldInUse)
 	if s.key.ending > 0 {
 		return Add(free, p.ending[s.key.ending][w])
 	}
@@ -192,7 +192,7 @@
 // costOf returns the cost of one more task on a worker.
 func (p *planner) costOf(s *shape, w *searchedWorker) evictionCost {
 	limit := s.demand.Step.MaxPerWorker
-	if p.Workers[w.worker].Suspect || p.workers[w.worker].onTrial || !p.sharable(w.worker, s.demand) || limit > 0 && w.stepTasks >= limit {
+	if p.Workers[w.worker].Suspect && !s.key.suspects || p.workers[w.worker].onTrial || !p.sharable(w.worker, s.demand) || limit > 0 && w.stepTasks >= limit {
 		return evictionCost{}
 	}
 	cost := evictionCost{fits: true, left: leftover(w.free, s.need)}
@@ -228,7 +228,7 @@
 	victims := p.victims[w.worker]
 	for i := range victims {
 		v := &victims[i]
-		if v.urgent && !s.key.reclaims || v.worn && s.key.sparesWorn || v.ending <= s.key.ending || p.evicted[v.group] || w.evicted != nil && w.evicted[i] {
+		if v.urgent && !s.key.reclaims || v.worn && s.key.sparesEvictedOften || v.ending <= s.key.ending || p.evicted[v.group] || w.evicted != nil && w.evicted[i] {
 			continue
 		}
 		candidates = append(candidates, *v)
@@ -256,8 +256,8 @@
 // evictForTasks evicts groups whose capacity the missing tasks of an urgent demand need, and
 // keeps this capacity for them.
 func (p *planner) evictForTasks(demand *Demand, missing int) {
-	for _, reclaims := range p.evictionRounds(demand) {
-		s := p.evictionShape(demand, reclaims)
+	for _, round := range p.evictionRounds(demand) {
+		s := p.evictionShape(demand, round)
 		search := p.search(s, p.fleet)
 		for len(search.choices) < missing && search.extend(p, s) {
 		}
@@ -272,8 +272,8 @@
 // evictForGang evicts the groups whose capacity a whole urgent gang needs, in the rack where
 // the least work is lost. It reports whether the gang then fits.
 func (p *planner) evictForGang(demand *Demand, racks []int) bool {
-	for _, reclaims := range p.evictionRounds(demand) {
-		s := p.evictionShape(demand, reclaims)
+	for _, round := range p.evictionRounds(demand) {
+		s := p.evictionShape(demand, round)
 		if best := p.cheapestRack(s, racks, len(demand.Tasks)); best != nil {
 			p.apply(s, best.choices[:len(demand.Tasks)], p.evictionFor(demand))
 			return true
--- a/internal/placement/evict_scan_test.go
+++ b/internal/placement/evict_scan_test.go
@@ -178,7 +178,7 @@
 				wait := func() time.Time { return p.Now.Add(time.Duration(random.IntN(2000)-500) * time.Millisecond) }
 				demand.LatestStart, demand.EvictBy = wait(), wait()
 				p.uncovered[&demand] = random.IntN(2) == 0
-				s := p.evictionShape(&demand, reclaims)
+				s := p.evictionShape(&demand, evictionRound{reclaims: reclaims})
 				want := evictByScan(p, s, &demand, reclaims, racks)
 				found := p.cheapestRack(s, racks, len(demand.Tasks))
 				g.Expect(found == nil).To(gomega.Equal(want == nil))
--- a/internal/placement/gang.go
+++ b/internal/placement/gang.go
@@ -200,7 +200,7 @@
 // appendSlots appends the slots of a worker. What is being stopped counts as free, or by the
 // late times as free after the longest time of a stop.
 func (p *planner) appendSlots(slots []slot, s *shape, w int, late bool) []slot {
-	free, releasing := Sub(p.workers[w].free, p.workers[w].owed), p.workers[w].releasing
+	free, releasing := Sub(p.workers[w].free, p.workers[w].heldInUse), p.workers[w].releasing
 	if !late {
 		free, releasing = Add(free, releasing), batch.Need{}
 	}
@@ -254,7 +254,7 @@
 
 // freeAt returns the expected free capacity of a worker at a time.
 func (p *planner) freeAt(w int, at time.Time) batch.Need {
-	free := Sub(Add(p.workers[w].free, p.workers[w].releasing), p.workers[w].owed)
+	free := Sub(Add(p.workers[w].free, p.workers[w].releasing), p.workers[w].heldInUse)
 	for _, release := range p.Workers[w].Releases {
 		if !release.At.After(at) {
 			free = Add(free, release.Need)
--- a/internal/placement/guarantee.go
+++ b/internal/placement/guarantee.go
@@ -103,12 +103,23 @@
 	return 0
 }
 
-// evictionRounds returns for which rounds of evictions a demand is considered: without
-// reclaim, which leaves work of priority 0 alone, and with it, if a guarantee covers the demand
-// and others borrow.
-func (p *planner) evictionRounds(demand *Demand) []bool {
-	if p.covered(demand) && slices.Contains(p.borrowers, true) {
-		return []bool{false, true}
+// evictionRound is what a search of evictions may use.
+type evictionRound struct {
+	reclaims bool // work of priority 0 of borrowers
+	suspects bool // suspect workers
+}
+
+// evictionRounds returns the rounds of evictions for a demand. Work of priority 0 is reclaimed
+// only if a guarantee covers the demand and others borrow. Suspect workers come last, and only
+// when a guarantee would be missed without them.
+func (p *planner) evictionRounds(demand *Demand) []evictionRound {
+	rounds := []evictionRound{{}}
+	reclaims := p.covered(demand) && slices.Contains(p.borrowers, true)
+	if reclaims {
+		rounds = append(rounds, evictionRound{reclaims: true})
+	}
+	if p.guaranteed(demand) && !p.Now.Before(p.evictBy(demand)) {
+		rounds = append(rounds, evictionRound{reclaims: reclaims, suspects: true})
 	}
-	return []bool{false}
+	return rounds
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -200,47 +200,47 @@
 // their positions in the snapshot.
 type planner struct {
 	Snapshot
-	workers        []workerState
-	evicted        []bool       // by group
-	victims        [][]victim   // by worker, in the order of their loss
-	borrowers      []bool       // by group: urgent work beyond the guarantee of its organisation
-	preemptible    []batch.Need // by worker: held by work that is not urgent
-	borrowed       []batch.Need // by worker: held by borrowers
-	uncovered      map[*Demand]bool
-	racks          []rack // the last one is the fleet
-	fleet          int    // position of the fleet in racks
-	rackIndex      map[string]int
-	rackOf         []int    // by worker
-	changes        []uint32 // by rack: changes of its workers
-	reserved       []uint32 // by rack: reservations of its workers
-	workerChanges  []uint32 // by worker
-	shapes         map[shapeKey]*shape
-	ending         [endingLevels + 1][]batch.Need // by level and worker: becomes free soon, see endingLevel
-	anyEnding      bool
-	anyWorn        bool         // a group was evicted maxEvictionsPerTask times
-	totals         []batch.Need // by worker, see totalOf
-	candidates     []victim     // buffer of costOf
-	slotBuffer     []slot       // buffer of slotsOfRack
-	largestGang    int          // tasks of the largest demand that reserves workers
-	sortedReleases [][]Release  // releases of each worker by time, sorted on first use
-	lateReleases   [][]Release  // the same with their late times
-	reservations   int
-	underused      bool          // at most underusedShare is in use
-	placing        int           // demand that is being placed
-	longestWait    time.Duration // until the latest start of any urgent demand
-	awaited        []batch.Need  // by worker: what becomes free within longestWait
-	fleetCapacity  amounts
-	holdings       map[string]*holding // by organisation
-	result         Result
+	workers         []workerState
+	evicted         []bool       // by group
+	victims         [][]victim   // by worker, in the order of their loss
+	borrowers       []bool       // by group: urgent work beyond the guarantee of its organisation
+	preemptible     []batch.Need // by worker: held by work that is not urgent
+	borrowed        []batch.Need // by worker: held by borrowers
+	uncovered       map[*Demand]bool
+	racks           []rack // the last one is the fleet
+	fleet           int    // position of the fleet in racks
+	rackIndex       map[string]int
+	rackOf          []int    // by worker
+	changes         []uint32 // by rack: changes of its workers
+	reserved        []uint32 // by rack: reservations of its workers
+	workerChanges   []uint32 // by worker
+	shapes          map[shapeKey]*shape
+	ending          [endingLevels + 1][]batch.Need // by level and worker: becomes free soon, see endingLevel
+	anyEnding       bool
+	anyEvictedOften bool         // a group was evicted maxEvictionsPerTask times
+	totals          []batch.Need // by worker, see totalOf
+	candidates      []victim     // buffer of costOf
+	slotBuffer      []slot       // buffer of slotsOfRack
+	largestGang     int          // tasks of the largest demand that reserves workers
+	sortedReleases  [][]Release  // releases of each worker by time, sorted on first use
+	lateReleases    [][]Release  // the same with their late times
+	reservations    int
+	underused       bool          // at most underusedShare is in use
+	placing         int           // demand that is being placed
+	longestWait     time.Duration // until the latest start of any urgent demand
+	awaited         []batch.Need  // by worker: what becomes free within longestWait
+	fleetCapacity   amounts
+	holdings        map[string]*holding // by organisation
+	result          Result
 }
 
 // workerState is the remaining capacity of a worker during planning.
 type workerState struct {
 	free      batch.Need
 	releasing batch.Need
-	// owed is capacity that is still in use and that the plan keeps for urgent demands once
+	// heldInUse is capacity that is still in use and that the plan keeps for urgent demands once
 	// it is released.
-	owed batch.Need
+	heldInUse batch.Need
 	// If a gang has reserved the worker, reservedFrom is when the gang is expected
 	// to start. Other work must end before, or fit into spare.
 	reservedFrom time.Time
@@ -308,8 +308,8 @@
 			continue // never evicted
 		}
 		held := p.heldBy(g)
-		worn, ending := p.Groups[g].worn(), p.endingLevel(p.Groups[g].EndsAt)
-		p.anyWorn, p.anyEnding = p.anyWorn || worn, p.anyEnding || ending <= endingLevels
+		worn, ending := p.Groups[g].evictedOften(), p.endingLevel(p.Groups[g].EndsAt)
+		p.anyEvictedOften, p.anyEnding = p.anyEvictedOften || worn, p.anyEnding || ending <= endingLevels
 		for _, task := range p.Groups[g].Tasks {
 			held[task.Worker] = Add(held[task.Worker], task.Need)
 			victims := p.victims[task.Worker]
@@ -371,9 +371,10 @@
 const missedBand = 1 << 16
 
 // band returns the rank of a demand: its priority, plus missedBand if it can no
-// longer meet its objective. Demands of priority 0 always keep their rank.
+// longer meet its objective. Demands of priority 0 and persistent tasks
+// always keep their rank: the objective of a persistent job is soon past.
 func (p *planner) band(d *Demand) int {
-	if d.Priority > 0 && p.Now.Add(d.CriticalPath).After(d.Objective) {
+	if d.Priority > 0 && !d.Step.Persistent && p.Now.Add(d.CriticalPath).After(d.Objective) {
 		return missedBand + d.Priority
 	}
 	return d.Priority
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -48,7 +48,7 @@
 	return cost
 }
 
-func (g *EvictionGroup) worn() bool { return g.Evictions >= maxEvictionsPerTask }
+func (g *EvictionGroup) evictedOften() bool { return g.Evictions >= maxEvictionsPerTask }
 
 // late returns the time by which the run has ended in nine of ten cases.
 func (r *Release) late() time.Time {
@@ -168,6 +168,10 @@
 func (p *planner) preemptForTasks(d, missing int) {
 	demand := &p.Demands[d]
 	if !p.mayEvict(demand) {
+		if p.reservations >= maxReservations {
+			return
+		}
+		p.reservations++
 		for _, reserved := range p.slots(p.shapeOf(demand, false), p.fleet, missing, false) {
 			p.reserveWorker(demand, reserved.worker, p.Now.Add(reserved.after))
 		}
@@ -201,7 +205,7 @@
 			if next.after > limit {
 				break
 			}
-			if !p.Workers[next.worker].Suspect && p.sharable(next.worker, demand) {
+			if !p.Workers[next.worker].Suspect && !p.workers[next.worker].onTrial && p.sharable(next.worker, demand) {
 				timely = append(timely, next)
 			}
 		}
@@ -217,7 +221,7 @@
 func (p *planner) mayHoldInTime(s *shape, rack, n int) bool {
 	for _, w := range s.workers[rack] {
 		state := &p.workers[w]
-		if n -= tasksThatFit(Add(Sub(Add(state.free, state.releasing), state.owed), p.awaited[w]), s.need, n); n <= 0 {
+		if n -= tasksThatFit(Add(Sub(Add(state.free, state.releasing), state.heldInUse), p.awaited[w]), s.need, n); n <= 0 {
 			return true
 		}
 	}
@@ -249,7 +253,7 @@
 	state := &p.workers[w]
 	state.releasing, need = draw(state.releasing, need)
 	state.free, need = draw(state.free, need)
-	state.owed = Add(state.owed, need)
+	state.heldInUse = Add(state.heldInUse, need)
 	p.touch(w)
 }
 
--- a/internal/placement/shape.go
+++ b/internal/placement/shape.go
@@ -15,12 +15,13 @@
 
 // shapeKey identifies demands to which all workers look alike.
 type shapeKey struct {
-	service, label string
-	need           batch.Need
-	isolated       bool
-	reclaims       bool // may evict borrowers
-	ending         int  // level up to which runs end soon enough that they are not evicted, see endingLevel
-	sparesWorn     bool // leaves groups alone that were evicted too often
+	service, label     string
+	need               batch.Need
+	isolated           bool
+	reclaims           bool // may evict borrowers
+	suspects           bool // may evict on suspect workers
+	ending             int  // level up to which runs end soon enough that they are not evicted, see endingLevel
+	sparesEvictedOften bool // leaves groups alone that were evicted too often
 	// limited is set for steps that limit their tasks on a worker.
 	limited StepKey
 }
@@ -107,13 +108,14 @@
 
 // evictionShape returns the shape of a demand for the search of evictions. All but the searches
 // and their costs is that of shapeOf.
-func (p *planner) evictionShape(demand *Demand, reclaims bool) *shape {
-	base := p.shapeOf(demand, reclaims)
+func (p *planner) evictionShape(demand *Demand, round evictionRound) *shape {
+	base := p.shapeOf(demand, round.reclaims)
 	key := base.key
+	key.suspects = round.suspects
 	if p.anyEnding {
 		key.ending = p.awaitedLevel(demand)
 	}
-	key.sparesWorn = p.anyWorn && !p.guaranteed(demand)
+	key.sparesEvictedOften = p.anyEvictedOften && !p.guaranteed(demand)
 	if key == base.key {
 		return base
 	}
--- a/internal/placement/speed.go
+++ b/internal/placement/speed.go
@@ -8,8 +8,9 @@
 	slowSpeed = 0.7
 	// slowRunTimeFactor is how many times as long a task takes on a slow worker.
 	slowRunTimeFactor = 2
-	// speedPenalty exceeds the leftover of any real worker and is far below suspectPenalty.
-	speedPenalty = 1e6
+	// slowWorkerPenalty, in cores, exceeds the leftover of any real worker and is far below
+	// suspectPenalty.
+	slowWorkerPenalty = 1e6
 )
 
 // slow reports whether tasks take much longer on a worker than elsewhere.
@@ -22,7 +23,7 @@
 	if p.Workers[w].slow() == demand.toleratesSlow(p.Now) {
 		return 0
 	}
-	return speedPenalty
+	return slowWorkerPenalty
 }
 
 // toleratesSlow reports whether the demand meets its objective on slow workers if it starts now.
--- a/internal/workerhealth/apply.go
+++ b/internal/workerhealth/apply.go
@@ -60,6 +60,7 @@
 		return
 	}
 	wanted := map[demandShape]int{}
+	var shapes []demandShape // in the order of their first demand, so that the result is the same each time
 	for i := range demands {
 		d := &demands[i]
 		key := demandShape{service: d.Service, label: d.Step.Label, need: placement.ChargedNeed(d.Step), perWorker: d.Step.MaxPerWorker}
@@ -67,9 +68,13 @@
 		if d.Step.Gang {
 			tasks = len(d.Tasks)
 		}
+		if _, known := wanted[key]; !known {
+			shapes = append(shapes, key)
+		}
 		wanted[key] = max(wanted[key], tasks)
 	}
-	for key, tasks := range wanted {
+	for _, key := range shapes {
+		tasks := wanted[key]
 		var restricted []int
 		for i := range workers {
 			if tasks <= 0 {
