Remove the choice of workers by speed

Forecasts still use the speeds. A test of evictions also resets the forecast that is kept for 250 ms.

--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -269,8 +269,8 @@
 func (t *term) placementWorker(out *placement.Worker, w *workerState, now time.Time, releases []placement.Release) []placement.Release {
 	*out = placement.Worker{
 		ID: w.info.ID, Service: w.info.Service, Zone: w.info.Zone, Rack: w.info.Rack, Labels: w.info.Labels,
-		Schedulable: t.available(w), Speed: t.forecasts.model.Speed(w.info.ID),
-		Free: w.info.Capacity, Occupied: len(w.runs) > 0,
+		Schedulable: t.available(w),
+		Free:        w.info.Capacity, Occupied: len(w.runs) > 0,
 	}
 	first := len(releases)
 	for _, r := range w.runs {
--- a/internal/dispatch/preempt_test.go
+++ b/internal/dispatch/preempt_test.go
@@ -89,6 +89,7 @@
 	g.Expect(j.evictions).To(gomega.HaveLen(1))
 	for _, r := range j.runs {
 		r.startedAt = time.Now().Add(-1500 * time.Millisecond)
+		r.timing.forecastAt = time.Time{} // the forecast of the earlier start is kept for a while
 	}
 	for _, group := range groups() {
 		g.Expect(group.MissesObjective).To(gomega.BeTrue(), "it ends in 0.5 s, or 2.5 s after an eviction, and its objective leaves 1.75 s for this step")
--- a/internal/placement/fit.go
+++ b/internal/placement/fit.go
@@ -74,7 +74,7 @@
 // score rates a worker for one task; the lowest is the best.
 func (p *planner) score(w int, demand *Demand) float64 {
 	worker := &p.Workers[w]
-	score := leftover(p.workers[w].free, demand.Step.Need) + p.speedPenalty(w, demand)
+	score := leftover(p.workers[w].free, demand.Step.Need)
 	if worker.Suspect || worker.OnTrial && (demand.Priority == 0 || demand.Step.Gang) {
 		score += suspectPenalty
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -45,9 +45,6 @@
 	Suspect bool
 	// OnTrial workers get one task at a time until it shows whether they work.
 	OnTrial bool
-	// Speed is how fast tasks run here compared with the typical worker. Zero means that it is
-	// not known, and counts as 1.
-	Speed float64
 	// Occupied workers have runs, also such that are being stopped.
 	Occupied bool
 	// Isolated workers are for the time being left to the task that runs there.
