--- a/internal/workerhealth/workerhealth.go
+++ b/internal/workerhealth/workerhealth.go
@@ -71,10 +71,10 @@
 	quarantineScore = 2.5
 	// suspectScore is exceeded for 5 s after one failure.
 	suspectScore = 0.7
-	// trialScore takes a worker on trial back into quarantine, and relapseScore one that had
+	// trialScore takes a worker on trial back into quarantine, and secondTrialScore one that had
 	// one successful trial.
-	trialScore   = 0.9
-	relapseScore = 1.2
+	trialScore       = 0.9
+	secondTrialScore = 1.2
 	// successWeight is what a success takes from the oldest evidence. It is less than the
 	// weight of a failure, because many faulty workers complete some of their tasks.
 	successWeight = 0.25
@@ -86,9 +86,9 @@
 	maxTasks = 4096
 	// taskRetention is how long the failures of a task are known.
 	taskRetention = 2 * time.Minute
-	// workersToBlameTask is the number of workers, not faulty for other reasons, on which a
+	// minWorkersOfFaultyTask is the number of workers, not faulty for other reasons, on which a
 	// task has to fail for its failures to count against the task.
-	workersToBlameTask = 2
+	minWorkersOfFaultyTask = 2
 )
 
 // Config holds the limits of a tracker. Zero values mean the defaults.
@@ -134,9 +134,9 @@
 // Item is evidence that counts against a worker.
 type Item struct {
 	Evidence
-	At      time.Time
-	weight  float64
-	excused bool // the task explains the failure
+	At         time.Time
+	weight     float64
+	attributed bool // the task explains the failure
 }
 
 type worker struct {
@@ -147,15 +147,15 @@
 	times       int       // quarantines, for the time of the next one
 	easedAt     time.Time // when times was last changed
 	items       []Item
-	probation   bool // had one successful trial
+	passedTrial bool // had one successful trial
 }
 
 // failures are the workers on which different runs of a task have failed.
 type failures struct {
-	workers []string
-	run     int64 // the last one
-	last    time.Time
-	blamed  bool // the task explains its failures
+	workers    []string
+	run        int64 // the last one
+	last       time.Time
+	faultyTask bool // the task explains its failures
 }
 
 // Tracker holds the evidence of the workers. New returns one.
@@ -186,7 +186,7 @@
 // ignored, except for the tasks that have failed there.
 func (t *Tracker) Note(id string, incarnation int64, e Evidence, now time.Time) {
 	if e.Kind == Success || e.Kind == Slow {
-		t.exonerate(e.Task, now)
+		t.restoreFailures(e.Task, now)
 	}
 	w := t.workers[id]
 	if w == nil {
@@ -232,7 +232,7 @@
 func (w *worker) score(now time.Time, persistent bool, except string) float64 {
 	sum := 0.0
 	for _, i := range w.items {
-		if !i.excused && (persistent || !i.Persistent) && (except == "" || i.Task != except) {
+		if !i.attributed && (persistent || !i.Persistent) && (except == "" || i.Task != except) {
 			sum += i.at(now)
 		}
 	}
@@ -256,14 +256,14 @@
 	if (len(f.workers) == 0 || e.Run != f.run) && !slices.Contains(f.workers, id) && len(f.workers) < maxEvidence {
 		f.workers, f.run = append(f.workers, id), e.Run
 	}
-	sound := 0
+	otherwiseHealthy := 0
 	for _, failedOn := range f.workers {
-		if w := t.workers[failedOn]; w == nil || w.state < OnTrial && w.score(now, true, e.Task) < relapseScore {
-			sound++
+		if w := t.workers[failedOn]; w == nil || w.state < OnTrial && w.score(now, true, e.Task) < secondTrialScore {
+			otherwiseHealthy++
 		}
 	}
-	if f.blamed || sound >= workersToBlameTask {
-		f.blamed = true
+	if f.faultyTask || otherwiseHealthy >= minWorkersOfFaultyTask {
+		f.faultyTask = true
 		t.Refund(e.Task, now)
 	}
 }
@@ -290,7 +290,7 @@
 // rest of the evidence does not justify ends.
 func (t *Tracker) Refund(task string, now time.Time) {
 	for id, w := range t.workers {
-		if !w.excuse(task, true) {
+		if !w.setAttributed(task, true) {
 			continue
 		}
 		if w.state == Quarantined && w.times == 1 && w.score(now, false, "") < quarantineScore {
@@ -301,29 +301,29 @@
 	}
 }
 
-// exonerate makes the failures of a task count against the workers again: it has succeeded
+// restoreFailures makes the failures of a task count against the workers again: it has succeeded
 // elsewhere.
-func (t *Tracker) exonerate(task string, now time.Time) {
+func (t *Tracker) restoreFailures(task string, now time.Time) {
 	f := t.tasks[task]
 	if f == nil {
 		return
 	}
 	delete(t.tasks, task)
-	if !f.blamed {
+	if !f.faultyTask {
 		return
 	}
 	for id, w := range t.workers {
-		if w.excuse(task, false) {
+		if w.setAttributed(task, false) {
 			t.evaluate(id, w, now)
 		}
 	}
 }
 
-// excuse sets whether the failures of a task are excused, and reports whether any changed.
-func (w *worker) excuse(task string, excused bool) (changed bool) {
+// setAttributed sets whether the failures of a task are attributed to the task, and reports whether any changed.
+func (w *worker) setAttributed(task string, attributed bool) (changed bool) {
 	for i := range w.items {
-		if item := &w.items[i]; item.Task == task && item.excused != excused {
-			item.excused, changed = excused, true
+		if item := &w.items[i]; item.Task == task && item.attributed != attributed {
+			item.attributed, changed = attributed, true
 		}
 	}
 	return changed
@@ -344,10 +344,10 @@
 	}
 	switch {
 	case w.state == OnTrial:
-		w.probation = true
+		w.passedTrial = true
 		t.set(id, w, Suspect, now)
-	case w.probation:
-		w.probation, w.items = false, nil
+	case w.passedTrial:
+		w.passedTrial, w.items = false, nil
 		t.set(id, w, Healthy, now)
 	default:
 		t.evaluate(id, w, now)
@@ -364,19 +364,19 @@
 			w.items = nil
 			t.set(id, w, OnTrial, now)
 		}
-	case score >= quarantineScore, w.state == OnTrial && score >= trialScore, w.probation && score >= relapseScore:
+	case score >= quarantineScore, w.state == OnTrial && score >= trialScore, w.passedTrial && score >= secondTrialScore:
 		w.times++
 		w.easedAt = now
 		w.until = now.Add(min(t.cfg.MaxQuarantine, t.cfg.MinQuarantine<<min(w.times-1, 8)))
-		w.probation = false
+		w.passedTrial = false
 		t.set(id, w, Quarantined, now)
 	case w.state == OnTrial:
 		if now.Sub(w.since) >= t.cfg.IdleTrial {
 			t.set(id, w, Suspect, now)
 		}
-	case w.probation:
+	case w.passedTrial:
 		if now.Sub(w.since) >= t.cfg.IdleTrial {
-			w.probation = false
+			w.passedTrial = false
 			t.set(id, w, Healthy, now)
 		}
 	case w.score(now, true, "") >= suspectScore:
