--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -102,7 +102,7 @@
 		authenticator: authenticator{view: config.View, operatorHash: config.OperatorTokenHash},
 	}
 	s.callers.guard = s.newGuard("callers", orDefault(config.MaxConnections, defaultMaxConnections), orDefault(config.BodyMemoryBytes, defaultBodyMemoryBytes))
-	s.operators.guard = s.newGuard("operators", ingress.SmallListener, operatorBodyMemoryBytes)
+	s.operators.guard = s.newGuard("operators", ingress.SmallListenerConnections, operatorBodyMemoryBytes)
 	s.callers.server = s.httpServer(s.callerHandler(), s.callers.guard)
 	s.operators.server = s.httpServer(s.operatorHandler(), s.operators.guard)
 	return s
--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -9,24 +9,31 @@
 )
 
 const (
-	// firstPiece and largestPiece are the sizes of the pieces of a body. A piece is charged
-	// before it is allocated, so a connection that sends nothing holds firstPiece.
-	firstPiece   = 2 << 10
-	largestPiece = 64 << 10
-	// minRate is the least rate of a body in bytes per second, from rateGrace on.
-	minRate   = 1 << 10
-	rateGrace = time.Second
+	// firstPieceBytes and largestPieceBytes are the sizes of the pieces of a body. A piece is charged
+	// before it is allocated, so a connection that sends nothing holds firstPieceBytes.
+	firstPieceBytes   = 2 << 10
+	largestPieceBytes = 64 << 10
+	// minRateBytesPerSecond is the least rate of a body in bytes per second, from rateGrace on.
+	minRateBytesPerSecond = 1 << 10
+	rateGrace             = time.Second
 	// deadlineStep is the least change of a read deadline, which costs a system call or a
 	// change of a timer.
 	deadlineStep = 50 * time.Millisecond
 )
 
-// Reasons in the metrics.
+// Names of counters, and their reasons.
 const (
-	reasonLate     = "late"
-	reasonTooLarge = "too_large"
-	reasonSource   = "source"
-	reasonBudget   = "budget"
+	actionRefused = "refused"
+	actionClosed  = "closed"
+
+	reasonLate        = "late"
+	reasonTooLarge    = "too_large"
+	reasonSource      = "source"
+	reasonBudget      = "budget"
+	reasonConnections = "connections"
+	reasonHeaders     = "headers"
+	reasonRequests    = "requests"
+	reasonDecodings   = "decodings"
 )
 
 // Body describes the body that a handler expects.
@@ -52,7 +59,7 @@
 		body.Time = g.limits.BodyTime
 	}
 	g.mu.Lock()
-	g.budget.Allow(body.Max)
+	g.budget.RaiseTo(body.Max)
 	c.source, c.evicted = body.Source, nil
 	g.setPhaseLocked(c, PhaseReceiving)
 	g.mu.Unlock()
@@ -60,7 +67,7 @@
 	if err != nil {
 		return nil, g.refuse(w, r, err)
 	}
-	if err := g.accept(c, size); err != nil {
+	if err := g.finishBody(c, size); err != nil {
 		return nil, g.refuse(w, r, err)
 	}
 	whole := make([]byte, 0, size)
@@ -87,7 +94,7 @@
 func (g *Guard) receive(c *conn, r io.Reader, body Body) (pieces [][]byte, size int64, err error) {
 	start := g.now()
 	var deadline time.Time
-	next := int64(firstPiece)
+	next := int64(firstPieceBytes)
 	for {
 		last := len(pieces) - 1
 		if last < 0 || len(pieces[last]) == cap(pieces[last]) {
@@ -96,7 +103,7 @@
 				return nil, 0, err
 			}
 			pieces = append(pieces, make([]byte, 0, length))
-			last, next = last+1, min(2*next, largestPiece)
+			last, next = last+1, min(2*next, largestPieceBytes)
 		}
 		if d := readDeadline(start, size, body.Time); d.Sub(deadline) >= deadlineStep {
 			if err := g.extend(c, d); err != nil {
@@ -124,7 +131,7 @@
 
 // readDeadline returns when a body must have more than the bytes so far.
 func readDeadline(start time.Time, size int64, limit time.Duration) time.Time {
-	byRate := rateGrace + time.Duration(size)*time.Second/minRate
+	byRate := rateGrace + time.Duration(size)*time.Second/minRateBytesPerSecond
 	return start.Add(min(limit, byRate))
 }
 
@@ -132,7 +139,7 @@
 func (g *Guard) extend(c *conn, deadline time.Time) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if err := c.givenUp(); err != nil {
+	if err := c.giveUpError(); err != nil {
 		return err
 	}
 	c.info.Progress = g.now()
@@ -144,7 +151,7 @@
 func (g *Guard) lateError(c *conn) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if err := c.givenUp(); err != nil {
+	if err := c.giveUpError(); err != nil {
 		return err
 	}
 	return ErrTooSlow
@@ -156,7 +163,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for {
-		if err := c.givenUp(); err != nil {
+		if err := c.giveUpError(); err != nil {
 			return err
 		}
 		err := g.budget.Charge(c.source, n)
@@ -172,18 +179,18 @@
 		if victim == nil || victim == c {
 			return err
 		}
-		g.noteLocked("closed", reasonOf(err))
+		g.noteLocked(actionClosed, reasonOf(err))
 		victim.evicted = err
 		g.releaseLocked(victim)
 		g.setReadDeadline(victim, past)
 	}
 }
 
-// accept ends the arrival of a body, unless it was given up.
-func (g *Guard) accept(c *conn, size int64) error {
+// finishBody ends the arrival of a body, unless it was given up.
+func (g *Guard) finishBody(c *conn, size int64) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if err := c.givenUp(); err != nil {
+	if err := c.giveUpError(); err != nil {
 		return err
 	}
 	g.budget.Release(c.source, c.info.Held-size)
@@ -200,7 +207,7 @@
 func (g *Guard) refuse(w http.ResponseWriter, r *http.Request, err error) error {
 	g.mu.Lock()
 	if !errors.Is(err, ErrIncomplete) {
-		g.noteLocked("refused", reasonOf(err))
+		g.noteLocked(actionRefused, reasonOf(err))
 	}
 	g.mu.Unlock()
 	g.Abandon(w, r)
--- a/internal/ingress/budget.go
+++ b/internal/ingress/budget.go
@@ -14,9 +14,9 @@
 	return &Budget{limit: limit, sourceLimit: sourceLimit, sources: map[string]int64{}}
 }
 
-// Allow raises the limits to hold bodies of up to maxBody bytes: minBodies of them in total,
+// RaiseTo raises the limits to hold bodies of up to maxBody bytes: minBodies of them in total,
 // one of a source. A lower limit would refuse a single request without any load.
-func (b *Budget) Allow(maxBody int64) {
+func (b *Budget) RaiseTo(maxBody int64) {
 	b.limit, b.sourceLimit = max(b.limit, minBodies*(maxBody+1)), max(b.sourceLimit, maxBody+1)
 }
 
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -7,15 +7,15 @@
 	"github.com/rotisserie/eris"
 )
 
-// writePiece is the part of an answer that a client must read within Limits.WriteTime, so
+// writeWindowBytes is the part of an answer that a client must read within Limits.WriteTime, so
 // that a large answer may take longer than a small one.
-const writePiece = 64 << 10
+const writeWindowBytes = 64 << 10
 
 // conn is a connection of a client. Its state is protected by the lock of the guard.
 type conn struct {
 	net.Conn
 	guard *Guard
-	info  Conn
+	info  ConnInfo
 	// source is charged for info.Held and for body.
 	source string
 	body   int64 // bytes of the body of the request that is being carried out
@@ -26,8 +26,8 @@
 	evicted error
 }
 
-// givenUp returns an error if the body must not be kept. The caller holds the lock.
-func (c *conn) givenUp() error {
+// giveUpError returns an error if the body must not be kept. The caller holds the lock.
+func (c *conn) giveUpError() error {
 	if c.closed {
 		return ErrExhausted
 	}
@@ -37,7 +37,7 @@
 // Read charges the bytes of headers. Those of bodies are charged by ReadBody.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n > 0 && !c.guard.chargeHeader(c, int64(n)) {
+	if n > 0 && !c.guard.noteRead(c, int64(n)) {
 		return 0, net.ErrClosed
 	}
 	return n, err
@@ -47,7 +47,7 @@
 func (c *conn) Write(data []byte) (int, error) {
 	written := 0
 	for {
-		piece := data[written:min(len(data), written+writePiece)]
+		piece := data[written:min(len(data), written+writeWindowBytes)]
 		if err := c.SetWriteDeadline(c.guard.now().Add(c.guard.limits.WriteTime)); err != nil {
 			return written, err
 		}
--- a/internal/ingress/decisions_test.go
+++ b/internal/ingress/decisions_test.go
@@ -13,13 +13,13 @@
 var now = time.Unix(1000, 0)
 
 // at returns a connection whose phase began age ago and that got its last bytes stalled ago.
-func at(phase ingress.Phase, held int64, age, stalled time.Duration) ingress.Conn {
-	return ingress.Conn{Phase: phase, Held: held, Since: now.Add(-age), Progress: now.Add(-stalled)}
+func at(phase ingress.Phase, held int64, age, stalled time.Duration) ingress.ConnInfo {
+	return ingress.ConnInfo{Phase: phase, Held: held, Since: now.Add(-age), Progress: now.Add(-stalled)}
 }
 
 // Guards against a limit that closes well-behaved clients instead of those that cause it.
-var _ = DescribeTable("Victim", func(want int, conns ...ingress.Conn) {
-	got, found := ingress.Victim(conns, now)
+var _ = DescribeTable("SelectVictim", func(want int, conns ...ingress.ConnInfo) {
+	got, found := ingress.SelectVictim(conns, now)
 	Expect(found).To(Equal(want >= 0))
 	if found {
 		Expect(got).To(Equal(want))
@@ -28,14 +28,14 @@
 	Entry("has none without connections", -1),
 	Entry("is never a request that is carried out", -1, at(ingress.PhaseBusy, 1<<20, time.Hour, time.Hour)),
 	Entry("is not a body that has just begun", -1, at(ingress.PhaseReceiving, 1<<20, 100*time.Millisecond, 100*time.Millisecond)),
-	Entry("is not a connection that has just been opened", -1, at(ingress.PhaseNew, 0, 100*time.Millisecond, 100*time.Millisecond)),
+	Entry("is not a connection that has just been opened", -1, at(ingress.PhaseHeader, 0, 100*time.Millisecond, 100*time.Millisecond)),
 	Entry("is an idle connection before a body", 1, at(ingress.PhaseReceiving, 1<<20, time.Minute, time.Minute), at(ingress.PhaseIdle, 0, time.Millisecond, time.Millisecond)),
 	Entry("is a refused request before a body", 1, at(ingress.PhaseReceiving, 1<<20, time.Minute, time.Minute), at(ingress.PhaseRefused, 0, time.Millisecond, 0)),
 	Entry("is the longest idle connection", 1, at(ingress.PhaseIdle, 0, time.Second, time.Second), at(ingress.PhaseIdle, 0, time.Minute, time.Minute)),
 	Entry("is the body that holds most", 0, at(ingress.PhaseReceiving, 1<<20, time.Second, 0), at(ingress.PhaseReceiving, 1<<10, time.Second, 0)),
 	Entry("is the body that has taken longest", 1, at(ingress.PhaseReceiving, 1<<10, time.Second, 0), at(ingress.PhaseReceiving, 1<<10, 2*time.Second, 0)),
 	Entry("is the body without progress", 1, at(ingress.PhaseReceiving, 1<<10, 2*time.Second, 0), at(ingress.PhaseReceiving, 1<<10, 2*time.Second, time.Second)),
-	Entry("is a header that does not arrive", 0, at(ingress.PhaseNew, 0, time.Second, time.Second), at(ingress.PhaseBusy, 0, time.Minute, time.Minute)),
+	Entry("is a header that does not arrive", 0, at(ingress.PhaseHeader, 0, time.Second, time.Second), at(ingress.PhaseBusy, 0, time.Minute, time.Minute)),
 )
 
 var _ = Describe("Budget", func() {
@@ -64,7 +64,7 @@
 	// Guards against a configured size of bodies that does not fit into the budget.
 	It("always holds one body of the largest size", func() {
 		b := ingress.NewBudget(10, 5)
-		b.Allow(1000)
+		b.RaiseTo(1000)
 		Expect(b.Charge("a", 1001)).To(Succeed())
 		Expect(b.Charge("b", 1001)).To(Succeed())
 	})
--- a/internal/ingress/guard.go
+++ b/internal/ingress/guard.go
@@ -35,7 +35,7 @@
 	mu        sync.Mutex
 	budget    *Budget
 	headers   int64 // memory of headers
-	requests  int   // admitted by Enter
+	requests  int   // admitted by AdmitStoreRequest
 	conns     map[*conn]struct{}
 	pressure  bool
 	lastEvent time.Time      // when something was last refused or closed
@@ -46,7 +46,7 @@
 func New(limits Limits, clock func() time.Time, log *zap.Logger, scope tally.Scope) *Guard {
 	return &Guard{
 		limits: limits.withDefaults(), now: clock, log: telemetry.Named(telemetry.LoggerOrNop(log), "ingress"),
-		scope: telemetry.ScopeOrNoop(scope).SubScope("ingress"), slots: make(chan struct{}, decodings),
+		scope: telemetry.ScopeOrNoop(scope).SubScope("ingress"), slots: make(chan struct{}, maxDecodings),
 		budget: NewBudget(limits.BodyBytes, limits.SourceBytes), conns: map[*conn]struct{}{}, events: map[string]int{},
 	}
 }
@@ -87,15 +87,15 @@
 	var victim *conn
 	if len(g.conns) >= g.limits.Connections {
 		if victim = g.victim(func(*conn) bool { return true }); victim == nil {
-			g.noteLocked("refused", "connections")
+			g.noteLocked(actionRefused, reasonConnections)
 			g.mu.Unlock()
 			return nil, false
 		}
-		g.noteLocked("closed", "connections")
+		g.noteLocked(actionClosed, reasonConnections)
 		g.removeLocked(victim)
 	}
 	now := g.now()
-	c := &conn{Conn: inner, guard: g, info: Conn{Phase: PhaseNew, Since: now, Progress: now}}
+	c := &conn{Conn: inner, guard: g, info: ConnInfo{Phase: PhaseHeader, Since: now, Progress: now}}
 	g.conns[c] = struct{}{}
 	g.gaugesLocked()
 	g.mu.Unlock()
@@ -108,7 +108,7 @@
 // victim returns the connection to close among those that the filter accepts, or nil. The
 // caller holds the lock.
 func (g *Guard) victim(accepts func(*conn) bool) *conn {
-	candidates, infos := make([]*conn, 0, len(g.conns)), make([]Conn, 0, len(g.conns))
+	candidates, infos := make([]*conn, 0, len(g.conns)), make([]ConnInfo, 0, len(g.conns))
 	for c := range g.conns {
 		if accepts(c) {
 			info := c.info
@@ -116,7 +116,7 @@
 			candidates, infos = append(candidates, c), append(infos, info)
 		}
 	}
-	if i, ok := Victim(infos, g.now()); ok {
+	if i, ok := SelectVictim(infos, g.now()); ok {
 		return candidates[i]
 	}
 	return nil
@@ -150,16 +150,16 @@
 	c.header = 0
 }
 
-// chargeHeader charges n bytes that have arrived, unless they belong to a body. If the limit
+// noteRead charges n bytes that have arrived, unless they belong to a body. If the limit
 // does not allow them, it closes other connections, or else this one and returns false.
-func (g *Guard) chargeHeader(c *conn, n int64) bool {
+func (g *Guard) noteRead(c *conn, n int64) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if c.info.Phase != PhaseNew && c.info.Phase != PhaseIdle {
+	if c.info.Phase != PhaseHeader && c.info.Phase != PhaseIdle {
 		return true
 	}
 	c.info.Progress = g.now()
-	n *= headerExpansion
+	n *= headerMemoryFactor
 	for !c.closed {
 		if g.headers+n <= g.limits.HeaderBytes {
 			g.headers += n
@@ -168,25 +168,25 @@
 			return true
 		}
 		victim := g.victim(func(other *conn) bool {
-			return other != c && other.header > 0 && (other.info.Phase == PhaseNew || other.info.Phase == PhaseIdle)
+			return other != c && other.header > 0 && (other.info.Phase == PhaseHeader || other.info.Phase == PhaseIdle)
 		})
 		if victim == nil {
 			victim = c
 		}
-		g.noteLocked("closed", "headers")
+		g.noteLocked(actionClosed, reasonHeaders)
 		g.removeLocked(victim)
 		victim.Conn.Close()
 	}
 	return false
 }
 
-// Enter admits a request that uses the store. It returns a function to call at its end, or
-// an error if too many are being carried out.
-func (g *Guard) Enter() (leave func(), err error) {
+// AdmitStoreRequest admits a request that uses the store. It returns a function to call at
+// its end, or an error if too many are being carried out.
+func (g *Guard) AdmitStoreRequest() (leave func(), err error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.requests >= g.limits.Requests {
-		g.noteLocked("refused", "requests")
+		g.noteLocked(actionRefused, reasonRequests)
 		return nil, ErrRequests
 	}
 	g.requests++
@@ -328,7 +328,7 @@
 	case g.slots <- struct{}{}:
 	case <-ctx.Done():
 		g.mu.Lock()
-		g.noteLocked("refused", "decodings")
+		g.noteLocked(actionRefused, reasonDecodings)
 		g.mu.Unlock()
 		return ErrExhausted
 	}
--- a/internal/ingress/guard_test.go
+++ b/internal/ingress/guard_test.go
@@ -227,12 +227,12 @@
 
 	It("admits a limited number of requests to the store", func() {
 		guard := ingress.New(ingress.Limits{Connections: 2, BodyBytes: 1000, SourceBytes: 1000}, time.Now, nil, nil)
-		leave, err := guard.Enter()
+		leave, err := guard.AdmitStoreRequest()
 		Expect(err).NotTo(HaveOccurred())
-		_, err = guard.Enter()
+		_, err = guard.AdmitStoreRequest()
 		Expect(ingress.Status(err)).To(Equal(http.StatusServiceUnavailable))
 		leave()
-		_, err = guard.Enter()
+		_, err = guard.AdmitStoreRequest()
 		Expect(err).NotTo(HaveOccurred())
 	})
 
--- a/internal/ingress/limits.go
+++ b/internal/ingress/limits.go
@@ -1,5 +1,5 @@
 // Package ingress bounds the memory and the connections that clients outside our control
-// can take from a daemon. The decisions (Budget, Victim, CheckJSON) are free of I/O; Guard
+// can take from a daemon. The decisions (Budget, SelectVictim, CheckJSON) are free of I/O; Guard
 // applies them to an HTTP server.
 package ingress
 
@@ -13,34 +13,34 @@
 	// connectionBytes is the memory of a connection without a body: two buffers of 4 KB and
 	// the stack of its goroutine, with room for the header and the answer.
 	connectionBytes = 32 << 10
-	// memoryShare is the divisor of the machine's memory for bodies, and again for
+	// memoryDivisor is the divisor of the machine's memory for bodies, and again for
 	// connections. The rest is for the daemon's own work and for the collector.
-	memoryShare = 8
+	memoryDivisor = 8
 	// minBodies is the least number of largest bodies in the budget.
 	minBodies = 4
-	// sourceShare is the divisor of the budget for one source.
-	sourceShare = 4
-	// SmallListener is the number of connections of the listeners for health checks, metrics
+	// sourceDivisor is the divisor of the budget for one source.
+	sourceDivisor = 4
+	// SmallListenerConnections is the number of connections of the listeners for health checks, metrics
 	// and operators. Each has a few clients.
-	SmallListener = 64
+	SmallListenerConnections = 64
 	// smallestMemoryMB is the memory of the smallest machine, assumed if none is configured.
 	smallestMemoryMB = 144
 
 	defaultBodyTime  = 3 * time.Second
 	defaultWriteTime = 10 * time.Second
-	// decodings is the number of bodies that are decoded at the same time. A body of 5 KB is
+	// maxDecodings is the number of bodies that are decoded at the same time. A body of 5 KB is
 	// decoded in less than a millisecond.
-	decodings = 4
-	// headerExpansion is the memory of a parsed header in multiples of its bytes, if it
+	maxDecodings = 4
+	// headerMemoryFactor is the memory of a parsed header in multiples of its bytes, if it
 	// consists of short fields: 16,000 bytes took 300 KB with the garbage of the collector.
-	headerExpansion = 16
-	// headerShare is the divisor of the budget of bodies for headers; minHeaderBytes has room
+	headerMemoryFactor = 16
+	// headerDivisor is the divisor of the budget of bodies for headers; minHeaderBytes has room
 	// for some of the largest headers.
-	headerShare    = 2
+	headerDivisor  = 2
 	minHeaderBytes = 2 << 20
-	// requestShare is the divisor of the connections for requests that are carried out. Each
+	// requestDivisor is the divisor of the connections for requests that are carried out. Each
 	// may open a connection to the store.
-	requestShare = 2
+	requestDivisor = 2
 	// RetryAfter is the delay after which a refused caller may try again.
 	RetryAfter = time.Second
 )
@@ -53,7 +53,7 @@
 	// HeaderBytes is the memory of the headers that arrive or belong to a request; 0 means a
 	// share of BodyBytes.
 	HeaderBytes int64
-	// Requests is the number of requests for which Enter admits; 0 means half of Connections.
+	// Requests is the number of requests that AdmitStoreRequest admits; 0 means half of Connections.
 	Requests int
 	// BodyTime is the time in which a body must arrive if its handler sets none. It applies
 	// to bodies that no handler reads, too.
@@ -68,14 +68,14 @@
 	if memoryMB <= 0 {
 		memoryMB = smallestMemoryMB
 	}
-	share := int64(memoryMB * (1 << 20) / memoryShare)
+	share := int64(memoryMB * (1 << 20) / memoryDivisor)
 	return BodyLimits(min(maxFDs/2, int(share/connectionBytes)), share, maxBody)
 }
 
 // BodyLimits returns limits with a budget of at least minBodies bodies of maxBody bytes.
 func BodyLimits(connections int, budget, maxBody int64) Limits {
 	l := Limits{Connections: max(connections, 1), BodyBytes: max(budget, minBodies*(maxBody+1))}
-	l.SourceBytes = max(l.BodyBytes/sourceShare, maxBody+1)
+	l.SourceBytes = max(l.BodyBytes/sourceDivisor, maxBody+1)
 	return l
 }
 
@@ -87,10 +87,10 @@
 		l.WriteTime = defaultWriteTime
 	}
 	if l.HeaderBytes <= 0 {
-		l.HeaderBytes = max(l.BodyBytes/headerShare, minHeaderBytes)
+		l.HeaderBytes = max(l.BodyBytes/headerDivisor, minHeaderBytes)
 	}
 	if l.Requests <= 0 {
-		l.Requests = max(l.Connections/requestShare, 1)
+		l.Requests = max(l.Connections/requestDivisor, 1)
 	}
 	return l
 }
--- a/internal/ingress/victim.go
+++ b/internal/ingress/victim.go
@@ -6,8 +6,8 @@
 type Phase int
 
 const (
-	// PhaseNew is a connection whose first header has not arrived.
-	PhaseNew Phase = iota
+	// PhaseHeader is a connection whose header has not arrived.
+	PhaseHeader Phase = iota
 	// PhaseIdle is a connection between two requests.
 	PhaseIdle
 	// PhaseReceiving is a connection whose request body is arriving.
@@ -22,18 +22,18 @@
 // request. A well-behaved client sends header and body at once.
 const victimGrace = 500 * time.Millisecond
 
-// Conn describes a connection for Victim.
-type Conn struct {
+// ConnInfo describes a connection for SelectVictim.
+type ConnInfo struct {
 	Phase    Phase
 	Held     int64     // bytes of its body that are in memory
 	Since    time.Time // start of the phase
 	Progress time.Time // when bytes last arrived
 }
 
-// Victim returns the index of the connection to close under pressure. Idle and refused
+// SelectVictim returns the index of the connection to close under pressure. Idle and refused
 // connections come before those with a request in flight. Of these it takes the one that
 // holds most, longest, with least progress. It returns false if none may be closed.
-func Victim(conns []Conn, now time.Time) (int, bool) {
+func SelectVictim(conns []ConnInfo, now time.Time) (int, bool) {
 	best, bestRank, bestCost := -1, 0, 0.0
 	for i, c := range conns {
 		rank := c.rank(now)
@@ -48,11 +48,11 @@
 }
 
 // rank returns 0 if the connection must not be closed; a higher rank is closed first.
-func (c Conn) rank(now time.Time) int {
+func (c ConnInfo) rank(now time.Time) int {
 	switch {
 	case c.Phase == PhaseIdle || c.Phase == PhaseRefused:
 		return 2
-	case (c.Phase == PhaseNew || c.Phase == PhaseReceiving) && now.Sub(c.Since) >= victimGrace:
+	case (c.Phase == PhaseHeader || c.Phase == PhaseReceiving) && now.Sub(c.Since) >= victimGrace:
 		return 1
 	}
 	return 0
@@ -60,7 +60,7 @@
 
 // cost is the memory of the connection times its age. The time without progress counts
 // four times as much as other time.
-func (c Conn) cost(now time.Time) float64 {
+func (c ConnInfo) cost(now time.Time) float64 {
 	age, stalled := now.Sub(c.Since), now.Sub(c.Progress)
 	return float64(c.Held+connectionBytes) * (age + 3*min(stalled, age)).Seconds()
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -221,7 +221,7 @@
 
 // smallGuard returns the guard of a listener with few clients.
 func (n *Node) smallGuard(name string) *ingress.Guard {
-	return ingress.New(ingress.BodyLimits(ingress.SmallListener, smallBodyBytes, 0), time.Now, n.deps.Log.With(zap.String("listener", name)), n.deps.Scope.Tagged(map[string]string{"listener": name}))
+	return ingress.New(ingress.BodyLimits(ingress.SmallListenerConnections, smallBodyBytes, 0), time.Now, n.deps.Log.With(zap.String("listener", name)), n.deps.Scope.Tagged(map[string]string{"listener": name}))
 }
 
 // listen starts to serve on an address. guard may be nil.
