Do not let unread bodies and unread answers hold connections

net/http reads the rest of a body before it sends the answer. A client without a token could keep a connection busy that way for the time of a body, and busy connections are never closed for others. Now only what has arrived is read, and the connection closes after the answer.

A connection whose handler has returned may be closed for others after the time of grace, and the time for 64 KiB of answers is counted over all calls of Write.

The guard tests of stalled bodies and large headers use a clock that the test advances, and check the counters.

--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -194,7 +194,7 @@
 		return err
 	}
 	g.budget.Release(c.source, c.info.Held-size)
-	c.info.Held, c.body = 0, size
+	c.info.Held, c.body, c.received = 0, size, true
 	g.setPhaseLocked(c, PhaseBusy)
 	// The deadline of the body must not end the request: net/http goes on reading to notice
 	// that the client has left.
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"os"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -20,6 +21,13 @@
 	source string
 	body   int64 // bytes of the body of the request that is being carried out
 	header int64 // memory that its header is charged for
+	// received means that the body of its request has been read to its end.
+	received bool
+	// written are the bytes of the present window of writeWindowBytes, and writing is the time
+	// that sending them has taken. They are used only by Write, which net/http calls from one
+	// goroutine at a time.
+	written int
+	writing time.Duration
 	// closed means that the connection was closed; a request on it must not be carried out.
 	closed bool
 	// evicted is set if its body was given up for others: the limit that was reached.
@@ -43,17 +51,27 @@
 	return n, err
 }
 
-// Write writes in pieces, each with a deadline.
+// Write ends with an error if the client takes longer than Limits.WriteTime to accept
+// writeWindowBytes. Time between answers does not count. The window spans calls, so that
+// many small answers have no more time than a large one.
 func (c *conn) Write(data []byte) (int, error) {
-	written := 0
+	sent := 0
 	for {
-		piece := data[written:min(len(data), written+writeWindowBytes)]
-		if err := c.SetWriteDeadline(c.guard.now().Add(c.guard.limits.WriteTime)); err != nil {
-			return written, err
+		left := c.guard.limits.WriteTime - c.writing
+		if left <= 0 {
+			return sent, os.ErrDeadlineExceeded
 		}
-		n, err := c.Conn.Write(piece)
-		if written += n; err != nil || written == len(data) {
-			return written, err
+		start := c.guard.now()
+		if err := c.SetWriteDeadline(start.Add(left)); err != nil {
+			return sent, err
+		}
+		n, err := c.Conn.Write(data[sent:min(len(data), sent+writeWindowBytes-c.written)])
+		sent, c.written, c.writing = sent+n, c.written+n, c.writing+c.guard.now().Sub(start)
+		if c.written == writeWindowBytes {
+			c.written, c.writing = 0, 0
+		}
+		if err != nil || sent == len(data) {
+			return sent, err
 		}
 	}
 }
--- a/internal/ingress/decisions_test.go
+++ b/internal/ingress/decisions_test.go
@@ -27,6 +27,8 @@
 },
 	Entry("has none without connections", -1),
 	Entry("is never a request that is carried out", -1, at(ingress.PhaseBusy, 1<<20, time.Hour, time.Hour)),
+	Entry("is not an answer that has just begun", -1, at(ingress.PhaseAnswering, 0, 100*time.Millisecond, 100*time.Millisecond)),
+	Entry("is an answer that is not read", 1, at(ingress.PhaseBusy, 0, time.Minute, time.Minute), at(ingress.PhaseAnswering, 0, time.Second, time.Second)),
 	Entry("is not a body that has just begun", -1, at(ingress.PhaseReceiving, 1<<20, 100*time.Millisecond, 100*time.Millisecond)),
 	Entry("is not a connection that has just been opened", -1, at(ingress.PhaseHeader, 0, 100*time.Millisecond, 100*time.Millisecond)),
 	Entry("is an idle connection before a body", 1, at(ingress.PhaseReceiving, 1<<20, time.Minute, time.Minute), at(ingress.PhaseIdle, 0, time.Millisecond, time.Millisecond)),
--- a/internal/ingress/guard.go
+++ b/internal/ingress/guard.go
@@ -239,11 +239,17 @@
 			panic(http.ErrAbortHandler) // ends the connection; see http.Handler
 		}
 		defer g.end(c)
-		if r.ContentLength != 0 {
-			// net/http reads up to 256 KB of a body that the handler has not read.
-			g.setReadDeadline(c, g.now().Add(g.limits.BodyTime))
+		if r.ContentLength == 0 {
+			next.ServeHTTP(w, r)
+			return
 		}
+		// net/http reads up to 256 KB of an unread body before it sends the answer. Only what
+		// has arrived with the header is read; ReadBody sets a later deadline.
+		g.setReadDeadline(c, past)
 		next.ServeHTTP(w, r)
+		if !g.receivedBody(c) {
+			g.closeAfterAnswer(c, w)
+		}
 	})
 }
 
@@ -273,19 +279,30 @@
 		c.header = header
 		g.gaugesLocked()
 	}
+	c.received = false
 	g.setPhaseLocked(c, PhaseBusy)
 	return true
 }
 
-// end gives back the bytes of the request.
+// end gives back the bytes of the request, whose answer net/http then sends.
 func (g *Guard) end(c *conn) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.releaseLocked(c)
 	c.evicted = nil
+	if c.info.Phase != PhaseRefused {
+		g.setPhaseLocked(c, PhaseAnswering)
+	}
 	g.gaugesLocked()
 }
 
+// receivedBody reports whether ReadBody has read the body of the request to its end.
+func (g *Guard) receivedBody(c *conn) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return c.received
+}
+
 func (g *Guard) setReadDeadline(c *conn, deadline time.Time) {
 	if err := c.SetReadDeadline(deadline); err != nil {
 		g.log.Debug("Failed to set the read deadline of a connection, which is closed.", zap.Error(err))
@@ -305,6 +322,12 @@
 	g.setPhaseLocked(c, PhaseRefused)
 	g.gaugesLocked()
 	g.mu.Unlock()
+	g.closeAfterAnswer(c, w)
+}
+
+// closeAfterAnswer makes the server close the connection after the answer, without reading
+// the rest of the body.
+func (g *Guard) closeAfterAnswer(c *conn, w http.ResponseWriter) {
 	// MaxBytesReader tells the server that a limit was exceeded. The server then waits a
 	// little before it closes the connection, so that the answer is not lost.
 	_, _ = http.MaxBytesReader(w, &unlimited{}, 0).Read(make([]byte, 1))
--- a/internal/ingress/guard_test.go
+++ b/internal/ingress/guard_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -21,7 +22,7 @@
 )
 
 // testServer is an HTTP server with a guard. POST reads the body, and other methods answer
-// with 64 bytes. The source of a body is the path.
+// with 64 bytes, or 10,000 at /large. The source of a body is the path.
 type testServer struct {
 	address string
 	done    atomic.Int64 // requests that were carried out
@@ -35,11 +36,52 @@
 	waitTime = 10 * time.Second
 )
 
-func serve(limits ingress.Limits) *testServer {
+// testClock stands still until the test advances it. It is an hour ahead, so that no deadline
+// passes during a test.
+type testClock struct{ nanoseconds atomic.Int64 }
+
+func newClock() *testClock {
+	c := &testClock{}
+	c.nanoseconds.Store(time.Now().Add(time.Hour).UnixNano())
+	return c
+}
+
+func (c *testClock) now() time.Time          { return time.Unix(0, c.nanoseconds.Load()) }
+func (c *testClock) advance(d time.Duration) { c.nanoseconds.Add(int64(d)) }
+
+// slowReader is a connection whose client takes a while to accept what is written.
+type slowReader struct {
+	net.Conn
+	clock *testClock
+	delay time.Duration
+}
+
+func (c *slowReader) SetWriteDeadline(time.Time) error { return nil }
+
+func (c *slowReader) Write(p []byte) (int, error) {
+	c.clock.advance(c.delay)
+	return len(p), nil
+}
+
+// oneConnection is a listener with one connection.
+type oneConnection struct {
+	net.Listener
+	conn net.Conn
+}
+
+func (l oneConnection) Accept() (net.Conn, error) { return l.conn, nil }
+
+// pastGrace is longer than the time in which a new connection or request is not closed for
+// others.
+const pastGrace = 600 * time.Millisecond
+
+func serve(limits ingress.Limits) *testServer { return serveAt(limits, time.Now, time.Second) }
+
+func serveAt(limits ingress.Limits, clock func() time.Time, headerTimeout time.Duration) *testServer {
 	core, logs := observer.New(zapcore.InfoLevel)
 	s := &testServer{logs: logs, scope: tally.NewTestScope("", nil), hold: make(chan struct{})}
-	guard := ingress.New(limits, time.Now, zap.New(core), s.scope)
-	server := &http.Server{ReadHeaderTimeout: time.Second, IdleTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	guard := ingress.New(limits, clock, zap.New(core), s.scope)
+	server := &http.Server{ReadHeaderTimeout: headerTimeout, IdleTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Method == http.MethodPost {
 			if _, err := guard.ReadBody(w, r, ingress.Body{Source: r.URL.Path, Max: maxBody}); err != nil {
 				http.Error(w, err.Error(), ingress.Status(err))
@@ -55,7 +97,11 @@
 			<-s.hold
 		}
 		s.done.Add(1)
-		_, _ = io.WriteString(w, strings.Repeat("a", 64))
+		length := 64
+		if r.URL.Path == "/large" {
+			length = 10_000
+		}
+		_, _ = io.WriteString(w, strings.Repeat("a", length))
 	})}
 	guard.Attach(server)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -147,6 +193,20 @@
 		Expect(status(c)).To(Equal(http.StatusOK))
 	})
 
+	// Guards against clients without a token that hold all connections with bodies that they
+	// announce and do not send.
+	DescribeTable("answers without a body that the handler does not read", func(request string) {
+		clock := newClock()
+		s := serveAt(ingress.Limits{Connections: 1, BodyBytes: 1000, SourceBytes: 1000}, clock.now, time.Minute)
+		Expect(status(s.send(request))).To(Equal(http.StatusOK))
+		clock.advance(pastGrace)
+		Expect(status(s.send(small))).To(Equal(http.StatusOK))
+	},
+		Entry("of an announced length", "PUT /a HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\nbody"),
+		Entry("in chunks", "GET /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n"),
+		Entry("with an answer larger than the buffer of net/http", "PUT /large HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\nbody"),
+	)
+
 	It("serves pipelined requests one after the other", func() {
 		s := serve(limits)
 		c := s.send(strings.Repeat(small, 50))
@@ -164,7 +224,8 @@
 	// Guards against one source that keeps its whole share, and against memory that the
 	// unfinished bodies of many sources hold.
 	It("gives up stalled bodies for others", func() {
-		s := serve(limits)
+		clock := newClock()
+		s := serveAt(limits, clock.now, time.Minute)
 		var stalled []net.Conn
 		for i := range 4 {
 			stalled = append(stalled, s.send(post(fmt.Sprintf("/%d", i), maxBody, strings.Repeat(" ", maxBody-1))))
@@ -172,11 +233,15 @@
 		Eventually(func() float64 { return s.gauge("ingress.body_bytes") }).WithTimeout(waitTime).Should(BeNumerically(">=", 4*maxBody))
 		Expect(status(s.send(post("/0", 4, "body")))).To(Equal(http.StatusTooManyRequests), "before the time of grace")
 		Expect(status(s.send(small))).To(Equal(http.StatusServiceUnavailable), "before the time of grace")
-		time.Sleep(600 * time.Millisecond)
+		Expect(s.counter("ingress.refused source")).To(Equal(int64(1)))
+		Expect(s.counter("ingress.refused budget")).To(Equal(int64(1)))
+		Expect(s.counter("ingress.closed source")).To(BeZero())
+		clock.advance(pastGrace)
 		Expect(status(s.send(post("/0", 4, "body")))).To(Equal(http.StatusOK))
 		Expect(status(stalled[0])).To(Equal(http.StatusTooManyRequests))
 		Expect(s.done.Load()).To(Equal(int64(1)))
 		Expect(s.counter("ingress.closed source")).To(Equal(int64(1)))
+		Expect(s.counter("ingress.refused source")).To(Equal(int64(2)), "the new body and then the stalled one")
 		Expect(s.counter("ingress.refused budget")).To(Equal(int64(1)))
 	})
 
@@ -212,16 +277,63 @@
 		Eventually(func() float64 { return s.gauge("ingress.connections") }).WithTimeout(waitTime).Should(BeZero())
 	})
 
+	// Guards against clients that hold all connections with answers that they do not read.
+	It("closes a connection whose answers are not read for others", func() {
+		clock := newClock()
+		s := serveAt(ingress.Limits{Connections: 1, BodyBytes: 1000, SourceBytes: 1000}, clock.now, time.Minute)
+		c := s.send("")
+		go func() {
+			requests := strings.Repeat("GET / HTTP/1.1\r\nHost: a\r\n\r\n", 1000)
+			for err := error(nil); err == nil; {
+				_, err = io.WriteString(c, requests)
+			}
+		}()
+		Eventually(func() bool {
+			before := s.done.Load()
+			time.Sleep(200 * time.Millisecond)
+			return before > 0 && s.done.Load() == before
+		}).WithTimeout(waitTime).Should(BeTrue(), "the daemon waits for the client to read")
+		clock.advance(pastGrace)
+		Expect(status(s.send(small))).To(Equal(http.StatusOK))
+		Expect(s.counter("ingress.closed connections")).To(Equal(int64(1)))
+	})
+
+	// Guards against clients that get new time for each small answer, and against time
+	// between answers that counts as time of an answer.
+	It("bounds the time of many small answers, not the time between them", func() {
+		clock := newClock()
+		guard := ingress.New(ingress.Limits{Connections: 1, BodyBytes: 1000, SourceBytes: 1000, WriteTime: 10 * time.Second}, clock.now, nil, nil)
+		client := &slowReader{clock: clock}
+		connection, err := guard.Listener(oneConnection{conn: client}).Accept()
+		Expect(err).NotTo(HaveOccurred())
+		answer := func() error {
+			clock.advance(time.Hour)
+			_, err := io.WriteString(connection, "answer")
+			return err
+		}
+		for range 4 {
+			Expect(answer()).To(Succeed())
+		}
+		client.delay = 3 * time.Second
+		for range 4 {
+			Expect(answer()).To(Succeed())
+		}
+		Expect(answer()).To(MatchError(os.ErrDeadlineExceeded))
+	})
+
 	// Guards against headers that take many times their bytes when parsed.
 	It("closes connections whose headers take too much", func() {
-		s := serve(ingress.Limits{Connections: 8, BodyBytes: 1000, SourceBytes: 1000, HeaderBytes: 20_000})
+		clock := newClock()
+		s := serveAt(ingress.Limits{Connections: 8, BodyBytes: 1000, SourceBytes: 1000, HeaderBytes: 20_000}, clock.now, time.Minute)
 		part := "GET / HTTP/1.1\r\nHost: a\r\n" + strings.Repeat("a:\r\n", 200)
 		Expect(status(s.send(part + strings.Repeat("a:\r\n", 200)))).To(Equal(0))
+		Expect(s.counter("ingress.closed headers")).To(Equal(int64(1)))
 		first := s.send(part)
 		Eventually(func() float64 { return s.gauge("ingress.header_bytes") }).WithTimeout(waitTime).Should(BeNumerically(">", 0))
-		time.Sleep(600 * time.Millisecond)
+		clock.advance(pastGrace)
 		Expect(status(s.send(part + "\r\n"))).To(Equal(http.StatusOK))
 		Expect(status(first)).To(Equal(0))
+		Expect(s.counter("ingress.closed headers")).To(Equal(int64(2)))
 		Eventually(func() float64 { return s.gauge("ingress.header_bytes") }).WithTimeout(waitTime).Should(BeZero())
 	})
 
--- a/internal/ingress/limits.go
+++ b/internal/ingress/limits.go
@@ -55,8 +55,7 @@
 	HeaderBytes int64
 	// Requests is the number of requests that AdmitStoreRequest admits; 0 means half of Connections.
 	Requests int
-	// BodyTime is the time in which a body must arrive if its handler sets none. It applies
-	// to bodies that no handler reads, too.
+	// BodyTime is the time in which a body must arrive if its handler sets none.
 	BodyTime time.Duration
 	// WriteTime is how long a client may take to read 64 KiB of an answer.
 	WriteTime time.Duration
--- a/internal/ingress/victim.go
+++ b/internal/ingress/victim.go
@@ -14,12 +14,17 @@
 	PhaseReceiving
 	// PhaseRefused is a connection whose request was refused and that is about to be closed.
 	PhaseRefused
-	// PhaseBusy is a connection with a complete request. It is never closed under pressure.
+	// PhaseBusy is a connection whose request is being carried out. It is never closed under
+	// pressure.
 	PhaseBusy
+	// PhaseAnswering is a connection whose handler has returned. The rest of its answer is
+	// being sent.
+	PhaseAnswering
 )
 
 // victimGrace is the age from which a connection may be closed for others while it sends a
-// request. A well-behaved client sends header and body at once.
+// request or receives the rest of an answer. A well-behaved client sends header and body at
+// once, and reads its answer.
 const victimGrace = 500 * time.Millisecond
 
 // ConnInfo describes a connection for SelectVictim.
@@ -52,10 +57,10 @@
 	switch {
 	case c.Phase == PhaseIdle || c.Phase == PhaseRefused:
 		return 2
-	case (c.Phase == PhaseHeader || c.Phase == PhaseReceiving) && now.Sub(c.Since) >= victimGrace:
-		return 1
+	case c.Phase == PhaseBusy || now.Sub(c.Since) < victimGrace:
+		return 0
 	}
-	return 0
+	return 1
 }
 
 // cost is the memory of the connection times its age. The time without progress counts
