Close unused connections and larger headers first

New connections with large headers could keep out ordinary clients until they were old enough to be closed: the arriving header was cut. Now the largest header among them is closed if it is larger than the arriving one.

A connection whose next header is arriving was still closed as idle, and progress of a body was noted only now and then. Connections are closed after the lock is released.

--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -135,14 +135,13 @@
 	return start.Add(min(limit, byRate))
 }
 
-// extend notes progress and sets the read deadline, unless the body was given up.
+// extend sets the read deadline, unless the body was given up.
 func (g *Guard) extend(c *conn, deadline time.Time) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if err := c.giveUpError(); err != nil {
 		return err
 	}
-	c.info.Progress = g.now()
 	g.setReadDeadline(c, deadline)
 	return nil
 }
@@ -169,7 +168,6 @@
 		err := g.budget.Charge(c.source, n)
 		if err == nil {
 			c.info.Held += n
-			c.info.Progress = g.now()
 			g.gaugesLocked()
 			return nil
 		}
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -42,7 +42,8 @@
 	return c.evicted
 }
 
-// Read charges the bytes of headers. Those of bodies are charged by ReadBody.
+// Read notes progress and charges the bytes of headers. Those of bodies are charged by
+// ReadBody.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 && !c.guard.noteRead(c, int64(n)) {
--- a/internal/ingress/decisions_test.go
+++ b/internal/ingress/decisions_test.go
@@ -17,6 +17,13 @@
 	return ingress.ConnInfo{Phase: phase, Held: held, Since: now.Add(-age), Progress: now.Add(-stalled)}
 }
 
+// silent returns a connection that was opened age ago and has sent nothing.
+func silent(age time.Duration) ingress.ConnInfo {
+	c := at(ingress.PhaseHeader, 0, age, age)
+	c.Silent = true
+	return c
+}
+
 // Guards against a limit that closes well-behaved clients instead of those that cause it.
 var _ = DescribeTable("SelectVictim", func(want int, conns ...ingress.ConnInfo) {
 	got, found := ingress.SelectVictim(conns, now)
@@ -33,6 +40,8 @@
 	Entry("is not a connection that has just been opened", -1, at(ingress.PhaseHeader, 0, 100*time.Millisecond, 100*time.Millisecond)),
 	Entry("is an idle connection before a body", 1, at(ingress.PhaseReceiving, 1<<20, time.Minute, time.Minute), at(ingress.PhaseIdle, 0, time.Millisecond, time.Millisecond)),
 	Entry("is a refused request before a body", 1, at(ingress.PhaseReceiving, 1<<20, time.Minute, time.Minute), at(ingress.PhaseRefused, 0, time.Millisecond, 0)),
+	Entry("is an unused connection before an idle one", 1, at(ingress.PhaseIdle, 0, time.Minute, time.Minute), silent(time.Second)),
+	Entry("is an idle connection before an unused one that has just been opened", 0, at(ingress.PhaseIdle, 0, time.Minute, time.Minute), silent(100*time.Millisecond)),
 	Entry("is the longest idle connection", 1, at(ingress.PhaseIdle, 0, time.Second, time.Second), at(ingress.PhaseIdle, 0, time.Minute, time.Minute)),
 	Entry("is the body that holds most", 0, at(ingress.PhaseReceiving, 1<<20, time.Second, 0), at(ingress.PhaseReceiving, 1<<10, time.Second, 0)),
 	Entry("is the body that has taken longest", 1, at(ingress.PhaseReceiving, 1<<10, time.Second, 0), at(ingress.PhaseReceiving, 1<<10, 2*time.Second, 0)),
--- a/internal/ingress/guard.go
+++ b/internal/ingress/guard.go
@@ -95,7 +95,7 @@
 		g.removeLocked(victim)
 	}
 	now := g.now()
-	c := &conn{Conn: inner, guard: g, info: ConnInfo{Phase: PhaseHeader, Since: now, Progress: now}}
+	c := &conn{Conn: inner, guard: g, info: ConnInfo{Phase: PhaseHeader, Silent: true, Since: now, Progress: now}}
 	g.conns[c] = struct{}{}
 	g.gaugesLocked()
 	g.mu.Unlock()
@@ -150,34 +150,63 @@
 	c.header = 0
 }
 
-// noteRead charges n bytes that have arrived, unless they belong to a body. If the limit
-// does not allow them, it closes other connections, or else this one and returns false.
+// noteRead notes the arrival of n bytes, and charges them unless they belong to a body. If
+// the limit does not allow them, it closes other connections, or else this one and returns
+// false.
 func (g *Guard) noteRead(c *conn, n int64) bool {
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	if c.info.Phase != PhaseHeader && c.info.Phase != PhaseIdle {
-		return true
+	victims := g.noteReadLocked(c, n)
+	closed := c.closed
+	g.mu.Unlock()
+	for _, victim := range victims {
+		victim.Conn.Close()
+	}
+	return !closed
+}
+
+// noteReadLocked does the work of noteRead. It returns the removed connections, which the
+// caller must close.
+func (g *Guard) noteReadLocked(c *conn, n int64) (victims []*conn) {
+	c.info.Progress, c.info.Silent = g.now(), false
+	if c.info.Phase == PhaseIdle {
+		g.setPhaseLocked(c, PhaseHeader)
+	}
+	if c.info.Phase != PhaseHeader {
+		return nil
 	}
-	c.info.Progress = g.now()
 	n *= headerMemoryFactor
 	for !c.closed {
 		if g.headers+n <= g.limits.HeaderBytes {
 			g.headers += n
 			c.header += n
 			g.gaugesLocked()
-			return true
-		}
-		victim := g.victim(func(other *conn) bool {
-			return other != c && other.header > 0 && (other.info.Phase == PhaseHeader || other.info.Phase == PhaseIdle)
-		})
-		if victim == nil {
-			victim = c
+			return victims
 		}
+		victim := g.headerVictim(c, n)
 		g.noteLocked(actionClosed, reasonHeaders)
 		g.removeLocked(victim)
-		victim.Conn.Close()
+		victims = append(victims, victim)
+	}
+	return victims
+}
+
+// headerVictim returns the connection to close when the headers do not leave room for n more
+// bytes of c. If all are new, it is the one with the largest header, so that many large
+// headers do not keep out small ones.
+func (g *Guard) headerVictim(c *conn, n int64) *conn {
+	arriving := func(other *conn) bool {
+		return other != c && other.header > 0 && other.info.Phase == PhaseHeader
+	}
+	if victim := g.victim(arriving); victim != nil {
+		return victim
+	}
+	largest, size := c, c.header+n
+	for other := range g.conns {
+		if arriving(other) && other.header > size {
+			largest, size = other, other.header
+		}
 	}
-	return false
+	return largest
 }
 
 // AdmitStoreRequest admits a request that uses the store. It returns a function to call at
--- a/internal/ingress/guard_test.go
+++ b/internal/ingress/guard_test.go
@@ -337,6 +337,34 @@
 		Eventually(func() float64 { return s.gauge("ingress.header_bytes") }).WithTimeout(waitTime).Should(BeZero())
 	})
 
+	// Guards against new clients with large headers that keep out ordinary ones until they are
+	// old enough to be closed.
+	It("closes a larger header for a small one within the time of grace", func() {
+		clock := newClock()
+		s := serveAt(ingress.Limits{Connections: 8, BodyBytes: 1000, SourceBytes: 1000, HeaderBytes: 20_000}, clock.now, time.Minute)
+		large := s.send("GET / HTTP/1.1\r\nHost: a\r\n" + strings.Repeat("a:\r\n", 300))
+		Eventually(func() float64 { return s.gauge("ingress.header_bytes") }).WithTimeout(waitTime).Should(BeNumerically(">", 19_000))
+		Expect(status(s.send("GET / HTTP/1.1\r\nHost: a\r\nAccept: text/html\r\nAccept-Language: en\r\n\r\n"))).To(Equal(http.StatusOK))
+		Expect(status(large)).To(Equal(0))
+		Expect(s.counter("ingress.closed headers")).To(Equal(int64(1)))
+	})
+
+	// Guards against ordinary clients that are cut off while they send their next request.
+	It("does not close a connection whose next header is arriving as idle", func() {
+		clock := newClock()
+		s := serveAt(ingress.Limits{Connections: 1, BodyBytes: 1000, SourceBytes: 1000}, clock.now, time.Minute)
+		c := s.send(small)
+		Expect(status(c)).To(Equal(http.StatusOK))
+		Eventually(func() float64 { return s.gauge("ingress.header_bytes") }).WithTimeout(waitTime).Should(BeZero())
+		_, err := io.WriteString(c, "GET / HTTP/1.1\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(func() float64 { return s.gauge("ingress.header_bytes") }).WithTimeout(waitTime).Should(BeNumerically(">", 0))
+		Expect(status(s.send(small))).To(Equal(0))
+		_, err = io.WriteString(c, "Host: a\r\n\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(status(c)).To(Equal(http.StatusOK))
+	})
+
 	It("admits a limited number of requests to the store", func() {
 		guard := ingress.New(ingress.Limits{Connections: 2, BodyBytes: 1000, SourceBytes: 1000}, time.Now, nil, nil)
 		leave, err := guard.AdmitStoreRequest()
--- a/internal/ingress/victim.go
+++ b/internal/ingress/victim.go
@@ -30,14 +30,16 @@
 // ConnInfo describes a connection for SelectVictim.
 type ConnInfo struct {
 	Phase    Phase
+	Silent   bool      // has sent nothing since it was opened
 	Held     int64     // bytes of its body that are in memory
 	Since    time.Time // start of the phase
 	Progress time.Time // when bytes last arrived
 }
 
-// SelectVictim returns the index of the connection to close under pressure. Idle and refused
-// connections come before those with a request in flight. Of these it takes the one that
-// holds most, longest, with least progress. It returns false if none may be closed.
+// SelectVictim returns the index of the connection to close under pressure. Connections that
+// were opened and never used come first, then idle and refused ones, then those with a
+// request in flight. Of equals it takes the one that holds most, longest, with least
+// progress. It returns false if none may be closed.
 func SelectVictim(conns []ConnInfo, now time.Time) (int, bool) {
 	best, bestRank, bestCost := -1, 0, 0.0
 	for i, c := range conns {
@@ -59,6 +61,8 @@
 		return 2
 	case c.Phase == PhaseBusy || now.Sub(c.Since) < victimGrace:
 		return 0
+	case c.Silent:
+		return 3
 	}
 	return 1
 }
