Share the requests to the store between callers

One caller that read unknown jobs from a slow store took all slots, and the submissions of others got 503. One source now has at most half of them, and a quarter is kept for submissions.

--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -34,6 +34,8 @@
 	reasonHeaders     = "headers"
 	reasonRequests    = "requests"
 	reasonDecodings   = "decodings"
+	// reasonSourceRequests is the share of one source of the requests that use the store.
+	reasonSourceRequests = "source_requests"
 )
 
 // Body describes the body that a handler expects.
@@ -44,7 +46,7 @@
 }
 
 // ReadBody reads the body of a request into memory. It stays charged to its source until
-// the handler returns. After an error, which is one of those of this package, nothing was
+// ReleaseBody is called or the handler returns. After an error, which is one of those of this package, nothing was
 // done and the connection closes after the answer; w must be the writer that the server has
 // passed to its handler.
 func (g *Guard) ReadBody(w http.ResponseWriter, r *http.Request, body Body) ([]byte, error) {
@@ -231,7 +233,7 @@
 		return http.StatusRequestEntityTooLarge
 	case errors.Is(err, ErrTooSlow):
 		return http.StatusRequestTimeout
-	case errors.Is(err, ErrSource):
+	case errors.Is(err, ErrSource), errors.Is(err, ErrSourceRequests):
 		return http.StatusTooManyRequests
 	case errors.Is(err, ErrExhausted), errors.Is(err, ErrRequests):
 		return http.StatusServiceUnavailable
--- a/internal/ingress/guard.go
+++ b/internal/ingress/guard.go
@@ -32,14 +32,16 @@
 	scope  tally.Scope
 	slots  chan struct{} // of decodings
 
-	mu        sync.Mutex
-	budget    *Budget
-	headers   int64 // memory of headers
-	requests  int   // admitted by AdmitStoreRequest
-	conns     map[*conn]struct{}
-	pressure  bool
-	lastEvent time.Time      // when something was last refused or closed
-	events    map[string]int // since the pressure began, by reason
+	mu       sync.Mutex
+	budget   *Budget
+	headers  int64 // memory of headers
+	requests int   // admitted by AdmitStoreRequest
+	// sourceRequests are the admitted requests by source, only of sources with any.
+	sourceRequests map[string]int
+	conns          map[*conn]struct{}
+	pressure       bool
+	lastEvent      time.Time      // when something was last refused or closed
+	events         map[string]int // since the pressure began, by reason
 }
 
 // New returns a guard. clock returns the current time; log and scope may be nil.
@@ -47,7 +49,7 @@
 	return &Guard{
 		limits: limits.withDefaults(), now: clock, log: telemetry.Named(telemetry.LoggerOrNop(log), "ingress"),
 		scope: telemetry.ScopeOrNoop(scope).SubScope("ingress"), slots: make(chan struct{}, maxDecodings),
-		budget: NewBudget(limits.BodyBytes, limits.SourceBytes), conns: map[*conn]struct{}{}, events: map[string]int{},
+		budget: NewBudget(limits.BodyBytes, limits.SourceBytes), sourceRequests: map[string]int{}, conns: map[*conn]struct{}{}, events: map[string]int{},
 	}
 }
 
@@ -209,23 +211,50 @@
 	return largest
 }
 
-// AdmitStoreRequest admits a request that uses the store. It returns a function to call at
-// its end, or an error if too many are being carried out.
-func (g *Guard) AdmitStoreRequest() (leave func(), err error) {
+// AdmitStoreRequest admits a request of a source that uses the store. It returns a function
+// to call at its end, or an error if too many are being carried out, in total or for the
+// source. Part of the limit is kept for submissions.
+func (g *Guard) AdmitStoreRequest(source string, submission bool) (leave func(), err error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.requests >= g.limits.Requests {
+	limit, sourceLimit := g.limits.Requests, max(g.limits.Requests/requestSourceDivisor, 1)
+	if !submission {
+		limit -= g.limits.Requests / submissionDivisor
+	}
+	switch {
+	case g.sourceRequests[source] >= sourceLimit:
+		g.noteLocked(actionRefused, reasonSourceRequests)
+		return nil, ErrSourceRequests
+	case g.requests >= limit:
 		g.noteLocked(actionRefused, reasonRequests)
 		return nil, ErrRequests
 	}
 	g.requests++
+	g.sourceRequests[source]++
 	return func() {
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		g.requests--
+		if g.sourceRequests[source]--; g.sourceRequests[source] == 0 {
+			delete(g.sourceRequests, source)
+		}
 	}, nil
 }
 
+// ReleaseBody gives back the bytes of the body of a request before its end. The caller must
+// no longer refer to the body. A nil guard has no limit.
+func (g *Guard) ReleaseBody(r *http.Request) {
+	c := connOf(r)
+	if g == nil || c == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.budget.Release(c.source, c.body)
+	c.body = 0
+	g.gaugesLocked()
+}
+
 func (g *Guard) setPhaseLocked(c *conn, phase Phase) {
 	now := g.now()
 	c.info.Phase, c.info.Since, c.info.Progress = phase, now, now
--- a/internal/ingress/guard_test.go
+++ b/internal/ingress/guard_test.go
@@ -28,7 +28,8 @@
 	done    atomic.Int64 // requests that were carried out
 	logs    *observer.ObservedLogs
 	scope   tally.TestScope
-	hold    chan struct{} // closed to let the requests to /hold end
+	hold    chan struct{} // closed to let the requests to /hold and /released end
+	waiting atomic.Int64  // requests that have waited for hold
 }
 
 const (
@@ -93,7 +94,11 @@
 			w.WriteHeader(http.StatusUnauthorized)
 			return
 		}
-		if r.URL.Path == "/hold" {
+		if r.URL.Path == "/released" {
+			guard.ReleaseBody(r)
+		}
+		if r.URL.Path == "/hold" || r.URL.Path == "/released" {
+			s.waiting.Add(1)
 			<-s.hold
 		}
 		s.done.Add(1)
@@ -367,15 +372,48 @@
 
 	It("admits a limited number of requests to the store", func() {
 		guard := ingress.New(ingress.Limits{Connections: 2, BodyBytes: 1000, SourceBytes: 1000}, time.Now, nil, nil)
-		leave, err := guard.AdmitStoreRequest()
+		leave, err := guard.AdmitStoreRequest("a", true)
 		Expect(err).NotTo(HaveOccurred())
-		_, err = guard.AdmitStoreRequest()
+		_, err = guard.AdmitStoreRequest("b", true)
 		Expect(ingress.Status(err)).To(Equal(http.StatusServiceUnavailable))
 		leave()
-		_, err = guard.AdmitStoreRequest()
+		_, err = guard.AdmitStoreRequest("b", true)
 		Expect(err).NotTo(HaveOccurred())
 	})
 
+	// Guards against callers whose reads of a slow store refuse the submissions of others.
+	It("keeps requests to the store for other sources and for submissions", func() {
+		guard := ingress.New(ingress.Limits{Connections: 16, BodyBytes: 1000, SourceBytes: 1000}, time.Now, nil, nil)
+		admit := func(source string, submission bool) error {
+			_, err := guard.AdmitStoreRequest(source, submission)
+			return err
+		}
+		for range 4 {
+			Expect(admit("a", false)).To(Succeed())
+		}
+		Expect(ingress.Status(admit("a", true))).To(Equal(http.StatusTooManyRequests), "half of the 8 requests")
+		for range 2 {
+			Expect(admit("b", false)).To(Succeed())
+		}
+		Expect(admit("c", false)).To(MatchError(ingress.ErrRequests), "a quarter is for submissions")
+		for range 2 {
+			Expect(admit("c", true)).To(Succeed())
+		}
+		Expect(admit("c", true)).To(MatchError(ingress.ErrRequests))
+	})
+
+	// Guards against bodies that are charged for as long as a slow store takes, although they
+	// have been decoded.
+	It("gives back the bytes of a body before its request ends", func() {
+		s := serve(limits)
+		c := s.send(post("/released", 4, "body"))
+		Eventually(s.waiting.Load).WithTimeout(waitTime).Should(Equal(int64(1)))
+		Expect(s.gauge("ingress.body_bytes")).To(BeZero())
+		close(s.hold)
+		Expect(status(c)).To(Equal(http.StatusOK))
+		Eventually(func() float64 { return s.gauge("ingress.body_bytes") }).WithTimeout(waitTime).Should(BeZero())
+	})
+
 	It("logs when pressure begins and ends", func() {
 		s := serve(ingress.Limits{Connections: 1, BodyBytes: 1000, SourceBytes: 1000})
 		s.send(post("/hold", 4, "body"))
--- a/internal/ingress/limits.go
+++ b/internal/ingress/limits.go
@@ -41,6 +41,11 @@
 	// requestDivisor is the divisor of the connections for requests that are carried out. Each
 	// may open a connection to the store.
 	requestDivisor = 2
+	// requestSourceDivisor is the divisor of these requests for one source, and
+	// submissionDivisor that for the part which only submissions may use. Without them one
+	// caller that reads a slow store would refuse the submissions of all others.
+	requestSourceDivisor = 2
+	submissionDivisor    = 4
 	// RetryAfter is the delay after which a refused caller may try again.
 	RetryAfter = time.Second
 )
@@ -94,13 +99,15 @@
 	return l
 }
 
-// Refusals of a body. Each means that nothing was done.
+// Refusals of a request. Each means that nothing was done.
 var (
 	ErrTooLarge  = eris.New("the body is too large")
 	ErrTooSlow   = eris.New("the body did not arrive in time")
 	ErrSource    = eris.New("too many bytes of this caller are in flight")
 	ErrExhausted = eris.New("too many bytes of requests are in flight")
 	ErrRequests  = eris.New("too many requests are being carried out")
+	// ErrSourceRequests is the limit of AdmitStoreRequest for one source.
+	ErrSourceRequests = eris.New("too many requests of this caller are being carried out")
 	// ErrIncomplete means that the client ended the body early.
 	ErrIncomplete = eris.New("the body ended early")
 )
