Answer not_run when a body is not decoded

A refusal while a request waited for its turn to be decoded was answered with outcome unknown and without Retry-After, although nothing was done.

--- a/internal/entry/decode.go
+++ b/internal/entry/decode.go
@@ -2,11 +2,14 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 
 	"github.com/labstack/echo/v4"
 	"github.com/rotisserie/eris"
+
+	"github.com/samphirepath/samphirepath/api"
 )
 
 // DecodeStrict decodes one JSON value. Unknown fields and trailing data are errors.
@@ -29,7 +32,7 @@
 func (strictSerializer) Deserialize(c echo.Context, into any) error {
 	var err error
 	if refused := decodeBody(c, func(body io.Reader) { err = DecodeStrict(body, into) }); refused != nil {
-		return echo.NewHTTPError(refused.Status, refused.Detail)
+		return echo.NewHTTPError(refused.Status, refused.Detail).SetInternal(&problemError{*refused})
 	}
 	if err != nil {
 		problem := decodeProblem(err)
@@ -38,6 +41,12 @@
 	return nil
 }
 
+// problemError is an error with the problem that handleError answers with. Without it, a
+// server error counts as one whose outcome is not known.
+type problemError struct{ problem api.Problem }
+
+func (e *problemError) Error() string { return e.problem.Detail }
+
 // handleError answers with a problem when a handler has returned an error and has
 // not written an answer.
 func handleError(err error, c echo.Context) {
@@ -53,6 +62,10 @@
 		}
 	}
 	p := NewProblem(status, outcomeOfStatus(status), detail)
+	var withProblem *problemError
+	if errors.As(err, &withProblem) {
+		p = withProblem.problem
+	}
 	if writeErr := writeProblemWithID(c, p); writeErr != nil {
 		c.Logger().Debug(writeErr)
 	}
