--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -113,7 +113,7 @@
 	if limits.BodyTime = s.config.BodyTimeout; limits.BodyTime <= 0 {
 		limits.BodyTime = defaultBodyTimeout
 	}
-	return ingress.New(limits, time.Now, s.log.With(zap.String("listener", listener)), s.scope.Tagged(map[string]string{"listener": listener}))
+	return ingress.New(limits, time.Now, s.log.With(zap.String("listener", listener)), s.config.Scope.Tagged(map[string]string{"listener": listener}))
 }
 
 func (s *Server) httpServer(handler http.Handler, guard *ingress.Guard) *http.Server {
