--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"bytes"
 	"errors"
 	"io"
 	"net/http"
@@ -58,10 +57,10 @@
 			if err != nil {
 				return writeProblemWithID(c, bodyProblem(err))
 			}
-			if err := ingress.CheckJSON(body, ingress.Shape{Depth: maxDepth, Elements: elements}); err != nil {
+			if err := body.CheckJSON(ingress.Shape{Depth: maxDepth, Elements: elements}); err != nil {
 				return writeProblemWithID(c, NewProblem(http.StatusBadRequest, api.OutcomeNotRun, "malformed body: "+err.Error()))
 			}
-			request.Body = io.NopCloser(bytes.NewReader(body))
+			request.Body = io.NopCloser(body.Reader())
 			return next(c)
 		}
 	}
--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net/http"
@@ -45,17 +46,49 @@
 	Time   time.Duration // in which it must arrive; 0 means Limits.BodyTime
 }
 
+// Received is a body in memory. It consists of the pieces in which it arrived, because a
+// copy of a large one would not be charged to the budget.
+type Received struct {
+	pieces [][]byte
+	size   int64
+}
+
+// CheckJSON is the function CheckJSON for the body.
+func (b Received) CheckJSON(shape Shape) error { return CheckJSON(shape, b.pieces...) }
+
+// Reader returns a reader of the body.
+func (b Received) Reader() io.Reader {
+	readers := make([]io.Reader, len(b.pieces))
+	for i, piece := range b.pieces {
+		readers[i] = bytes.NewReader(piece)
+	}
+	return io.MultiReader(readers...)
+}
+
+// Joined returns the body as one piece. It copies a body of several pieces, so it must be
+// called within Decode, which bounds the number of such copies.
+func (b Received) Joined() []byte {
+	if len(b.pieces) == 1 {
+		return b.pieces[0]
+	}
+	joined := make([]byte, 0, b.size)
+	for _, piece := range b.pieces {
+		joined = append(joined, piece...)
+	}
+	return joined
+}
+
 // ReadBody reads the body of a request into memory. It stays charged to its source until
-// ReleaseBody is called or the handler returns. After an error, which is one of those of this package, nothing was
-// done and the connection closes after the answer; w must be the writer that the server has
-// passed to its handler.
-func (g *Guard) ReadBody(w http.ResponseWriter, r *http.Request, body Body) ([]byte, error) {
+// ReleaseBody is called or the handler returns. After an error, which is one of those of
+// this package, nothing was done and the connection closes after the answer; w must be the
+// writer that the server has passed to its handler.
+func (g *Guard) ReadBody(w http.ResponseWriter, r *http.Request, body Body) (Received, error) {
 	c := connOf(r)
 	if c == nil || r.ContentLength == 0 {
 		return readUnguarded(r, body.Max)
 	}
 	if r.ContentLength > body.Max {
-		return nil, g.refuse(w, r, ErrTooLarge)
+		return Received{}, g.refuse(w, r, ErrTooLarge)
 	}
 	if body.Time <= 0 {
 		body.Time = g.limits.BodyTime
@@ -67,29 +100,37 @@
 	g.mu.Unlock()
 	pieces, size, err := g.receive(c, r.Body, body)
 	if err != nil {
-		return nil, g.refuse(w, r, err)
+		return Received{}, g.refuse(w, r, err)
 	}
 	if err := g.finishBody(c, size); err != nil {
-		return nil, g.refuse(w, r, err)
+		return Received{}, g.refuse(w, r, err)
 	}
-	whole := make([]byte, 0, size)
-	for _, piece := range pieces {
-		whole = append(whole, piece...)
+	return Received{pieces: trim(pieces), size: size}, nil
+}
+
+// trim replaces the last piece by one of the size of its bytes, because a complete body is
+// charged without the unused part of that piece.
+func trim(pieces [][]byte) [][]byte {
+	last := len(pieces) - 1
+	if piece := pieces[last]; len(piece) == 0 {
+		return pieces[:last]
+	} else if cap(piece) > firstPieceBytes {
+		pieces[last] = bytes.Clone(piece)
 	}
-	return whole, nil
+	return pieces
 }
 
 // readUnguarded reads the body of a request without a connection of the guard, as in unit
 // tests, or one without a body.
-func readUnguarded(r *http.Request, limit int64) ([]byte, error) {
+func readUnguarded(r *http.Request, limit int64) (Received, error) {
 	data, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
 	switch {
 	case err != nil:
-		return nil, ErrIncomplete
+		return Received{}, ErrIncomplete
 	case int64(len(data)) > limit:
-		return nil, ErrTooLarge
+		return Received{}, ErrTooLarge
 	}
-	return data, nil
+	return Received{pieces: [][]byte{data}, size: int64(len(data))}, nil
 }
 
 // receive reads the body piece by piece.
--- a/internal/ingress/decisions_test.go
+++ b/internal/ingress/decisions_test.go
@@ -92,14 +92,21 @@
 	Entry("with room for the largest bodies only", 4.0, 4096, 16, int64(4*(256<<10+1)), int64(256<<10+1)),
 )
 
-// Guards against a small body that takes many times its size when it is decoded.
+// Guards against a small body that takes many times its size when it is decoded, and against
+// a check that depends on the pieces in which the body has arrived.
 var _ = DescribeTable("CheckJSON", func(text string, want string) {
-	err := ingress.CheckJSON([]byte(text), ingress.Shape{Depth: 3, Elements: 4})
-	if want == "" {
-		Expect(err).NotTo(HaveOccurred())
-		return
+	var bytes [][]byte
+	for i := range len(text) {
+		bytes = append(bytes, []byte{text[i]})
+	}
+	for _, pieces := range [][][]byte{{[]byte(text)}, bytes} {
+		err := ingress.CheckJSON(ingress.Shape{Depth: 3, Elements: 4}, pieces...)
+		if want == "" {
+			Expect(err).NotTo(HaveOccurred())
+			continue
+		}
+		Expect(err).To(MatchError(ContainSubstring(want)))
 	}
-	Expect(err).To(MatchError(ContainSubstring(want)))
 },
 	Entry("allows an array of the limit", `[1,2,3,4]`, ""),
 	Entry("refuses an array beyond it", `[1,2,3,4,5]`, "more than 4 elements"),
--- a/internal/ingress/guard_test.go
+++ b/internal/ingress/guard_test.go
@@ -22,7 +22,7 @@
 )
 
 // testServer is an HTTP server with a guard. POST reads the body, and other methods answer
-// with 64 bytes, or 10,000 at /large. The source of a body is the path.
+// with 64 bytes, or 10,000 at /large. POST to /echo answers with the body twice. The source of a body is the path.
 type testServer struct {
 	address string
 	done    atomic.Int64 // requests that were carried out
@@ -84,10 +84,16 @@
 	guard := ingress.New(limits, clock, zap.New(core), s.scope)
 	server := &http.Server{ReadHeaderTimeout: headerTimeout, IdleTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Method == http.MethodPost {
-			if _, err := guard.ReadBody(w, r, ingress.Body{Source: r.URL.Path, Max: maxBody}); err != nil {
+			body, err := guard.ReadBody(w, r, ingress.Body{Source: r.URL.Path, Max: maxBody})
+			if err != nil {
 				http.Error(w, err.Error(), ingress.Status(err))
 				return
 			}
+			if r.URL.Path == "/echo" {
+				_, _ = w.Write(body.Joined())
+				_, _ = io.Copy(w, body.Reader())
+				return
+			}
 		}
 		if r.URL.Path == "/unknown" {
 			guard.Abandon(w, r)
@@ -212,6 +218,20 @@
 		Entry("with an answer larger than the buffer of net/http", "PUT /large HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\nbody"),
 	)
 
+	// Guards against a body whose pieces are put together in a wrong way.
+	DescribeTable("passes on a body unchanged", func(length int) {
+		var text strings.Builder
+		for i := 0; text.Len() < length; i++ {
+			fmt.Fprintf(&text, "%d ", i)
+		}
+		body := text.String()[:length]
+		response, err := http.ReadResponse(bufio.NewReader(serve(limits).send(post("/echo", length, body))), nil)
+		Expect(err).NotTo(HaveOccurred())
+		answer, err := io.ReadAll(response.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(answer) == body+body).To(BeTrue())
+	}, Entry("of one piece", 100), Entry("of a full piece", 2048), Entry("of several pieces", 99_999))
+
 	It("serves pipelined requests one after the other", func() {
 		s := serve(limits)
 		c := s.send(strings.Repeat(small, 50))
@@ -289,8 +309,10 @@
 		c := s.send("")
 		go func() {
 			requests := strings.Repeat("GET / HTTP/1.1\r\nHost: a\r\n\r\n", 1000)
-			for err := error(nil); err == nil; {
-				_, err = io.WriteString(c, requests)
+			for {
+				if _, err := io.WriteString(c, requests); err != nil {
+					return
+				}
 			}
 		}()
 		Eventually(func() bool {
--- a/internal/ingress/json.go
+++ b/internal/ingress/json.go
@@ -12,29 +12,47 @@
 // maxDepth bounds Shape.Depth, so that CheckJSON allocates nothing.
 const maxDepth = 64
 
-// CheckJSON returns an error if a valid text exceeds the shape. It does not check the
-// syntax: decoders of encoding/json do that for the whole text before they allocate.
-func CheckJSON(text []byte, shape Shape) error {
-	var separators [maxDepth + 1]int
-	depth := 0
-	for i := 0; i < len(text); i++ {
-		switch text[i] {
+// CheckJSON returns an error if a valid text, which may be in pieces, exceeds the shape. It
+// does not check the syntax: decoders of encoding/json do that for the whole text before
+// they allocate.
+func CheckJSON(shape Shape, pieces ...[]byte) error {
+	checker := shapeChecker{shape: Shape{Depth: min(shape.Depth, maxDepth), Elements: shape.Elements}}
+	for _, piece := range pieces {
+		if err := checker.check(piece); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// shapeChecker is the state of CheckJSON between two bytes.
+type shapeChecker struct {
+	shape           Shape
+	separators      [maxDepth + 1]int // by depth
+	depth           int
+	quoted, escaped bool // in a string; after a backslash in it
+}
+
+func (s *shapeChecker) check(text []byte) error {
+	for _, c := range text {
+		if s.quoted {
+			s.quoted = s.escaped || c != '"'
+			s.escaped = !s.escaped && c == '\\'
+			continue
+		}
+		switch c {
 		case '"':
-			for i++; i < len(text) && text[i] != '"'; i++ {
-				if text[i] == '\\' {
-					i++
-				}
-			}
+			s.quoted = true
 		case '[', '{':
-			if depth++; depth > min(shape.Depth, maxDepth) {
-				return eris.Errorf("arrays and objects are nested more than %d deep", min(shape.Depth, maxDepth))
+			if s.depth++; s.depth > s.shape.Depth {
+				return eris.Errorf("arrays and objects are nested more than %d deep", s.shape.Depth)
 			}
-			separators[depth] = 0
+			s.separators[s.depth] = 0
 		case ']', '}':
-			depth = max(depth-1, 0)
+			s.depth = max(s.depth-1, 0)
 		case ',':
-			if separators[depth]++; separators[depth] >= shape.Elements {
-				return eris.Errorf("an array or object has more than %d elements", shape.Elements)
+			if s.separators[s.depth]++; s.separators[s.depth] >= s.shape.Elements {
+				return eris.Errorf("an array or object has more than %d elements", s.shape.Elements)
 			}
 		}
 	}
