--- a/internal/ingress/guard_test.go
+++ b/internal/ingress/guard_test.go
@@ -209,7 +209,11 @@
 	DescribeTable("answers without a body that the handler does not read", func(request string) {
 		clock := newClock()
 		s := serveAt(ingress.Limits{Connections: 1, BodyBytes: 1000, SourceBytes: 1000}, clock.now, time.Minute)
-		Expect(status(s.send(request))).To(Equal(http.StatusOK))
+		response, err := http.ReadResponse(bufio.NewReader(s.send(request)), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(http.StatusOK))
+		_, err = io.Copy(io.Discard, response.Body) // ends after the handler has returned
+		Expect(err).NotTo(HaveOccurred())
 		clock.advance(pastGrace)
 		Expect(status(s.send(small))).To(Equal(http.StatusOK))
 	},
