--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net/http"
@@ -9,24 +10,33 @@
 )
 
 const (
-	// firstPiece and largestPiece are the sizes of the pieces of a body. A piece is charged
-	// before it is allocated, so a connection that sends nothing holds firstPiece.
-	firstPiece   = 2 << 10
-	largestPiece = 64 << 10
-	// minRate is the least rate of a body in bytes per second, from rateGrace on.
-	minRate   = 1 << 10
-	rateGrace = time.Second
+	// firstPieceBytes and largestPieceBytes are the sizes of the pieces of a body. A piece is charged
+	// before it is allocated, so a connection that sends nothing holds firstPieceBytes.
+	firstPieceBytes   = 2 << 10
+	largestPieceBytes = 64 << 10
+	// minRateBytesPerSecond is the least rate of a body in bytes per second, from rateGrace on.
+	minRateBytesPerSecond = 1 << 10
+	rateGrace             = time.Second
 	// deadlineStep is the least change of a read deadline, which costs a system call or a
 	// change of a timer.
 	deadlineStep = 50 * time.Millisecond
 )
 
-// Reasons in the metrics.
+// Names of counters, and their reasons.
 const (
-	reasonLate     = "late"
-	reasonTooLarge = "too_large"
-	reasonSource   = "source"
-	reasonBudget   = "budget"
+	actionRefused = "refused"
+	actionClosed  = "closed"
+
+	reasonLate        = "late"
+	reasonTooLarge    = "too_large"
+	reasonSource      = "source"
+	reasonBudget      = "budget"
+	reasonConnections = "connections"
+	reasonHeaders     = "headers"
+	reasonRequests    = "requests"
+	reasonDecodings   = "decodings"
+	// reasonSourceRequests is the share of one source of the requests that use the store.
+	reasonSourceRequests = "source_requests"
 )
 
 // Body describes the body that a handler expects.
@@ -36,58 +46,98 @@
 	Time   time.Duration // in which it must arrive; 0 means Limits.BodyTime
 }
 
+// Received is a body in memory. It consists of the pieces in which it arrived, because a
+// copy of a large one would not be charged to the budget.
+type Received struct {
+	pieces [][]byte
+	size   int64
+}
+
+// CheckJSON is the function CheckJSON for the body.
+func (b Received) CheckJSON(shape Shape) error { return CheckJSON(shape, b.pieces...) }
+
+// Reader returns a reader of the body.
+func (b Received) Reader() io.Reader {
+	readers := make([]io.Reader, len(b.pieces))
+	for i, piece := range b.pieces {
+		readers[i] = bytes.NewReader(piece)
+	}
+	return io.MultiReader(readers...)
+}
+
+// Joined returns the body as one piece. It copies a body of several pieces, so it must be
+// called within Decode, which bounds the number of such copies.
+func (b Received) Joined() []byte {
+	if len(b.pieces) == 1 {
+		return b.pieces[0]
+	}
+	joined := make([]byte, 0, b.size)
+	for _, piece := range b.pieces {
+		joined = append(joined, piece...)
+	}
+	return joined
+}
+
 // ReadBody reads the body of a request into memory. It stays charged to its source until
-// the handler returns. After an error, which is one of those of this package, nothing was
-// done and the connection closes after the answer; w must be the writer that the server has
-// passed to its handler.
-func (g *Guard) ReadBody(w http.ResponseWriter, r *http.Request, body Body) ([]byte, error) {
+// ReleaseBody is called or the handler returns. After an error, which is one of those of
+// this package, nothing was done and the connection closes after the answer; w must be the
+// writer that the server has passed to its handler.
+func (g *Guard) ReadBody(w http.ResponseWriter, r *http.Request, body Body) (Received, error) {
 	c := connOf(r)
 	if c == nil || r.ContentLength == 0 {
 		return readUnguarded(r, body.Max)
 	}
 	if r.ContentLength > body.Max {
-		return nil, g.refuse(w, r, ErrTooLarge)
+		return Received{}, g.refuse(w, r, ErrTooLarge)
 	}
 	if body.Time <= 0 {
 		body.Time = g.limits.BodyTime
 	}
 	g.mu.Lock()
-	g.budget.Allow(body.Max)
+	g.budget.RaiseTo(body.Max)
 	c.source, c.evicted = body.Source, nil
 	g.setPhaseLocked(c, PhaseReceiving)
 	g.mu.Unlock()
 	pieces, size, err := g.receive(c, r.Body, body)
 	if err != nil {
-		return nil, g.refuse(w, r, err)
+		return Received{}, g.refuse(w, r, err)
 	}
-	if err := g.accept(c, size); err != nil {
-		return nil, g.refuse(w, r, err)
+	if err := g.finishBody(c, size); err != nil {
+		return Received{}, g.refuse(w, r, err)
 	}
-	whole := make([]byte, 0, size)
-	for _, piece := range pieces {
-		whole = append(whole, piece...)
+	return Received{pieces: trim(pieces), size: size}, nil
+}
+
+// trim replaces the last piece by one of the size of its bytes, because a complete body is
+// charged without the unused part of that piece.
+func trim(pieces [][]byte) [][]byte {
+	last := len(pieces) - 1
+	if piece := pieces[last]; len(piece) == 0 {
+		return pieces[:last]
+	} else if cap(piece) > firstPieceBytes {
+		pieces[last] = bytes.Clone(piece)
 	}
-	return whole, nil
+	return pieces
 }
 
 // readUnguarded reads the body of a request without a connection of the guard, as in unit
 // tests, or one without a body.
-func readUnguarded(r *http.Request, limit int64) ([]byte, error) {
+func readUnguarded(r *http.Request, limit int64) (Received, error) {
 	data, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
 	switch {
 	case err != nil:
-		return nil, ErrIncomplete
+		return Received{}, ErrIncomplete
 	case int64(len(data)) > limit:
-		return nil, ErrTooLarge
+		return Received{}, ErrTooLarge
 	}
-	return data, nil
+	return Received{pieces: [][]byte{data}, size: int64(len(data))}, nil
 }
 
 // receive reads the body piece by piece.
 func (g *Guard) receive(c *conn, r io.Reader, body Body) (pieces [][]byte, size int64, err error) {
 	start := g.now()
 	var deadline time.Time
-	next := int64(firstPiece)
+	next := int64(firstPieceBytes)
 	for {
 		last := len(pieces) - 1
 		if last < 0 || len(pieces[last]) == cap(pieces[last]) {
@@ -96,7 +146,7 @@
 				return nil, 0, err
 			}
 			pieces = append(pieces, make([]byte, 0, length))
-			last, next = last+1, min(2*next, largestPiece)
+			last, next = last+1, min(2*next, largestPieceBytes)
 		}
 		if d := readDeadline(start, size, body.Time); d.Sub(deadline) >= deadlineStep {
 			if err := g.extend(c, d); err != nil {
@@ -124,18 +174,17 @@
 
 // readDeadline returns when a body must have more than the bytes so far.
 func readDeadline(start time.Time, size int64, limit time.Duration) time.Time {
-	byRate := rateGrace + time.Duration(size)*time.Second/minRate
+	byRate := rateGrace + time.Duration(size)*time.Second/minRateBytesPerSecond
 	return start.Add(min(limit, byRate))
 }
 
-// extend notes progress and sets the read deadline, unless the body was given up.
+// extend sets the read deadline, unless the body was given up.
 func (g *Guard) extend(c *conn, deadline time.Time) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if err := c.givenUp(); err != nil {
+	if err := c.giveUpError(); err != nil {
 		return err
 	}
-	c.info.Progress = g.now()
 	g.setReadDeadline(c, deadline)
 	return nil
 }
@@ -144,7 +193,7 @@
 func (g *Guard) lateError(c *conn) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if err := c.givenUp(); err != nil {
+	if err := c.giveUpError(); err != nil {
 		return err
 	}
 	return ErrTooSlow
@@ -156,13 +205,12 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for {
-		if err := c.givenUp(); err != nil {
+		if err := c.giveUpError(); err != nil {
 			return err
 		}
 		err := g.budget.Charge(c.source, n)
 		if err == nil {
 			c.info.Held += n
-			c.info.Progress = g.now()
 			g.gaugesLocked()
 			return nil
 		}
@@ -172,22 +220,22 @@
 		if victim == nil || victim == c {
 			return err
 		}
-		g.noteLocked("closed", reasonOf(err))
+		g.noteLocked(actionClosed, reasonOf(err))
 		victim.evicted = err
 		g.releaseLocked(victim)
 		g.setReadDeadline(victim, past)
 	}
 }
 
-// accept ends the arrival of a body, unless it was given up.
-func (g *Guard) accept(c *conn, size int64) error {
+// finishBody ends the arrival of a body, unless it was given up.
+func (g *Guard) finishBody(c *conn, size int64) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if err := c.givenUp(); err != nil {
+	if err := c.giveUpError(); err != nil {
 		return err
 	}
 	g.budget.Release(c.source, c.info.Held-size)
-	c.info.Held, c.body = 0, size
+	c.info.Held, c.body, c.received = 0, size, true
 	g.setPhaseLocked(c, PhaseBusy)
 	// The deadline of the body must not end the request: net/http goes on reading to notice
 	// that the client has left.
@@ -200,7 +248,7 @@
 func (g *Guard) refuse(w http.ResponseWriter, r *http.Request, err error) error {
 	g.mu.Lock()
 	if !errors.Is(err, ErrIncomplete) {
-		g.noteLocked("refused", reasonOf(err))
+		g.noteLocked(actionRefused, reasonOf(err))
 	}
 	g.mu.Unlock()
 	g.Abandon(w, r)
@@ -226,7 +274,7 @@
 		return http.StatusRequestEntityTooLarge
 	case errors.Is(err, ErrTooSlow):
 		return http.StatusRequestTimeout
-	case errors.Is(err, ErrSource):
+	case errors.Is(err, ErrSource), errors.Is(err, ErrSourceRequests):
 		return http.StatusTooManyRequests
 	case errors.Is(err, ErrExhausted), errors.Is(err, ErrRequests):
 		return http.StatusServiceUnavailable
--- a/internal/ingress/guard.go
+++ b/internal/ingress/guard.go
@@ -32,22 +32,24 @@
 	scope  tally.Scope
 	slots  chan struct{} // of decodings
 
-	mu        sync.Mutex
-	budget    *Budget
-	headers   int64 // memory of headers
-	requests  int   // admitted by Enter
-	conns     map[*conn]struct{}
-	pressure  bool
-	lastEvent time.Time      // when something was last refused or closed
-	events    map[string]int // since the pressure began, by reason
+	mu       sync.Mutex
+	budget   *Budget
+	headers  int64 // memory of headers
+	requests int   // admitted by AdmitStoreRequest
+	// sourceRequests are the admitted requests by source, only of sources with any.
+	sourceRequests map[string]int
+	conns          map[*conn]struct{}
+	pressure       bool
+	lastEvent      time.Time      // when something was last refused or closed
+	events         map[string]int // since the pressure began, by reason
 }
 
 // New returns a guard. clock returns the current time; log and scope may be nil.
 func New(limits Limits, clock func() time.Time, log *zap.Logger, scope tally.Scope) *Guard {
 	return &Guard{
 		limits: limits.withDefaults(), now: clock, log: telemetry.Named(telemetry.LoggerOrNop(log), "ingress"),
-		scope: telemetry.ScopeOrNoop(scope).SubScope("ingress"), slots: make(chan struct{}, decodings),
-		budget: NewBudget(limits.BodyBytes, limits.SourceBytes), conns: map[*conn]struct{}{}, events: map[string]int{},
+		scope: telemetry.ScopeOrNoop(scope).SubScope("ingress"), slots: make(chan struct{}, maxDecodings),
+		budget: NewBudget(limits.BodyBytes, limits.SourceBytes), sourceRequests: map[string]int{}, conns: map[*conn]struct{}{}, events: map[string]int{},
 	}
 }
 
@@ -87,15 +89,15 @@
 	var victim *conn
 	if len(g.conns) >= g.limits.Connections {
 		if victim = g.victim(func(*conn) bool { return true }); victim == nil {
-			g.noteLocked("refused", "connections")
+			g.noteLocked(actionRefused, reasonConnections)
 			g.mu.Unlock()
 			return nil, false
 		}
-		g.noteLocked("closed", "connections")
+		g.noteLocked(actionClosed, reasonConnections)
 		g.removeLocked(victim)
 	}
 	now := g.now()
-	c := &conn{Conn: inner, guard: g, info: Conn{Phase: PhaseNew, Since: now, Progress: now}}
+	c := &conn{Conn: inner, guard: g, info: ConnInfo{Phase: PhaseHeader, Silent: true, Since: now, Progress: now}}
 	g.conns[c] = struct{}{}
 	g.gaugesLocked()
 	g.mu.Unlock()
@@ -108,7 +110,7 @@
 // victim returns the connection to close among those that the filter accepts, or nil. The
 // caller holds the lock.
 func (g *Guard) victim(accepts func(*conn) bool) *conn {
-	candidates, infos := make([]*conn, 0, len(g.conns)), make([]Conn, 0, len(g.conns))
+	candidates, infos := make([]*conn, 0, len(g.conns)), make([]ConnInfo, 0, len(g.conns))
 	for c := range g.conns {
 		if accepts(c) {
 			info := c.info
@@ -116,7 +118,7 @@
 			candidates, infos = append(candidates, c), append(infos, info)
 		}
 	}
-	if i, ok := Victim(infos, g.now()); ok {
+	if i, ok := SelectVictim(infos, g.now()); ok {
 		return candidates[i]
 	}
 	return nil
@@ -150,53 +152,109 @@
 	c.header = 0
 }
 
-// chargeHeader charges n bytes that have arrived, unless they belong to a body. If the limit
-// does not allow them, it closes other connections, or else this one and returns false.
-func (g *Guard) chargeHeader(c *conn, n int64) bool {
+// noteRead notes the arrival of n bytes, and charges them unless they belong to a body. If
+// the limit does not allow them, it closes other connections, or else this one and returns
+// false.
+func (g *Guard) noteRead(c *conn, n int64) bool {
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	if c.info.Phase != PhaseNew && c.info.Phase != PhaseIdle {
-		return true
+	victims := g.noteReadLocked(c, n)
+	closed := c.closed
+	g.mu.Unlock()
+	for _, victim := range victims {
+		victim.Conn.Close()
 	}
-	c.info.Progress = g.now()
-	n *= headerExpansion
+	return !closed
+}
+
+// noteReadLocked does the work of noteRead. It returns the removed connections, which the
+// caller must close.
+func (g *Guard) noteReadLocked(c *conn, n int64) (victims []*conn) {
+	c.info.Progress, c.info.Silent = g.now(), false
+	if c.info.Phase == PhaseIdle {
+		g.setPhaseLocked(c, PhaseHeader)
+	}
+	if c.info.Phase != PhaseHeader {
+		return nil
+	}
+	n *= headerMemoryFactor
 	for !c.closed {
 		if g.headers+n <= g.limits.HeaderBytes {
 			g.headers += n
 			c.header += n
 			g.gaugesLocked()
-			return true
-		}
-		victim := g.victim(func(other *conn) bool {
-			return other != c && other.header > 0 && (other.info.Phase == PhaseNew || other.info.Phase == PhaseIdle)
-		})
-		if victim == nil {
-			victim = c
+			return victims
 		}
-		g.noteLocked("closed", "headers")
+		victim := g.headerVictim(c, n)
+		g.noteLocked(actionClosed, reasonHeaders)
 		g.removeLocked(victim)
-		victim.Conn.Close()
+		victims = append(victims, victim)
 	}
-	return false
+	return victims
 }
 
-// Enter admits a request that uses the store. It returns a function to call at its end, or
-// an error if too many are being carried out.
-func (g *Guard) Enter() (leave func(), err error) {
+// headerVictim returns the connection to close when the headers do not leave room for n more
+// bytes of c. If all are new, it is the one with the largest header if that is much larger
+// than that of c, so that many large headers do not keep out small ones.
+func (g *Guard) headerVictim(c *conn, n int64) *conn {
+	arriving := func(other *conn) bool {
+		return other != c && other.header > 0 && other.info.Phase == PhaseHeader
+	}
+	if victim := g.victim(arriving); victim != nil {
+		return victim
+	}
+	largest, size := c, largerHeaderFactor*(c.header+n)
+	for other := range g.conns {
+		if arriving(other) && other.header > size {
+			largest, size = other, other.header
+		}
+	}
+	return largest
+}
+
+// AdmitStoreRequest admits a request of a source that uses the store. It returns a function
+// to call at its end, or an error if too many are being carried out, in total or for the
+// source. Part of the limit is kept for submissions.
+func (g *Guard) AdmitStoreRequest(source string, submission bool) (leave func(), err error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.requests >= g.limits.Requests {
-		g.noteLocked("refused", "requests")
+	limit, sourceLimit := g.limits.Requests, max(g.limits.Requests/requestSourceDivisor, 1)
+	if !submission {
+		limit -= g.limits.Requests / submissionDivisor
+	}
+	switch {
+	case g.sourceRequests[source] >= sourceLimit:
+		g.noteLocked(actionRefused, reasonSourceRequests)
+		return nil, ErrSourceRequests
+	case g.requests >= limit:
+		g.noteLocked(actionRefused, reasonRequests)
 		return nil, ErrRequests
 	}
 	g.requests++
+	g.sourceRequests[source]++
 	return func() {
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		g.requests--
+		if g.sourceRequests[source]--; g.sourceRequests[source] == 0 {
+			delete(g.sourceRequests, source)
+		}
 	}, nil
 }
 
+// ReleaseBody gives back the bytes of the body of a request before its end. The caller must
+// no longer refer to the body. A nil guard has no limit.
+func (g *Guard) ReleaseBody(r *http.Request) {
+	c := connOf(r)
+	if g == nil || c == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.budget.Release(c.source, c.body)
+	c.body = 0
+	g.gaugesLocked()
+}
+
 func (g *Guard) setPhaseLocked(c *conn, phase Phase) {
 	now := g.now()
 	c.info.Phase, c.info.Since, c.info.Progress = phase, now, now
@@ -239,11 +297,17 @@
 			panic(http.ErrAbortHandler) // ends the connection; see http.Handler
 		}
 		defer g.end(c)
-		if r.ContentLength != 0 {
-			// net/http reads up to 256 KB of a body that the handler has not read.
-			g.setReadDeadline(c, g.now().Add(g.limits.BodyTime))
+		if r.ContentLength == 0 {
+			next.ServeHTTP(w, r)
+			return
 		}
+		// net/http reads up to 256 KB of an unread body before it sends the answer. Only what
+		// has arrived with the header is read; ReadBody sets a later deadline.
+		g.setReadDeadline(c, past)
 		next.ServeHTTP(w, r)
+		if !g.receivedBody(c) {
+			g.closeAfterAnswer(c, w)
+		}
 	})
 }
 
@@ -273,19 +337,30 @@
 		c.header = header
 		g.gaugesLocked()
 	}
+	c.received = false
 	g.setPhaseLocked(c, PhaseBusy)
 	return true
 }
 
-// end gives back the bytes of the request.
+// end gives back the bytes of the request, whose answer net/http then sends.
 func (g *Guard) end(c *conn) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.releaseLocked(c)
 	c.evicted = nil
+	if c.info.Phase != PhaseRefused {
+		g.setPhaseLocked(c, PhaseAnswering)
+	}
 	g.gaugesLocked()
 }
 
+// receivedBody reports whether ReadBody has read the body of the request to its end.
+func (g *Guard) receivedBody(c *conn) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return c.received
+}
+
 func (g *Guard) setReadDeadline(c *conn, deadline time.Time) {
 	if err := c.SetReadDeadline(deadline); err != nil {
 		g.log.Debug("Failed to set the read deadline of a connection, which is closed.", zap.Error(err))
@@ -305,6 +380,12 @@
 	g.setPhaseLocked(c, PhaseRefused)
 	g.gaugesLocked()
 	g.mu.Unlock()
+	g.closeAfterAnswer(c, w)
+}
+
+// closeAfterAnswer makes the server close the connection after the answer, without reading
+// the rest of the body.
+func (g *Guard) closeAfterAnswer(c *conn, w http.ResponseWriter) {
 	// MaxBytesReader tells the server that a limit was exceeded. The server then waits a
 	// little before it closes the connection, so that the answer is not lost.
 	_, _ = http.MaxBytesReader(w, &unlimited{}, 0).Read(make([]byte, 1))
@@ -328,7 +409,7 @@
 	case g.slots <- struct{}{}:
 	case <-ctx.Done():
 		g.mu.Lock()
-		g.noteLocked("refused", "decodings")
+		g.noteLocked(actionRefused, reasonDecodings)
 		g.mu.Unlock()
 		return ErrExhausted
 	}
--- a/internal/ingress/guard_test.go
+++ b/internal/ingress/guard_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -21,13 +22,14 @@
 )
 
 // testServer is an HTTP server with a guard. POST reads the body, and other methods answer
-// with 64 bytes. The source of a body is the path.
+// with 64 bytes, or 10,000 at /large. POST to /echo answers with the body twice. The source of a body is the path.
 type testServer struct {
 	address string
 	done    atomic.Int64 // requests that were carried out
 	logs    *observer.ObservedLogs
 	scope   tally.TestScope
-	hold    chan struct{} // closed to let the requests to /hold end
+	hold    chan struct{} // closed to let the requests to /hold and /released end
+	waiting atomic.Int64  // requests that have waited for hold
 }
 
 const (
@@ -35,27 +37,82 @@
 	waitTime = 10 * time.Second
 )
 
-func serve(limits ingress.Limits) *testServer {
+// testClock stands still until the test advances it. It is an hour ahead, so that no deadline
+// passes during a test.
+type testClock struct{ nanoseconds atomic.Int64 }
+
+func newClock() *testClock {
+	c := &testClock{}
+	c.nanoseconds.Store(time.Now().Add(time.Hour).UnixNano())
+	return c
+}
+
+func (c *testClock) now() time.Time          { return time.Unix(0, c.nanoseconds.Load()) }
+func (c *testClock) advance(d time.Duration) { c.nanoseconds.Add(int64(d)) }
+
+// slowReader is a connection whose client takes a while to accept what is written.
+type slowReader struct {
+	net.Conn
+	clock *testClock
+	delay time.Duration
+}
+
+func (c *slowReader) SetWriteDeadline(time.Time) error { return nil }
+
+func (c *slowReader) Write(p []byte) (int, error) {
+	c.clock.advance(c.delay)
+	return len(p), nil
+}
+
+// oneConnection is a listener with one connection.
+type oneConnection struct {
+	net.Listener
+	conn net.Conn
+}
+
+func (l oneConnection) Accept() (net.Conn, error) { return l.conn, nil }
+
+// pastGrace is longer than the time in which a new connection or request is not closed for
+// others.
+const pastGrace = 600 * time.Millisecond
+
+func serve(limits ingress.Limits) *testServer { return serveAt(limits, time.Now, time.Second) }
+
+func serveAt(limits ingress.Limits, clock func() time.Time, headerTimeout time.Duration) *testServer {
 	core, logs := observer.New(zapcore.InfoLevel)
 	s := &testServer{logs: logs, scope: tally.NewTestScope("", nil), hold: make(chan struct{})}
-	guard := ingress.New(limits, time.Now, zap.New(core), s.scope)
-	server := &http.Server{ReadHeaderTimeout: time.Second, IdleTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	guard := ingress.New(limits, clock, zap.New(core), s.scope)
+	server := &http.Server{ReadHeaderTimeout: headerTimeout, IdleTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Method == http.MethodPost {
-			if _, err := guard.ReadBody(w, r, ingress.Body{Source: r.URL.Path, Max: maxBody}); err != nil {
+			body, err := guard.ReadBody(w, r, ingress.Body{Source: r.URL.Path, Max: maxBody})
+			if err != nil {
 				http.Error(w, err.Error(), ingress.Status(err))
 				return
 			}
+			if r.URL.Path == "/echo" {
+				_, _ = w.Write(body.Joined())
+				_, _ = io.Copy(w, body.Reader())
+				return
+			}
 		}
 		if r.URL.Path == "/unknown" {
 			guard.Abandon(w, r)
 			w.WriteHeader(http.StatusUnauthorized)
 			return
 		}
-		if r.URL.Path == "/hold" {
+		if r.URL.Path == "/released" {
+			guard.ReleaseBody(r)
+		}
+		if r.URL.Path == "/hold" || r.URL.Path == "/released" {
+			s.waiting.Add(1)
 			<-s.hold
 		}
 		s.done.Add(1)
-		_, _ = io.WriteString(w, strings.Repeat("a", 64))
+		length := 64
+		if r.URL.Path == "/large" {
+			length = 10_000
+		}
+		_, _ = io.WriteString(w, strings.Repeat("a", length))
 	})}
 	guard.Attach(server)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -147,6 +204,38 @@
 		Expect(status(c)).To(Equal(http.StatusOK))
 	})
 
+	// Guards against clients without a token that hold all connections with bodies that they
+	// announce and do not send.
+	DescribeTable("answers without a body that the handler does not read", func(request string) {
+		clock := newClock()
+		s := serveAt(ingress.Limits{Connections: 1, BodyBytes: 1000, SourceBytes: 1000}, clock.now, time.Minute)
+		response, err := http.ReadResponse(bufio.NewReader(s.send(request)), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(http.StatusOK))
+		_, err = io.Copy(io.Discard, response.Body) // ends after the handler has returned
+		Expect(err).NotTo(HaveOccurred())
+		clock.advance(pastGrace)
+		Expect(status(s.send(small))).To(Equal(http.StatusOK))
+	},
+		Entry("of an announced length", "PUT /a HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\nbody"),
+		Entry("in chunks", "GET /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n"),
+		Entry("with an answer larger than the buffer of net/http", "PUT /large HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\nbody"),
+	)
+
+	// Guards against a body whose pieces are put together in a wrong way.
+	DescribeTable("passes on a body unchanged", func(length int) {
+		var text strings.Builder
+		for i := 0; text.Len() < length; i++ {
+			fmt.Fprintf(&text, "%d ", i)
+		}
+		body := text.String()[:length]
+		response, err := http.ReadResponse(bufio.NewReader(serve(limits).send(post("/echo", length, body))), nil)
+		Expect(err).NotTo(HaveOccurred())
+		answer, err := io.ReadAll(response.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(answer) == body+body).To(BeTrue())
+	}, Entry("of one piece", 100), Entry("of a full piece", 2048), Entry("of several pieces", 99_999))
+
 	It("serves pipelined requests one after the other", func() {
 		s := serve(limits)
 		c := s.send(strings.Repeat(small, 50))
@@ -164,7 +253,8 @@
 	// Guards against one source that keeps its whole share, and against memory that the
 	// unfinished bodies of many sources hold.
 	It("gives up stalled bodies for others", func() {
-		s := serve(limits)
+		clock := newClock()
+		s := serveAt(limits, clock.now, time.Minute)
 		var stalled []net.Conn
 		for i := range 4 {
 			stalled = append(stalled, s.send(post(fmt.Sprintf("/%d", i), maxBody, strings.Repeat(" ", maxBody-1))))
@@ -172,11 +262,15 @@
 		Eventually(func() float64 { return s.gauge("ingress.body_bytes") }).WithTimeout(waitTime).Should(BeNumerically(">=", 4*maxBody))
 		Expect(status(s.send(post("/0", 4, "body")))).To(Equal(http.StatusTooManyRequests), "before the time of grace")
 		Expect(status(s.send(small))).To(Equal(http.StatusServiceUnavailable), "before the time of grace")
-		time.Sleep(600 * time.Millisecond)
+		Expect(s.counter("ingress.refused source")).To(Equal(int64(1)))
+		Expect(s.counter("ingress.refused budget")).To(Equal(int64(1)))
+		Expect(s.counter("ingress.closed source")).To(BeZero())
+		clock.advance(pastGrace)
 		Expect(status(s.send(post("/0", 4, "body")))).To(Equal(http.StatusOK))
 		Expect(status(stalled[0])).To(Equal(http.StatusTooManyRequests))
 		Expect(s.done.Load()).To(Equal(int64(1)))
 		Expect(s.counter("ingress.closed source")).To(Equal(int64(1)))
+		Expect(s.counter("ingress.refused source")).To(Equal(int64(2)), "the new body and then the stalled one")
 		Expect(s.counter("ingress.refused budget")).To(Equal(int64(1)))
 	})
 
@@ -212,30 +306,140 @@
 		Eventually(func() float64 { return s.gauge("ingress.connections") }).WithTimeout(waitTime).Should(BeZero())
 	})
 
+	// Guards against clients that hold all connections with answers that they do not read.
+	It("closes a connection whose answers are not read for others", func() {
+		clock := newClock()
+		s := serveAt(ingress.Limits{Connections: 1, BodyBytes: 1000, SourceBytes: 1000}, clock.now, time.Minute)
+		c := s.send("")
+		go func() {
+			requests := strings.Repeat("GET / HTTP/1.1\r\nHost: a\r\n\r\n", 1000)
+			for {
+				if _, err := io.WriteString(c, requests); err != nil {
+					return
+				}
+			}
+		}()
+		Eventually(func() bool {
+			before := s.done.Load()
+			time.Sleep(200 * time.Millisecond)
+			return before > 0 && s.done.Load() == before
+		}).WithTimeout(waitTime).Should(BeTrue(), "the daemon waits for the client to read")
+		clock.advance(pastGrace)
+		Expect(status(s.send(small))).To(Equal(http.StatusOK))
+		Expect(s.counter("ingress.closed connections")).To(Equal(int64(1)))
+	})
+
+	// Guards against clients that get new time for each small answer, and against time
+	// between answers that counts as time of an answer.
+	It("bounds the time of many small answers, not the time between them", func() {
+		clock := newClock()
+		guard := ingress.New(ingress.Limits{Connections: 1, BodyBytes: 1000, SourceBytes: 1000, WriteTime: 10 * time.Second}, clock.now, nil, nil)
+		client := &slowReader{clock: clock}
+		connection, err := guard.Listener(oneConnection{conn: client}).Accept()
+		Expect(err).NotTo(HaveOccurred())
+		answer := func() error {
+			clock.advance(time.Hour)
+			_, err := io.WriteString(connection, "answer")
+			return err
+		}
+		for range 4 {
+			Expect(answer()).To(Succeed())
+		}
+		client.delay = 3 * time.Second
+		for range 4 {
+			Expect(answer()).To(Succeed())
+		}
+		Expect(answer()).To(MatchError(os.ErrDeadlineExceeded))
+	})
+
 	// Guards against headers that take many times their bytes when parsed.
 	It("closes connections whose headers take too much", func() {
-		s := serve(ingress.Limits{Connections: 8, BodyBytes: 1000, SourceBytes: 1000, HeaderBytes: 20_000})
+		clock := newClock()
+		s := serveAt(ingress.Limits{Connections: 8, BodyBytes: 1000, SourceBytes: 1000, HeaderBytes: 20_000}, clock.now, time.Minute)
 		part := "GET / HTTP/1.1\r\nHost: a\r\n" + strings.Repeat("a:\r\n", 200)
 		Expect(status(s.send(part + strings.Repeat("a:\r\n", 200)))).To(Equal(0))
+		Expect(s.counter("ingress.closed headers")).To(Equal(int64(1)))
 		first := s.send(part)
 		Eventually(func() float64 { return s.gauge("ingress.header_bytes") }).WithTimeout(waitTime).Should(BeNumerically(">", 0))
-		time.Sleep(600 * time.Millisecond)
+		clock.advance(pastGrace)
 		Expect(status(s.send(part + "\r\n"))).To(Equal(http.StatusOK))
 		Expect(status(first)).To(Equal(0))
+		Expect(s.counter("ingress.closed headers")).To(Equal(int64(2)))
 		Eventually(func() float64 { return s.gauge("ingress.header_bytes") }).WithTimeout(waitTime).Should(BeZero())
 	})
 
+	// Guards against new clients with large headers that keep out ordinary ones until they are
+	// old enough to be closed.
+	It("closes a larger header for a small one within the time of grace", func() {
+		clock := newClock()
+		s := serveAt(ingress.Limits{Connections: 8, BodyBytes: 1000, SourceBytes: 1000, HeaderBytes: 20_000}, clock.now, time.Minute)
+		large := s.send("GET / HTTP/1.1\r\nHost: a\r\n" + strings.Repeat("a:\r\n", 300))
+		Eventually(func() float64 { return s.gauge("ingress.header_bytes") }).WithTimeout(waitTime).Should(BeNumerically(">", 19_000))
+		Expect(status(s.send("GET / HTTP/1.1\r\nHost: a\r\nAccept: text/html\r\nAccept-Language: en\r\n\r\n"))).To(Equal(http.StatusOK))
+		Expect(status(large)).To(Equal(0))
+		Expect(s.counter("ingress.closed headers")).To(Equal(int64(1)))
+	})
+
+	// Guards against ordinary clients that are cut off while they send their next request.
+	It("does not close a connection whose next header is arriving as idle", func() {
+		clock := newClock()
+		s := serveAt(ingress.Limits{Connections: 1, BodyBytes: 1000, SourceBytes: 1000}, clock.now, time.Minute)
+		c := s.send(small)
+		Expect(status(c)).To(Equal(http.StatusOK))
+		Eventually(func() float64 { return s.gauge("ingress.header_bytes") }).WithTimeout(waitTime).Should(BeZero())
+		_, err := io.WriteString(c, "GET / HTTP/1.1\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(func() float64 { return s.gauge("ingress.header_bytes") }).WithTimeout(waitTime).Should(BeNumerically(">", 0))
+		Expect(status(s.send(small))).To(Equal(0))
+		_, err = io.WriteString(c, "Host: a\r\n\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(status(c)).To(Equal(http.StatusOK))
+	})
+
 	It("admits a limited number of requests to the store", func() {
 		guard := ingress.New(ingress.Limits{Connections: 2, BodyBytes: 1000, SourceBytes: 1000}, time.Now, nil, nil)
-		leave, err := guard.Enter()
+		leave, err := guard.AdmitStoreRequest("a", true)
 		Expect(err).NotTo(HaveOccurred())
-		_, err = guard.Enter()
+		_, err = guard.AdmitStoreRequest("b", true)
 		Expect(ingress.Status(err)).To(Equal(http.StatusServiceUnavailable))
 		leave()
-		_, err = guard.Enter()
+		_, err = guard.AdmitStoreRequest("b", true)
 		Expect(err).NotTo(HaveOccurred())
 	})
 
+	// Guards against callers whose reads of a slow store refuse the submissions of others.
+	It("keeps requests to the store for other sources and for submissions", func() {
+		guard := ingress.New(ingress.Limits{Connections: 16, BodyBytes: 1000, SourceBytes: 1000}, time.Now, nil, nil)
+		admit := func(source string, submission bool) error {
+			_, err := guard.AdmitStoreRequest(source, submission)
+			return err
+		}
+		for range 4 {
+			Expect(admit("a", false)).To(Succeed())
+		}
+		Expect(ingress.Status(admit("a", true))).To(Equal(http.StatusTooManyRequests), "half of the 8 requests")
+		for range 2 {
+			Expect(admit("b", false)).To(Succeed())
+		}
+		Expect(admit("c", false)).To(MatchError(ingress.ErrRequests), "a quarter is for submissions")
+		for range 2 {
+			Expect(admit("c", true)).To(Succeed())
+		}
+		Expect(admit("c", true)).To(MatchError(ingress.ErrRequests))
+	})
+
+	// Guards against bodies that are charged for as long as a slow store takes, although they
+	// have been decoded.
+	It("gives back the bytes of a body before its request ends", func() {
+		s := serve(limits)
+		c := s.send(post("/released", 4, "body"))
+		Eventually(s.waiting.Load).WithTimeout(waitTime).Should(Equal(int64(1)))
+		Expect(s.gauge("ingress.body_bytes")).To(BeZero())
+		close(s.hold)
+		Expect(status(c)).To(Equal(http.StatusOK))
+		Eventually(func() float64 { return s.gauge("ingress.body_bytes") }).WithTimeout(waitTime).Should(BeZero())
+	})
+
 	It("logs when pressure begins and ends", func() {
 		s := serve(ingress.Limits{Connections: 1, BodyBytes: 1000, SourceBytes: 1000})
 		s.send(post("/hold", 4, "body"))
