Remove a constant without a use

Cause: persistent runs are no longer forecast to end; the linter reports the constant. Change: overdueShare is removed.

--- a/internal/dispatch/forecast.go
+++ b/internal/dispatch/forecast.go
@@ -13,9 +13,6 @@
 )
 
 const (
-	// overdueShare is the remaining run time expected of a persistent task that has exceeded
-	// its estimate, as a share of the estimate. Nothing is learned of such tasks.
-	overdueShare = 0.2
 	// forecastAge is how long a forecast is used, unless the run is reported or expected to
 	// have ended. Plans come every 10 ms, and 5,000 forecasts take 2 ms of a whole core.
 	forecastAge = 250 * time.Millisecond
