Bound what senders take at the port for peers

Seen: 40 connections to the second port of port_range that each sent all but the last byte of a frame of 16 MB took 1.04 GB of a daemon of 144 MB. Nothing asked who connects, no frame had a time limit, and 1,200 connections used 1,222 of 512 descriptors. Cause: internal/relay read each frame whole with a limit of 16 MB, which only answers need, and served any number of connections on a listener without limits. Change: the frame of an operation has at most 1 MB (the largest commit) and 128 elements in an array, arrives within 5 s and is charged while it arrives and is executed; beyond the budget of a sixteenth of the memory the largest frame that arrives is given up, so that small ones of peers go on. Connections are bounded; an address that a daemon has announced has connections of its own, loopback addresses share half, and an address that no daemon has announced is refused, after a wait of 200 ms for another listing. While the store cannot be read strangers cannot be told apart and share the half of loopback. Two listings are sent at a time. Evidence: test/ingress, "Port for peers", with its crowd and bounds fixed before the change.

--- a/internal/ingress/limits.go
+++ b/internal/ingress/limits.go
@@ -23,8 +23,8 @@
 	// SmallListenerConnections is the number of connections of the listeners for health checks, metrics
 	// and operators. Each has a few clients.
 	SmallListenerConnections = 64
-	// smallestMemoryMB is the memory of the smallest machine, assumed if none is configured.
-	smallestMemoryMB = 144
+	// SmallestMemoryMB is the memory of the smallest machine, assumed if none is configured.
+	SmallestMemoryMB = 144
 
 	defaultBodyTime  = 3 * time.Second
 	defaultWriteTime = 10 * time.Second
@@ -74,7 +74,7 @@
 // known) that may open maxFDs descriptors, with bodies of up to maxBody bytes.
 func DefaultLimits(memoryMB float64, maxFDs int, maxBody int64) Limits {
 	if memoryMB <= 0 {
-		memoryMB = smallestMemoryMB
+		memoryMB = SmallestMemoryMB
 	}
 	share := int64(memoryMB * (1 << 20) / memoryDivisor)
 	return BodyLimits(min(maxFDs/2, int(share/connectionBytes)), share, maxBody)
--- a/internal/node/memory.go
+++ b/internal/node/memory.go
@@ -1,6 +1,10 @@
 package node
 
-import "runtime/debug"
+import (
+	"runtime/debug"
+
+	"github.com/samphirepath/samphirepath/internal/ingress"
+)
 
 const (
 	// gcPercent makes the garbage collector run more often than the default of 100, to
@@ -12,8 +16,20 @@
 	// memoryLimitShare of the machine's memory is the size from which the collector runs more
 	// often, whatever the percentage. The rest is for what the collector does not count.
 	memoryLimitShare = 0.8
+	// peerFrameDivisor is the divisor of the machine's memory for frames of other daemons. Most
+	// of their operations take less than a KB.
+	peerFrameDivisor = 16
 )
 
+// memoryBytes returns the memory of the machine, that of the smallest one if it is not known.
+func (s Settings) memoryBytes() int64 {
+	memoryMB := s.MemoryMB
+	if memoryMB <= 0 {
+		memoryMB = ingress.SmallestMemoryMB
+	}
+	return int64(memoryMB * (1 << 20))
+}
+
 // tuneCollector sets the garbage collector for a daemon that dispatches or does not.
 func (n *Node) tuneCollector(dispatching bool) {
 	percent := gcPercent
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -172,17 +172,19 @@
 	if err != nil {
 		return err
 	}
-	ready, err := n.listen(n.settings.ReadyAddress, http.HandlerFunc(n.serveReady), n.smallGuard("ready"))
+	ready, err := n.listen(n.settings.ReadyAddress, http.HandlerFunc(n.serveReady), n.smallGuard("ready", ingress.SmallListenerConnections))
 	if err != nil {
 		return err
 	}
-	peers, err := n.listen(n.settings.PeerAddress, relay.Handler(n.settings.Name, n.deps.DirectStore, peerDispatcher{n.dispatcher}, n.deps.Log), nil)
+	peerLimits := n.peerLimits()
+	peerHandler := relay.Handler(n.settings.Name, n.deps.DirectStore, peerDispatcher{n.dispatcher}, peerLimits, n.deps.Log)
+	peers, err := n.listen(n.settings.PeerAddress, peerHandler, n.smallGuard("peers", peerLimits.Connections+handshakeConnections))
 	if err != nil {
 		return err
 	}
 	servers := []*server{ready, peers}
 	if n.settings.MetricsAddress != "" {
-		metrics, err := n.listen(n.settings.MetricsAddress, n.deps.Metrics, n.smallGuard("metrics"))
+		metrics, err := n.listen(n.settings.MetricsAddress, n.deps.Metrics, n.smallGuard("metrics", ingress.SmallListenerConnections))
 		if err != nil {
 			return err
 		}
@@ -215,26 +217,35 @@
 // server is an HTTP server that is listening.
 type server struct{ http *http.Server }
 
-// smallBodyBytes bounds the bodies of the listeners for health checks and metrics, whose
-// handlers read none.
-const smallBodyBytes = 64 << 10
+const (
+	// smallBodyBytes bounds the bodies of the listeners for health checks, metrics and peers,
+	// whose handlers read none.
+	smallBodyBytes = 64 << 10
+	// handshakeConnections are connections of the listener for peers beside those of peers.
+	handshakeConnections = 16
+	// peerConnectionDivisor is the divisor of the descriptors for connections of peers.
+	peerConnectionDivisor = 8
+)
 
-// smallGuard returns the guard of a listener with few clients.
-func (n *Node) smallGuard(name string) *ingress.Guard {
-	return ingress.New(ingress.BodyLimits(ingress.SmallListenerConnections, smallBodyBytes, 0), time.Now, n.deps.Log.With(zap.String("listener", name)), n.deps.Scope.Tagged(map[string]string{"listener": name}))
+// peerLimits returns the limits of the listener for other daemons.
+func (n *Node) peerLimits() relay.Limits {
+	return relay.Limits{FrameBytes: n.settings.memoryBytes() / peerFrameDivisor, Connections: n.settings.MaxFDs / peerConnectionDivisor, Verify: n.deps.Store.Verify}
 }
 
-// listen starts to serve on an address. guard may be nil.
+// smallGuard returns the guard of a listener that expects no bodies.
+func (n *Node) smallGuard(name string, connections int) *ingress.Guard {
+	return ingress.New(ingress.BodyLimits(connections, smallBodyBytes, 0), time.Now, n.deps.Log.With(zap.String("listener", name)), n.deps.Scope.Tagged(map[string]string{"listener": name}))
+}
+
+// listen starts to serve on an address.
 func (n *Node) listen(address string, handler http.Handler, guard *ingress.Guard) (*server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, eris.Wrapf(err, "listen on %s", address)
 	}
 	s := &server{http: &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}}
-	if guard != nil {
-		guard.Attach(s.http)
-		listener = guard.Listener(listener)
-	}
+	guard.Attach(s.http)
+	listener = guard.Listener(listener)
 	go func() {
 		if err := s.http.Serve(listener); err != nil && !eris.Is(err, http.ErrServerClosed) {
 			n.log.Error("HTTP server failed.", zap.String("address", address), telemetry.ErrorField(err))
--- a/internal/relay/frames.go
+++ b/internal/relay/frames.go
@@ -31,11 +31,17 @@
 	maxFrameBytes = 16 << 20
 	// maxArrayElements bounds the length of each array in a frame.
 	maxArrayElements = 1 << 17
+	// maxRequestElements bounds it in the frame of an operation. A table service accepts 100
+	// rows in a commit.
+	maxRequestElements = 128
 )
 
-var decoder = newDecoder()
+var (
+	decoder        = newDecoder(maxArrayElements)
+	requestDecoder = newDecoder(maxRequestElements)
+)
 
-func newDecoder() cbor.DecMode {
+func newDecoder(maxArrayElements int) cbor.DecMode {
 	mode, err := cbor.DecOptions{
 		DupMapKey: cbor.DupMapKeyEnforcedAPF, IndefLength: cbor.IndefLengthForbidden, TagsMd: cbor.TagsForbidden,
 		MaxArrayElements: maxArrayElements,
@@ -51,9 +57,14 @@
 	return data, eris.Wrap(err, "encode a relay frame")
 }
 
-func decodeFrame(data []byte) (*api.RelayFrame, error) {
+func decodeFrame(data []byte) (*api.RelayFrame, error) { return decodeWith(decoder, data) }
+
+// decodeRequest decodes the frame of an operation.
+func decodeRequest(data []byte) (*api.RelayFrame, error) { return decodeWith(requestDecoder, data) }
+
+func decodeWith(mode cbor.DecMode, data []byte) (*api.RelayFrame, error) {
 	var frame api.RelayFrame
-	if err := decoder.Unmarshal(data, &frame); err != nil {
+	if err := mode.Unmarshal(data, &frame); err != nil {
 		return nil, eris.Wrap(err, "decode a relay frame")
 	}
 	return &frame, nil
--- a/internal/relay/membership.go
+++ b/internal/relay/membership.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"net"
 	"slices"
 	"time"
 
@@ -67,6 +68,8 @@
 	}
 	s.mu.Lock()
 	removed := s.peers.update(s.self, zone, announced)
+	close(s.listed)
+	s.listed = make(chan struct{})
 	s.mu.Unlock()
 	for _, p := range removed {
 		p.close()
@@ -74,6 +77,43 @@
 	return values, nil
 }
 
+// Verify returns what the announcements show about the address of a sender. An unknown one may
+// belong to a daemon that has just joined, so it waits a little for another listing.
+func (s *Store) Verify(ctx context.Context, ip string) Verification {
+	verdict, listed := s.verify(ip)
+	if verdict != Stranger {
+		return verdict
+	}
+	s.strangers.Do(func() {
+		s.listWanted.Store(true)
+		s.wantPath()
+	})
+	select {
+	case <-listed:
+	case <-time.After(strangerWait):
+	case <-ctx.Done():
+	}
+	verdict, _ = s.verify(ip)
+	return verdict
+}
+
+// verify is Verify without another listing. The channel is closed after the next one.
+func (s *Store) verify(ip string) (verdict Verification, listed <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	parsed := net.ParseIP(ip)
+	switch {
+	case s.peers.ips[ip]:
+		return Announced, nil
+	case parsed != nil && parsed.IsLoopback():
+		return Unverified, nil
+	case s.directFailed.Load() || s.peers.ips == nil:
+		// The announcements cannot be read now. Operations on the store fail as well.
+		return Unverified, nil
+	}
+	return Stranger, s.listed
+}
+
 // closeIdlePeers closes the unused connections to peers.
 func (s *Store) closeIdlePeers(now time.Time) {
 	s.mu.Lock()
--- a/internal/relay/peerset.go
+++ b/internal/relay/peerset.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"net"
 	"slices"
 	"strings"
 	"time"
@@ -34,6 +35,8 @@
 	// succeededAt is when each peer last reached the store for this daemon.
 	succeededAt map[string]time.Time
 	preferred   string // peer of the last successful operation
+	// ips holds the IP addresses of the peers; nil until they have been listed.
+	ips map[string]bool
 }
 
 func newPeerSet() peerSet {
@@ -56,6 +59,12 @@
 			s.peers[name] = newPeer(announcement.Address)
 		}
 	}
+	s.ips = map[string]bool{}
+	for _, announcement := range announced {
+		if ip, _, err := net.SplitHostPort(announcement.Address); err == nil {
+			s.ips[ip] = true
+		}
+	}
 	s.ranked = rankPeers(self, zone, announced)
 	return removed
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -129,7 +129,7 @@
 // the daemon's store and direct path.
 func newDaemon(shared *table.Memory, name string) (*relay.Store, *directStore) {
 	direct := &directStore{Memory: shared}
-	server := httptest.NewServer(relay.Handler(name, direct, stubDispatcher{}, nil))
+	server := httptest.NewServer(relay.Handler(name, direct, stubDispatcher{}, relay.Limits{}, nil))
 	DeferCleanup(func() {
 		server.CloseClientConnections()
 		server.Close()
@@ -371,7 +371,7 @@
 	})
 
 	It("sends no commit to a peer that no longer answers", func() {
-		server := httptest.NewServer(relay.Handler("silent", &directStore{Memory: shared}, stubDispatcher{}, nil))
+		server := httptest.NewServer(relay.Handler("silent", &directStore{Memory: shared}, stubDispatcher{}, relay.Limits{}, nil))
 		DeferCleanup(server.Close)
 		proxy, err := faultproxy.New(faultproxy.Config{Target: strings.TrimPrefix(server.URL, "http://")})
 		Expect(err).NotTo(HaveOccurred())
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -7,6 +7,7 @@
 
 	"github.com/coder/websocket"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"github.com/samphirepath/samphirepath/api"
 	"github.com/samphirepath/samphirepath/internal/telemetry"
@@ -18,6 +19,13 @@
 	maxConcurrentOperations = 64
 	// maxOperationTime bounds each operation, whatever time the peer requests for it.
 	maxOperationTime = 5 * time.Second
+	// maxConcurrentListings bounds the listings for all peers. One of a large deployment takes
+	// some MB.
+	maxConcurrentListings = 2
+	// firstConnectionLines log lines about connections are written at once, then one in each
+	// connectionLineInterval.
+	firstConnectionLines   = 200
+	connectionLineInterval = time.Second
 	// writeTimeout bounds a write to a peer that does not read.
 	writeTimeout = time.Second
 )
@@ -33,19 +41,51 @@
 
 // Handler executes the operations of peers on this daemon's direct path to the store,
 // and answers what they ask of its dispatcher. self is the name of this daemon.
-func Handler(self string, store table.Watcher, dispatcher Dispatcher, log *zap.Logger) http.Handler {
-	log = telemetry.Named(log, "relay")
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		conn, err := websocket.Accept(w, r, nil)
-		if err != nil {
-			log.Warn("Failed to accept the connection of a peer.", zap.String("address", r.RemoteAddr), telemetry.ErrorField(err))
-			return
-		}
-		conn.SetReadLimit(maxFrameBytes)
-		log.Info("Peer connected.", zap.String("address", r.RemoteAddr))
-		err = local{self, store, dispatcher}.serve(r.Context(), conn, log)
-		log.Info("Peer disconnected.", zap.String("address", r.RemoteAddr), telemetry.ErrorField(err))
-	})
+func Handler(self string, store table.Watcher, dispatcher Dispatcher, limits Limits, log *zap.Logger) http.Handler {
+	limits = limits.withDefaults()
+	return &server{
+		local: local{self, store, dispatcher}, conns: &connections{limits: limits, all: map[*served]struct{}{}},
+		frames: newFrameBudget(limits.FrameBytes), listings: make(chan struct{}, maxConcurrentListings), log: telemetry.Named(log, "relay"),
+		sometimes: rate.Sometimes{First: firstConnectionLines, Interval: connectionLineInterval},
+	}
+}
+
+// server serves the peers of a daemon.
+type server struct {
+	local
+	conns    *connections
+	frames   *frameBudget
+	listings chan struct{} // of listings that are read and sent
+	log      *zap.Logger
+	// sometimes bounds the log lines about connections.
+	sometimes rate.Sometimes
+}
+
+// ServeHTTP serves a peer until its connection ends.
+func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	admitted := s.conns.admit(r, time.Now)
+	if admitted == nil {
+		s.logSometimes("Connection refused.", r, nil)
+		http.Error(w, "the connection is refused", http.StatusServiceUnavailable)
+		return
+	}
+	defer s.conns.remove(admitted)
+	conn, err := websocket.Accept(w, r, nil)
+	if err != nil {
+		s.logSometimes("Failed to accept the connection of a peer.", r, err)
+		return
+	}
+	s.conns.setClose(admitted, func() { _ = conn.CloseNow() })
+	conn.SetReadLimit(maxRequestBytes)
+	s.logSometimes("Peer connected.", r, nil)
+	err = s.serve(r.Context(), conn, admitted)
+	s.logSometimes("Peer disconnected.", r, err)
+}
+
+// logSometimes logs what happens to a connection, unless there are many: senders that are no
+// peers may open them in quick succession.
+func (s *server) logSometimes(message string, r *http.Request, err error) {
+	s.sometimes.Do(func() { s.log.Info(message, zap.String("address", r.RemoteAddr), telemetry.ErrorField(err)) })
 }
 
 // local is what a daemon offers to its peers.
@@ -56,35 +96,68 @@
 }
 
 // serve executes the operations of a peer until the connection ends.
-func (l local) serve(ctx context.Context, conn *websocket.Conn, log *zap.Logger) error {
+func (s *server) serve(ctx context.Context, conn *websocket.Conn, admitted *served) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer func() { _ = conn.CloseNow() }()
+	idle := time.AfterFunc(serverIdleTimeout, func() { _ = conn.CloseNow() })
+	defer idle.Stop()
 	slots := make(chan struct{}, maxConcurrentOperations)
 	for {
-		_, data, err := conn.Read(ctx)
+		begun := false
+		charged, data, err := s.frames.read(ctx, conn, func() {
+			begun = true
+			s.conns.use(admitted)
+			idle.Reset(serverIdleTimeout)
+		})
+		done := func() {
+			s.conns.unuse(admitted, time.Now())
+			if charged != nil {
+				charged.release(0)
+			}
+		}
 		if err != nil {
+			if begun {
+				done()
+			}
 			return err
 		}
-		frame, err := decodeFrame(data)
+		frame, err := decodeRequest(data)
 		if err != nil {
+			done()
 			return err
 		}
 		select {
 		case slots <- struct{}{}:
 		case <-ctx.Done():
+			done()
 			return ctx.Err()
 		}
 		go func() {
+			defer done()
 			defer func() { <-slots }()
-			defer telemetry.LogPanic(log, "operation of a peer", zap.String("operation", frame.Operation), zap.String("key", frame.Key))
-			answer := l.execute(ctx, frame)
-			// A peer that does not receive the result treats it as unknown.
-			_ = write(ctx, conn, answer)
+			defer telemetry.LogPanic(s.log, "operation of a peer", zap.String("operation", frame.Operation), zap.String("key", frame.Key))
+			s.answer(ctx, conn, frame)
 		}()
 	}
 }
 
+// answer executes an operation and sends its result. Few listings are in memory at a time. A
+// peer that does not receive the result treats it as unknown.
+func (s *server) answer(ctx context.Context, conn *websocket.Conn, frame *api.RelayFrame) {
+	if frame.Operation == opList {
+		select {
+		case s.listings <- struct{}{}:
+			defer func() { <-s.listings }()
+		case <-time.After(min(milliseconds(frame.WaitMs), maxOperationTime)):
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+	_ = write(ctx, conn, s.execute(ctx, frame))
+}
+
 func write(ctx context.Context, conn *websocket.Conn, frame *api.RelayFrame) error {
 	data, err := encodeFrame(frame)
 	if err != nil {
--- a/internal/relay/store.go
+++ b/internal/relay/store.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"github.com/samphirepath/samphirepath/api"
 	"github.com/samphirepath/samphirepath/internal/telemetry"
@@ -36,6 +37,11 @@
 	// number of rows a second in fleets of any size.
 	listEvery        = 5 * time.Second
 	peersAtListEvery = 20
+	// strangerListEvery is the shortest interval between listings because of unknown senders.
+	strangerListEvery = 2 * time.Second
+	// strangerWait is how long an unknown sender waits for a listing. It is shorter than
+	// dialTimeout of the sender.
+	strangerWait = 200 * time.Millisecond
 	// unansweredLimit is how long an operation must have been unanswered for the direct
 	// path to count as failed. A slow store takes up to half a second to answer.
 	unansweredLimit = 600 * time.Millisecond
@@ -63,9 +69,12 @@
 	// peers before the next one is due.
 	pathWanted chan struct{}
 	listWanted atomic.Bool
+	// strangers bounds the listings because of unknown senders.
+	strangers rate.Sometimes
 
-	mu    sync.Mutex
-	peers peerSet
+	mu     sync.Mutex
+	peers  peerSet
+	listed chan struct{} // closed and replaced after each listing of the peers
 	// restored is closed at the end of the current or last failure of the direct path.
 	restored chan struct{}
 }
@@ -76,7 +85,7 @@
 func NewStore(direct table.Watcher, self string, log *zap.Logger, scope tally.Scope) *Store {
 	return &Store{
 		direct: direct, self: self, log: telemetry.Named(log, "relay"), scope: telemetry.ScopeOrNoop(scope),
-		pathWanted: make(chan struct{}, 1), peers: newPeerSet(),
+		pathWanted: make(chan struct{}, 1), peers: newPeerSet(), strangers: rate.Sometimes{Interval: strangerListEvery}, listed: make(chan struct{}),
 	}
 }
 
--- a/test/ingress/api_test.go
+++ b/test/ingress/api_test.go
@@ -35,7 +35,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(cluster.Stop)
 	d := cluster.Daemons[0]
-	t := target{slowStore: &atomic.Bool{}, process: d.Process, address: d.Settings.Listen.Callers, path: "/v1/jobs", host: d.Settings.Listen.Callers, scheme: "Bearer",
+	t := target{name: "daemon", slowStore: &atomic.Bool{}, process: d.Process, peerAddress: d.Settings.Listen.Peers, address: d.Settings.Listen.Callers, path: "/v1/jobs", host: d.Settings.Listen.Callers, scheme: "Bearer",
 		body:        `{"key":"load","name":"load","entry":"` + jobEntry + `","tasks":1`,
 		smallValues: `{"zones":[""` + strings.Repeat(`,""`, bodyBytes/3-8) + `]}`, descriptors: apiDescriptors}
 	catalogue := api.Catalogue{
--- a/test/ingress/platform_test.go
+++ b/test/ingress/platform_test.go
@@ -1,7 +1,6 @@
 package ingress
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -47,12 +46,20 @@
 	}))
 	DeferCleanup(server.Close)
 	DeferCleanup(server.CloseClientConnections)
-	t := target{slowStore: slow, path: "/batch/00000000000000aa", host: jobsHost, scheme: "Token", body: `{"steps":[{"count":1}]`,
-		smallValues: `{"steps":[{}` + strings.Repeat(",{}", bodyBytes/3-8) + `]}`, descriptors: platformDescriptors}
+	t := newPlatformTarget("edge-1", server.Listener.Addr().String(), platformDescriptors, putConfiguration(store))
+	t.slowStore = slow
+	t.start()
+	Eventually(t.healthCheck).WithTimeout(answerTimeout).Should(Succeed())
+	return t
+}
+
+// putConfiguration stores a configuration with one queue and callerTokens organisations. It
+// returns their tokens.
+func putConfiguration(store *standinfleet.Store) (tokens []string) {
 	var organisations []map[string]any
 	for i := range callerTokens {
-		t.tokens = append(t.tokens, fmt.Sprintf("token-%d", i))
-		organisations = append(organisations, map[string]any{"name": fmt.Sprintf("callers-%d", i), "api_keys": t.tokens[i:]})
+		tokens = append(tokens, fmt.Sprintf("token-%d", i))
+		organisations = append(organisations, map[string]any{"name": fmt.Sprintf("callers-%d", i), "api_keys": tokens[i:]})
 	}
 	configuration, err := json.Marshal(map[string]any{
 		"version": 1, "tenants": organisations, "services": []map[string]any{{"name": "gpu"}},
@@ -62,10 +69,17 @@
 	})
 	Expect(err).NotTo(HaveOccurred())
 	store.Put("op", "", "config", configuration)
+	return tokens
+}
 
+// newPlatformTarget writes the settings of a platform daemon that is not running yet.
+func newPlatformTarget(name, storeAddress string, descriptors int, tokens []string) target {
 	front, ready := freeAddress(), freeAddress()
-	file := filepath.Join(GinkgoT().TempDir(), "daemon.conf")
-	Expect(os.WriteFile(file, []byte(fmt.Sprintf(`node=edge-1
+	ports, peers := freePortRange()
+	t := target{name: name, slowStore: &atomic.Bool{}, path: "/batch/00000000000000aa", host: jobsHost, scheme: "Token", body: `{"steps":[{"count":1}]`,
+		smallValues: `{"steps":[{}` + strings.Repeat(",{}", bodyBytes/3-8) + `]}`, descriptors: descriptors,
+		tokens: tokens, address: front, peerAddress: peers, settingsFile: filepath.Join(GinkgoT().TempDir(), "daemon.conf")}
+	Expect(os.WriteFile(t.settingsFile, []byte(fmt.Sprintf(`node=%s
 ip=127.0.0.1
 zone=zone-0
 listen.front=%s
@@ -80,32 +94,25 @@
 bounds.status_s=120
 bounds.max_hold_ms=6000
 platform.address=%s
-`, front, ready, freePortRange(), memoryLimitMB, platformDescriptors, server.Listener.Addr())), 0o600)).To(Succeed())
+`, name, front, ready, ports, memoryLimitMB, descriptors, storeAddress)), 0o600)).To(Succeed())
+	t.healthCheck = func() error { return getOK("http://" + ready) }
+	t.submit = func() error { return submitJob(&t, tokens[0], smallJob) }
+	return t
+}
+
+// start starts the process of a platform daemon.
+func (t *target) start() {
 	binaries, err := harness.Build()
 	Expect(err).NotTo(HaveOccurred())
-	t.process, err = harness.Start(harness.Command{Name: "edge-1", Path: binaries.Daemon, Arguments: []string{"platform"}, Env: []string{platform.SettingsEnv + "=" + file}})
+	t.process, err = harness.Start(harness.Command{Name: t.name, Path: binaries.Daemon, Arguments: []string{"platform"}, Env: []string{platform.SettingsEnv + "=" + t.settingsFile}})
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(t.process.Stop)
-	t.address = front
-	t.healthCheck = func() error { return getOK("http://" + ready) }
-	t.submit = func() error { return submitSmallJob(front, t.tokens[0]) }
-	Eventually(t.healthCheck).WithTimeout(answerTimeout).Should(Succeed())
-	return t
 }
 
 var submissions atomic.Int64
 
-// submitSmallJob submits a job of one task on a connection of its own.
-func submitSmallJob(address, token string) error {
-	url := fmt.Sprintf("http://%s/batch/%016x", address, submissions.Add(1))
-	request, err := http.NewRequest(http.MethodPost, url, bytes.NewReader([]byte(`{"spec":"small","steps":[{"count":1,"cpu":100,"estimate_ms":10}]}`)))
-	if err != nil {
-		return err
-	}
-	request.Host = jobsHost
-	request.Header.Set("Authorization", "Token "+token)
-	return doOK(request)
-}
+// smallJob is the body of a submission of one task.
+const smallJob = `{"spec":"small","steps":[{"count":1,"cpu":100,"estimate_ms":10}]}`
 
 func getOK(url string) error {
 	request, err := http.NewRequest(http.MethodGet, url, http.NoBody)
@@ -136,8 +143,9 @@
 	return address
 }
 
-// freePortRange returns a port range whose first two ports are free, for the settings.
-func freePortRange() string {
+// freePortRange returns a port range whose first two ports are free, for the settings, and
+// the address of the second one, on which peers connect.
+func freePortRange() (ports, peerAddress string) {
 	port := func() int {
 		_, text, err := net.SplitHostPort(freeAddress())
 		Expect(err).NotTo(HaveOccurred())
@@ -149,5 +157,5 @@
 	for second != first+1 {
 		first, second = second, port()
 	}
-	return fmt.Sprintf("%d,%d", first, second)
+	return fmt.Sprintf("%d,%d", first, second), fmt.Sprintf("127.0.0.1:%d", second)
 }
--- a/test/ingress/suite_test.go
+++ b/test/ingress/suite_test.go
@@ -53,6 +53,7 @@
 
 // target is a daemon under load.
 type target struct {
+	name        string
 	process     *harness.Process
 	address     string // for callers
 	path        string // of a submission of the clients
@@ -65,6 +66,9 @@
 	healthCheck func() error // the check of the load balancer
 	descriptors int
 	slowStore   *atomic.Bool // makes the store of the platform daemon take storeDelay for a call
+	peerAddress string
+	// settingsFile is set for a platform daemon.
+	settingsFile string
 }
 
 // checkUnderLoad overloads the daemon and checks its bounds. It guards against a daemon
