Bound the connections and headers at the port for peers of the own API

Seen: 1,200 connections with unfinished headers of 64 KB took 187 MB and 1,219 descriptors of a daemon of the own API. Cause: the listener of internal/peers bounds frames before the token is checked, but neither connections nor headers, for which net/http allows 1 MB each. Change: at most 256 connections, one for each daemon and 64 without a hello, and headers of 16 KB, by the guard that the other listeners have. Evidence: test/ingress, "Port for peers of the own API", crowd and bounds fixed before. Before: 187 MB and 1,219 descriptors, bounds 144 MB and 1,024. After: 36 MB, 30 descriptors.

--- a/internal/peers/mesh.go
+++ b/internal/peers/mesh.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/samphirepath/samphirepath/api"
+	"github.com/samphirepath/samphirepath/internal/ingress"
 	"github.com/samphirepath/samphirepath/internal/refplatform"
 	"github.com/samphirepath/samphirepath/internal/telemetry"
 	"github.com/samphirepath/samphirepath/revision"
@@ -98,6 +99,11 @@
 	maxSmallHandlers = 256
 	maxBulkHandlers  = 1024
 	maxPendingHellos = 64
+	// maxConnections bounds the accepted connections: one from each daemon, and those that have
+	// not sent a hello.
+	maxConnections = 256
+	// maxHeaderBytes bounds the header of a request to open a link, which has few fields.
+	maxHeaderBytes = 16 << 10
 )
 
 // New returns a mesh; it is started by Run.
@@ -168,9 +174,11 @@
 	m.runCtx = ctx
 	m.ownAddresses[listener.Addr().String()] = true
 	m.mu.Unlock()
-	server := &http.Server{Handler: m, ReadHeaderTimeout: helloTimeout}
+	server := &http.Server{Handler: m, ReadHeaderTimeout: helloTimeout, MaxHeaderBytes: maxHeaderBytes}
+	guard := ingress.New(ingress.BodyLimits(maxConnections, maxHelloBytes, 0), time.Now, m.logger, m.config.Scope.Tagged(map[string]string{"listener": "peers"}))
+	guard.Attach(server)
 	group.Go(func() error {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(guard.Listener(listener)); !errors.Is(err, http.ErrServerClosed) {
 			return eris.Wrap(err, "serve peers")
 		}
 		return nil
--- a/test/ingress/peers_test.go
+++ b/test/ingress/peers_test.go
@@ -4,8 +4,10 @@
 	"bufio"
 	"encoding/binary"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -24,6 +26,8 @@
 	smallFrameBytes = 1 << 20
 	// writeBytes is the size of the pieces in which a frame is sent.
 	writeBytes = 64 << 10
+	// peerHeaderBytes of a header from each of manyClients hold half of that memory.
+	peerHeaderBytes = 64 << 10
 )
 
 // handshake is the header of a request to open a WebSocket connection, without its end.
@@ -101,4 +105,16 @@
 			checkBounds(s.daemons, descriptors)
 		})
 	}
+
+	// Guards against the same on the own API, whose peers send a token in their first frame.
+	It("of the own API stays within its limits with headers that do not end", func(ctx SpecContext) {
+		t := startAPI(ctx)
+		descriptors := observeAll([]target{t})
+		header := fmt.Sprintf(handshake, "/peers") + "X-Long: " + strings.Repeat("x", peerHeaderBytes)
+		connectAll(manyClients, t.peerAddress, func(c net.Conn) { _, _ = io.WriteString(c, header) })
+		time.Sleep(settleTime)
+		Eventually(t.submit).WithTimeout(answerTimeout).Should(Succeed())
+		Eventually(t.healthCheck).WithTimeout(answerTimeout).Should(Succeed())
+		checkBounds([]target{t}, descriptors)
+	}, NodeTimeout(2*time.Minute))
 })
