Leave the bound of lines about connections of peers to the logger

Cause: thinned them out itself, and the logger already writes one of 50 beyond 300 a second with the same text. Change: one line for each connection that is refused, opened or closed.

--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -7,7 +7,6 @@
 
 	"github.com/coder/websocket"
 	"go.uber.org/zap"
-	"golang.org/x/time/rate"
 
 	"github.com/samphirepath/samphirepath/api"
 	"github.com/samphirepath/samphirepath/internal/telemetry"
@@ -22,10 +21,6 @@
 	// maxConcurrentListings bounds the listings for all peers. One of a large deployment takes
 	// some MB.
 	maxConcurrentListings = 2
-	// firstConnectionLines log lines about connections are written at once, then one in each
-	// connectionLineInterval.
-	firstConnectionLines   = 200
-	connectionLineInterval = time.Second
 	// writeTimeout bounds a write to a peer that does not read.
 	writeTimeout = time.Second
 )
@@ -46,7 +41,6 @@
 	return &server{
 		local: local{self, store, dispatcher}, conns: &connections{limits: limits, all: map[*served]struct{}{}},
 		frames: newFrameBudget(limits.FrameBytes), listings: make(chan struct{}, maxConcurrentListings), log: telemetry.Named(log, "relay"),
-		sometimes: rate.Sometimes{First: firstConnectionLines, Interval: connectionLineInterval},
 	}
 }
 
@@ -57,35 +51,27 @@
 	frames   *frameBudget
 	listings chan struct{} // of listings that are read and sent
 	log      *zap.Logger
-	// sometimes bounds the log lines about connections.
-	sometimes rate.Sometimes
 }
 
 // ServeHTTP serves a peer until its connection ends.
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	admitted := s.conns.admit(r, time.Now)
 	if admitted == nil {
-		s.logSometimes("Connection refused.", r, nil)
+		s.log.Info("Connection of a sender refused.", zap.String("address", r.RemoteAddr))
 		http.Error(w, "the connection is refused", http.StatusServiceUnavailable)
 		return
 	}
 	defer s.conns.remove(admitted)
 	conn, err := websocket.Accept(w, r, nil)
 	if err != nil {
-		s.logSometimes("Failed to accept the connection of a peer.", r, err)
+		s.log.Warn("Failed to accept the connection of a peer.", zap.String("address", r.RemoteAddr), telemetry.ErrorField(err))
 		return
 	}
 	s.conns.setClose(admitted, func() { _ = conn.CloseNow() })
 	conn.SetReadLimit(maxRequestBytes)
-	s.logSometimes("Peer connected.", r, nil)
+	s.log.Info("Peer connected.", zap.String("address", r.RemoteAddr))
 	err = s.serve(r.Context(), conn, admitted)
-	s.logSometimes("Peer disconnected.", r, err)
-}
-
-// logSometimes logs what happens to a connection, unless there are many: senders that are no
-// peers may open them in quick succession.
-func (s *server) logSometimes(message string, r *http.Request, err error) {
-	s.sometimes.Do(func() { s.log.Info(message, zap.String("address", r.RemoteAddr), telemetry.ErrorField(err)) })
+	s.log.Info("Peer disconnected.", zap.String("address", r.RemoteAddr), telemetry.ErrorField(err))
 }
 
 // local is what a daemon offers to its peers.
