Bound the accepted jobs by the memory that they take

Seen: one client with one key ends a dispatcher of 144 MB in a second, and each successor on the same rows: jobs of 1,500 tasks in 100 steps are accepted without bound and take about 95 KB each. All other callers of the system are down with it. Cause: a job was accepted as soon as its row was stored; nothing counted what the dispatcher holds. Change: the dispatcher publishes the weight of its jobs with the row of the lease, which all daemons read in any case. A daemon admits a job if it fits beside that and what it has accepted since; an organisation may hold as much as is free; what does not fit into the window of a daemon is asked of the dispatcher. The budget is an eighth of the memory of the smallest machine that has announced itself. Refused at once with 429 or 503 and Retry-After; the row is read first, because a job that was accepted before must not be told that it never runs. The stored progress is no longer kept after the listing.

--- a/api/api.gen.go
+++ b/api/api.gen.go
@@ -679,6 +679,18 @@
 	Jobs []Job `json:"jobs"`
 }
 
+// JobLoad Memory that the accepted batch jobs take at the dispatcher, published with its lease.
+type JobLoad struct {
+	BudgetBytes int64 `cbor:"2,keyasint" json:"budget_bytes"`
+	HeldBytes   int64 `cbor:"3,keyasint" json:"held_bytes"`
+
+	// Organisations Part of each organisation with a noticeable one.
+	Organisations map[string]int64 `cbor:"4,keyasint,omitempty" json:"organisations,omitempty"`
+
+	// Version Version of the store up to which accepted jobs are included.
+	Version int64 `cbor:"1,keyasint" json:"version"`
+}
+
 // JobSpec Job as submitted: a gang of identical tasks.
 type JobSpec struct {
 	// Checkpoint The tasks can write checkpoints.
@@ -1003,6 +1015,9 @@
 	Holder      string `json:"holder"`
 	Incarnation string `json:"incarnation"`
 
+	// Notice Data that the holder publishes to the observers of the lease.
+	Notice []byte `json:"notice,omitempty"`
+
 	// Renewal Incremented by each renewal, so that observers see a change.
 	Renewal int64 `json:"renewal"`
 }
@@ -1076,7 +1091,10 @@
 // RelayPeer Row daemons/{vm}: address at which peers reach a daemon.
 type RelayPeer struct {
 	Address string `cbor:"1,keyasint" json:"address"`
-	Zone    string `cbor:"2,keyasint,omitempty" json:"zone,omitempty"`
+
+	// MemoryBytes Memory of the machine; 0 if it is not known.
+	MemoryBytes int64  `cbor:"3,keyasint,omitempty" json:"memory_bytes,omitempty"`
+	Zone        string `cbor:"2,keyasint,omitempty" json:"zone,omitempty"`
 }
 
 // RelayRow Row, condition or write of a store operation between daemons.
--- a/cmd/samphirepathd/platform.go
+++ b/cmd/samphirepathd/platform.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"github.com/samphirepath/samphirepath/internal/admission"
 	"github.com/samphirepath/samphirepath/internal/catalogue"
 	"github.com/samphirepath/samphirepath/internal/ingress"
 	"github.com/samphirepath/samphirepath/internal/intake"
@@ -66,6 +67,7 @@
 		return err
 	}
 	jobs.SetDispatcher(n.JobState)
+	jobs.SetAdmission(admission.NewLedger(admission.Config{Notice: n.JobLoad, Memory: n.MachineMemory, Ask: n.GrantJob, Log: log, Scope: metrics.Scope}))
 	return n.Run(ctx)
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -12,6 +12,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"github.com/samphirepath/samphirepath/internal/admission"
 	"github.com/samphirepath/samphirepath/internal/batch"
 	"github.com/samphirepath/samphirepath/internal/fleet"
 	"github.com/samphirepath/samphirepath/internal/placement"
@@ -99,6 +100,9 @@
 	// OnTerm is called with true when a term starts and with false when it has ended. It may
 	// be nil.
 	OnTerm func(dispatching bool)
+	// JobBudget returns the memory for jobs that is published with their load. The default is
+	// that of the smallest machines.
+	JobBudget func() int64
 	// Plan places the waiting tasks. The default is placement.Plan.
 	Plan     func(placement.Snapshot) placement.Result
 	Follower table.Follower
@@ -121,6 +125,8 @@
 	// lower fence than the highest that they have seen.
 	maxFence  int64
 	shareTags shareTags
+	// load is the encoded load of jobs of the running term.
+	load atomic.Pointer[[]byte]
 }
 
 // New returns a dispatcher.
@@ -143,6 +149,9 @@
 	if cfg.OnTerm == nil {
 		cfg.OnTerm = func(bool) {}
 	}
+	if cfg.JobBudget == nil {
+		cfg.JobBudget = func() int64 { return admission.Budget(nil) }
+	}
 	if cfg.Guarantees == nil {
 		cfg.Guarantees = func() map[string]int64 { return nil }
 	}
@@ -247,6 +256,7 @@
 	d.current.Store(t)
 	defer close(t.done)
 	defer d.current.Store(nil)
+	defer d.load.Store(nil)
 	go t.watchProgress(status.Epoch) //nolint:contextcheck // as t.run
 	if status.Epoch < d.minEpoch.Load() {
 		return
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -68,6 +68,10 @@
 	countsVersion   int64            // version of their row
 	countedAt       time.Time
 
+	jobsVersion   int64 // version of the store up to which the jobs are known
+	loadCountedAt time.Time
+	loadLevel     int64 // part of the budget of jobs that was last logged
+
 	health           *workerhealth.Tracker
 	healthReportedAt time.Time
 	hungCheckedAt    time.Time
@@ -94,8 +98,10 @@
 
 // jobState is a job and its progress as the term knows it.
 type jobState struct {
-	tracker *batch.Tracker
-	rows    map[string]storedRow // stored rows of the progress by key below ProgressPrefix
+	tracker  *batch.Tracker
+	weight   int64 // memory of the job without its runs, see batch.Weight
+	rowBytes int
+	rows     map[string]storedRow // stored rows of the progress by key below ProgressPrefix
 	// backlog holds groups of rows of backlogRevision that are not stored yet.
 	backlog         [][]rowChange
 	backlogRevision int64
@@ -134,8 +140,14 @@
 
 // finishedJob is a job that has ended, whose end is stored and whose runs are gone.
 type finishedJob struct {
-	state   batch.State
-	endedAt time.Time
+	state        batch.State
+	endedAt      time.Time
+	organisation string
+	rowBytes     int // of the row of the job
+}
+
+func (j *jobState) finished() finishedJob {
+	return finishedJob{state: j.tracker.State, endedAt: j.tracker.EndedAt, organisation: j.tracker.Job.Organisation, rowBytes: j.rowBytes}
 }
 
 // deletedJob is a job whose rows were deleted by a commit. A listing that was read before
@@ -204,7 +216,12 @@
 		return "progress not read"
 	}
 	t.askFormerHolders()
-	t.follow(JobsPrefix, 0, func(update table.Update) { t.handleJobUpdate(update, progress) })
+	t.follow(JobsPrefix, 0, func(update table.Update) {
+		t.handleJobUpdate(update, progress)
+		if t.jobsListed {
+			progress = nil // jobs that come later have none
+		}
+	})
 	t.follow(t.cfg.Workers.Prefix, minWorkerReadInterval, t.handleWorkerUpdate)
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
@@ -318,6 +335,7 @@
 
 func (t *term) tick() {
 	now := time.Now()
+	t.countLoad(now)
 	status := t.cfg.Lease.Status()
 	if !status.Held && (status.Epoch > t.epoch+1 || status.Epoch > t.epoch && status.Holder != t.cfg.Holder) {
 		t.endReason = "lease acquired by another daemon"
@@ -404,6 +422,7 @@
 	for id, row := range cancelled {
 		t.cancelJob(id, row.Version)
 	}
+	t.jobsVersion = max(t.jobsVersion, update.Version)
 	if update.Full {
 		t.jobsListed = true
 		t.adoptRuns()
@@ -426,7 +445,7 @@
 		return
 	}
 	j := &jobState{
-		tracker: batch.NewTracker(job), rows: map[string]storedRow{}, storedState: batch.Queued, startableSince: map[unitKey]time.Time{}, assignedAt: map[unitKey]time.Time{}, beginnings: map[unitKey]*beginning{},
+		tracker: batch.NewTracker(job), weight: batch.Weight(&job, len(row.Value)), rowBytes: len(row.Value), rows: map[string]storedRow{}, storedState: batch.Queued, startableSince: map[unitKey]time.Time{}, assignedAt: map[unitKey]time.Time{}, beginnings: map[unitKey]*beginning{},
 		failedWorkers: map[unitKey]map[string]bool{}, suspectSince: map[unitKey]time.Time{}, runs: map[batch.RunRef]*run{},
 	}
 	if !t.jobsListed {
@@ -438,7 +457,7 @@
 		j.storedState = j.tracker.State
 		if j.tracker.State.Final() && j.tracker.Idle() {
 			if len(j.rows) <= 1 {
-				t.finished[id] = finishedJob{state: j.tracker.State, endedAt: j.tracker.EndedAt}
+				t.finished[id] = j.finished()
 				return
 			}
 			t.markChanged(j) // its pages are to be deleted
@@ -504,7 +523,7 @@
 func (t *term) forgetFinished(now time.Time) {
 	for id, j := range t.jobs {
 		if j.tracker.State.Final() && len(j.runs) == 0 && j.tracker.Idle() && j.storedRevision == j.revision {
-			t.finished[id] = finishedJob{state: j.tracker.State, endedAt: j.tracker.EndedAt}
+			t.finished[id] = j.finished()
 			delete(t.jobs, id)
 		}
 	}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
 
+	"github.com/samphirepath/samphirepath/internal/admission"
 	"github.com/samphirepath/samphirepath/internal/batch"
 	"github.com/samphirepath/samphirepath/internal/dispatch"
 	"github.com/samphirepath/samphirepath/internal/telemetry"
@@ -39,6 +40,9 @@
 	// daemon records, per second and at once. Each leaves a row for a while.
 	earlyCancelRate  = 50
 	earlyCancelBurst = 200
+	// resubmissionRate bounds the reads for refused jobs of all daemons, per second. The store of
+	// the smallest deployment serves 2,000 reads a second.
+	resubmissionRate = 800
 	// RetryAfter is the delay after which a refused caller should try again.
 	RetryAfter = time.Second
 )
@@ -55,6 +59,12 @@
 	Unknown
 	// NoSuchJob means that no job has this identifier.
 	NoSuchJob
+	// OrganisationFull means that the organisation has too many jobs to submit another, Full
+	// that all have, and Busy that this daemon has accepted too many in the last second. The
+	// call has not taken effect and never will.
+	OrganisationFull
+	Full
+	Busy
 )
 
 func (o Outcome) String() string {
@@ -67,6 +77,12 @@
 		return "unknown"
 	case NoSuchJob:
 		return "no_such_job"
+	case OrganisationFull:
+		return "organisation_full"
+	case Full:
+		return "full"
+	case Busy:
+		return "busy"
 	}
 	return "invalid"
 }
@@ -75,6 +91,9 @@
 type Intake struct {
 	store      table.Store
 	dispatcher StateFunc
+	admission  *admission.Ledger // nil admits all jobs
+	// resubmissions limits the reads for refused jobs, which may have been accepted before.
+	resubmissions *rate.Limiter
 	// earlyCancels limits the records of cancellations of unknown jobs.
 	earlyCancels *rate.Limiter
 	log          *zap.Logger
@@ -87,13 +106,17 @@
 
 // New returns an intake over a store.
 func New(store table.Store, log *zap.Logger, scope tally.Scope) *Intake {
-	return &Intake{store: store, earlyCancels: rate.NewLimiter(earlyCancelRate, earlyCancelBurst), log: telemetry.Named(log, "intake"), scope: telemetry.ScopeOrNoop(scope)}
+	return &Intake{store: store, earlyCancels: rate.NewLimiter(earlyCancelRate, earlyCancelBurst),
+		resubmissions: rate.NewLimiter(resubmissionRate, resubmissionRate), log: telemetry.Named(log, "intake"), scope: telemetry.ScopeOrNoop(scope)}
 }
 
 // SetDispatcher sets the source of job states for when the store does not answer. It
 // must be called before the intake serves callers.
 func (in *Intake) SetDispatcher(dispatcher StateFunc) { in.dispatcher = dispatcher }
 
+// SetAdmission sets what admits jobs. It must be called before the intake serves callers.
+func (in *Intake) SetAdmission(ledger *admission.Ledger) { in.admission = ledger }
+
 func jobKey(id string) string { return dispatch.JobsPrefix + id }
 
 // Submit stores a job. A job with a known identifier is the same job sent again and is
@@ -104,39 +127,80 @@
 		in.log.Error("Failed to encode a submitted job.", zap.String("job", job.ID), telemetry.ErrorField(err))
 		return NotDone
 	}
-	outcome, attempts, cause := in.insert(ctx, table.Write{Key: jobKey(job.ID), Value: value})
+	reservation, refusal := in.admission.Reserve(ctx, job.Organisation, batch.Weight(&job, len(value)))
+	if refusal != nil {
+		return in.refuse(ctx, job, refusal)
+	}
+	outcome, version, attempts, cause := in.insert(ctx, table.Write{Key: jobKey(job.ID), Value: value})
+	switch {
+	case outcome == Unknown:
+		reservation.Unknown()
+	case version > 0:
+		reservation.Stored(version)
+	default:
+		reservation.Release()
+	}
 	in.log.Info("Submission answered.", zap.String("job", job.ID), zap.String("queue", job.Queue), zap.String("organisation", job.Organisation),
 		zap.Stringer("outcome", outcome), zap.Int("attempts", attempts), telemetry.ErrorField(cause))
 	in.count("submissions", outcome)
 	return outcome
 }
 
+// refuse returns the outcome of a submission that is not admitted. The job may have been
+// accepted before and its caller not have got the answer; if that cannot be found out, the
+// outcome is unknown.
+func (in *Intake) refuse(ctx context.Context, job batch.Job, refusal error) Outcome {
+	in.resubmissions.SetLimit(resubmissionRate / rate.Limit(max(in.admission.Daemons(), 1)))
+	outcome := Full
+	switch {
+	case eris.Is(refusal, admission.ErrOrganisation):
+		outcome = OrganisationFull
+	case eris.Is(refusal, admission.ErrDaemon):
+		outcome = Busy
+	}
+	if !in.resubmissions.Allow() {
+		outcome = Unknown
+	} else if _, found, err := in.get(ctx, jobKey(job.ID)); err != nil {
+		outcome = Unknown
+	} else if found {
+		outcome = Done
+	}
+	in.count("submissions", outcome)
+	load := in.admission.Load()
+	in.log.Info("Submission not admitted.", zap.String("job", job.ID), zap.String("organisation", job.Organisation), zap.Stringer("outcome", outcome),
+		zap.Int64("held_bytes", load.HeldBytes), zap.Int64("organisation_bytes", load.Organisations[job.Organisation]), zap.Int64("budget_bytes", load.BudgetBytes), telemetry.ErrorField(refusal))
+	return outcome
+}
+
 // insert writes a row that must not exist. A conflict, or a row that is read, means that an
-// earlier attempt or an earlier call has written it.
-func (in *Intake) insert(ctx context.Context, write table.Write) (Outcome, int, error) {
+// earlier attempt or an earlier call has written it. The version is that of the row if this
+// call has written it, otherwise 0.
+func (in *Intake) insert(ctx context.Context, write table.Write) (outcome Outcome, version int64, attempts int, cause error) {
 	start := time.Now()
 	mayApply := false // an earlier attempt may have been applied or may still be
 	for attempt := 1; ; attempt++ {
 		result := in.commit(ctx, []table.Condition{{Key: write.Key}}, write, func(table.Row) bool { return true })
 		switch result.Status {
-		case table.Committed, table.Conflict:
-			return Done, attempt, nil
+		case table.Committed:
+			return Done, result.Version, attempt, nil
+		case table.Conflict:
+			return Done, 0, attempt, nil
 		case table.Rejected:
 			if !mayApply {
-				return NotDone, attempt, result.Err
+				return NotDone, 0, attempt, result.Err
 			}
 		case table.Unknown:
 			mayApply = true
 		case table.Unavailable:
 			if !mayApply && time.Since(start) >= minSubmitTime {
-				return NotDone, attempt, result.Err
+				return NotDone, 0, attempt, result.Err
 			}
 		}
 		if !waitForRetry(ctx) {
 			if mayApply {
-				return Unknown, attempt, result.Err
+				return Unknown, 0, attempt, result.Err
 			}
-			return NotDone, attempt, result.Err
+			return NotDone, 0, attempt, result.Err
 		}
 	}
 }
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"errors"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/samphirepath/samphirepath/internal/admission"
 	"github.com/samphirepath/samphirepath/internal/batch"
 	"github.com/samphirepath/samphirepath/internal/dispatch"
 	"github.com/samphirepath/samphirepath/internal/intake"
@@ -134,6 +136,56 @@
 		Expect(in.Cancel(ctx, job.ID)).To(Equal(intake.Done))
 	})
 
+	Describe("with a bound of the jobs", func() {
+		// The dispatcher has published that one organisation holds as much as is left.
+		notice, err := admission.EncodeLoad(admission.NewLoad(0, admission.Budget(nil), map[string]int64{"large": admission.Budget(nil) * 3 / 5}))
+		if err != nil {
+			panic(err)
+		}
+		newIntake := func(store table.Store) *intake.Intake {
+			in := intake.New(store, nil, nil)
+			in.SetAdmission(admission.NewLedger(admission.Config{Notice: func() []byte { return notice }, Memory: func() []int64 { return nil },
+				Ask: func(context.Context, string, int64) error { return errors.New("no answer") }}))
+			return in
+		}
+		large := batch.Job{ID: "00000000000000aa", Queue: "q", Organisation: "large", Steps: job.Steps}
+		small := batch.Job{ID: "00000000000000bb", Queue: "q", Organisation: "small", Steps: job.Steps}
+
+		It("refuses an organisation that holds as much as is left, and not others", func(ctx SpecContext) {
+			store := table.NewMemory()
+			in := newIntake(store)
+			Expect(in.Submit(ctx, large)).To(Equal(intake.OrganisationFull))
+			_, found, err := store.Get(ctx, dispatch.JobsPrefix+large.ID)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(found).To(BeFalse())
+			Expect(in.Submit(ctx, small)).To(Equal(intake.Done))
+		})
+
+		// Guards against "never runs" for a job that was accepted before and runs.
+		It("accepts a job again that was accepted before", func(ctx SpecContext) {
+			store := table.NewMemory()
+			Expect(intake.New(store, nil, nil).Submit(ctx, large)).To(Equal(intake.Done))
+			Expect(newIntake(store).Submit(ctx, large)).To(Equal(intake.Done))
+		})
+
+		It("does not tell that a job never runs while it cannot find out", func(ctx SpecContext) {
+			Expect(newIntake(unreadableStore{table.NewMemory()}).Submit(ctx, large)).To(Equal(intake.Unknown))
+		})
+
+		// Guards against a daemon that accepts without end while no dispatcher counts.
+		It("accepts a bounded number of jobs that nobody counts", func(ctx SpecContext) {
+			in := newIntake(table.NewMemory())
+			outcomes := map[intake.Outcome]int{}
+			for i := range 100 {
+				next := small
+				next.ID, next.Spec = strconv.Itoa(i), strings.Repeat("x", 4000)
+				outcomes[in.Submit(ctx, next)]++
+			}
+			Expect(outcomes[intake.Done]).To(BeNumerically("~", 20, 15))
+			Expect(outcomes[intake.Busy]).To(BeNumerically(">", 0))
+		})
+	})
+
 	Describe("with a dispatcher", func() {
 		queryState := func(store table.Store, known batch.State) (batch.State, intake.Outcome, time.Duration) {
 			in := intake.New(store, nil, nil)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/samphirepath/samphirepath/api"
+	"github.com/samphirepath/samphirepath/internal/admission"
 	"github.com/samphirepath/samphirepath/internal/batch"
 	"github.com/samphirepath/samphirepath/internal/catalogue"
 	"github.com/samphirepath/samphirepath/internal/dispatch"
@@ -99,6 +100,7 @@
 	log            *zap.Logger
 	lease          *lease.Lease
 	dispatcher     *dispatch.Dispatcher
+	grants         *admission.Ledger // jobs that the dispatcher admits for other daemons
 	outOfService   map[string]string // zones out of service by row key; used only by the operator follower
 	lastAnswer     atomic.Int64      // when the store last answered, Unix time in ns
 	storeReachable bool              // used only by the operator follower
@@ -111,7 +113,7 @@
 	leaderLease, err := lease.New(lease.Config{
 		Store: deps.Store, Prefix: dispatch.LeasePrefix, Holder: settings.Name, Incarnation: settings.Name,
 		LeaseTime: leaseTime, RenewEvery: leaseRenew, PollEvery: leasePoll, TakeoverDelay: takeoverDelay(settings),
-		Healthy: func() bool { return n.dispatcher.Progressing() }, Log: telemetry.Named(deps.Log, "lease"),
+		Healthy: func() bool { return n.dispatcher.Progressing() }, Notice: func() []byte { return n.dispatcher.Load() }, Log: telemetry.Named(deps.Log, "lease"),
 	})
 	if err != nil {
 		return nil, err
@@ -120,8 +122,10 @@
 	n.dispatcher = dispatch.New(dispatch.Config{
 		Store: deps.Store, Lease: leaderLease, Holder: settings.Name, Zone: settings.Zone, EndFormerTerm: deps.Store.EndTermBefore, Workers: deps.Workers, Client: deps.Client, Zones: deps.Current, Guarantees: deps.Current.Guarantees, OnTerm: n.tuneCollector,
 		MaxWorkerLease: settings.MaxWorkerLease, MaxStopTime: settings.MaxStopTime, ReclaimLimit: settings.ReclaimLimit, FinishedRetention: settings.FinishedRetention, Follower: n.follower(""),
+		JobBudget: func() int64 { return admission.Budget(n.MachineMemory()) },
 		Log: deps.Log, Scope: deps.Scope,
 	})
+	n.grants = admission.NewLedger(admission.Config{Notice: n.dispatcher.Load, Memory: n.MachineMemory, Log: deps.Log, Scope: deps.Scope.SubScope("grants")})
 	return n, nil
 }
 
@@ -158,8 +162,49 @@
 	return batch.State(state)
 }
 
+// JobLoad returns the encoded load of jobs that the dispatcher has published last.
+func (n *Node) JobLoad() []byte { return n.lease.Status().Notice }
+
+// GrantJob asks the dispatcher, on this or another daemon, to admit a job.
+func (n *Node) GrantJob(ctx context.Context, organisation string, bytes int64) error {
+	if n.dispatcher.Leading() {
+		return n.grants.Grant(ctx, organisation, bytes)
+	}
+	holder := n.lease.Status().Holder
+	if holder == "" || holder == n.settings.Name {
+		return errNoDispatcher
+	}
+	return n.deps.Store.GrantJob(ctx, holder, organisation, bytes)
+}
+
+// errNoDispatcher means that no daemon is known to dispatch.
+var errNoDispatcher = eris.New("no daemon is known to dispatch")
+
+// MachineMemory returns the memory of the machines of this daemon and of its peers in bytes.
+func (n *Node) MachineMemory() []int64 {
+	memory := []int64{n.settings.memoryBytes()}
+	for _, bytes := range n.deps.Store.PeerMemory() {
+		if bytes <= 0 {
+			bytes = Settings{}.memoryBytes()
+		}
+		memory = append(memory, bytes)
+	}
+	return memory
+}
+
 // peerDispatcher is the dispatcher as other daemons may use it.
-type peerDispatcher struct{ *dispatch.Dispatcher }
+type peerDispatcher struct {
+	*dispatch.Dispatcher
+	grants *admission.Ledger
+}
+
+// GrantJob admits a job if this daemon dispatches.
+func (d peerDispatcher) GrantJob(ctx context.Context, organisation string, bytes int64) error {
+	if !d.Leading() {
+		return errNoDispatcher
+	}
+	return d.grants.Grant(ctx, organisation, bytes)
+}
 
 // JobState returns the state of a job, or "" if it is not certain.
 func (d peerDispatcher) JobState(ctx context.Context, job string) string {
@@ -177,7 +222,7 @@
 		return err
 	}
 	peerLimits := n.peerLimits()
-	peerHandler := relay.Handler(n.settings.Name, n.deps.DirectStore, peerDispatcher{n.dispatcher}, peerLimits, n.deps.Log)
+	peerHandler := relay.Handler(n.settings.Name, n.deps.DirectStore, peerDispatcher{n.dispatcher, n.grants}, peerLimits, n.deps.Log)
 	peers, err := n.listen(n.settings.PeerAddress, peerHandler, n.smallGuard("peers", peerLimits.Connections+handshakeConnections))
 	if err != nil {
 		return err
@@ -199,7 +244,7 @@
 	var group errgroup.Group
 	group.Go(func() error { n.follower(n.deps.Operator.Prefix).Run(servingCtx, n.handleOperatorUpdate); return nil })
 	group.Go(func() error {
-		return n.deps.Store.Run(servingCtx, api.RelayPeer{Address: n.settings.PeerAddress, Zone: n.settings.Zone})
+		return n.deps.Store.Run(servingCtx, api.RelayPeer{Address: n.settings.PeerAddress, Zone: n.settings.Zone, MemoryBytes: n.settings.memoryBytes()})
 	})
 	group.Go(func() error { return n.lease.Run(leadingCtx) })
 	group.Go(func() error { return n.dispatcher.Run(leadingCtx) })
--- a/internal/relay/frames.go
+++ b/internal/relay/frames.go
@@ -23,6 +23,8 @@
 	opState = "state"
 	// opEndTerm asks the peer whether its dispatcher has ended all terms before an epoch.
 	opEndTerm = "end_term"
+	// opGrant asks the peer's dispatcher to admit a job.
+	opGrant = "grant"
 )
 
 const (
--- a/internal/relay/membership.go
+++ b/internal/relay/membership.go
@@ -77,6 +77,14 @@
 	return values, nil
 }
 
+// PeerMemory returns the memory of the machine of each announced peer in bytes, 0 if it is not
+// known.
+func (s *Store) PeerMemory() []int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.peers.memory // replaced, never changed
+}
+
 // Verify returns what the announcements show about the address of a sender. An unknown one may
 // belong to a daemon that has just joined, so it waits a little for another listing.
 func (s *Store) Verify(ctx context.Context, ip string) Verification {
--- a/internal/relay/peerset.go
+++ b/internal/relay/peerset.go
@@ -37,6 +37,8 @@
 	preferred   string // peer of the last successful operation
 	// ips holds the IP addresses of the peers; nil until they have been listed.
 	ips map[string]bool
+	// memory holds the memory of the machines of the peers, in bytes.
+	memory []int64
 }
 
 func newPeerSet() peerSet {
@@ -59,8 +61,9 @@
 			s.peers[name] = newPeer(announcement.Address)
 		}
 	}
-	s.ips = map[string]bool{}
+	s.ips, s.memory = map[string]bool{}, nil
 	for _, announcement := range announced {
+		s.memory = append(s.memory, announcement.MemoryBytes)
 		if ip, _, err := net.SplitHostPort(announcement.Address); err == nil {
 			s.ips[ip] = true
 		}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -15,6 +15,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/samphirepath/samphirepath/api"
+	"github.com/samphirepath/samphirepath/internal/admission"
 	"github.com/samphirepath/samphirepath/internal/relay"
 	"github.com/samphirepath/samphirepath/table"
 	"github.com/samphirepath/samphirepath/test/faultproxy"
@@ -116,6 +117,16 @@
 // of epoch 7.
 type stubDispatcher struct{}
 
+func (stubDispatcher) GrantJob(_ context.Context, organisation string, bytes int64) error {
+	switch {
+	case organisation == "full":
+		return admission.ErrOrganisation
+	case bytes > 1000:
+		return admission.ErrFull
+	}
+	return nil
+}
+
 func (stubDispatcher) JobState(_ context.Context, job string) string {
 	if job == "j" {
 		return "completed"
@@ -370,6 +381,20 @@
 		Expect(ask("gone", 8)()).To(BeFalse())
 	})
 
+	It("asks the dispatcher of another daemon to admit a job", func() {
+		shared := table.NewMemory()
+		a, _ := newDaemon(shared, "a")
+		newDaemon(shared, "b")
+		runStore(a)
+		grant := func(organisation string, bytes int64) error {
+			return a.GrantJob(withTimeout(), "b", organisation, bytes)
+		}
+		Eventually(func() error { return grant("o", 1000) }).WithTimeout(3 * time.Second).Should(Succeed())
+		Expect(eris.Is(grant("o", 1001), admission.ErrFull)).To(BeTrue())
+		Expect(eris.Is(grant("full", 1), admission.ErrOrganisation)).To(BeTrue())
+		Expect(a.GrantJob(withTimeout(), "nobody", "o", 1)).To(MatchError(ContainSubstring("not reached")))
+	})
+
 	It("sends no commit to a peer that no longer answers", func() {
 		server := httptest.NewServer(relay.Handler("silent", &directStore{Memory: shared}, stubDispatcher{}, relay.Limits{}, nil))
 		DeferCleanup(server.Close)
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -32,6 +32,8 @@
 	// EndTermBefore ends a term with a lower epoch, and reports whether none runs or will
 	// run any more.
 	EndTermBefore(ctx context.Context, epoch int64) bool
+	// GrantJob admits a job of an organisation, or returns why not.
+	GrantJob(ctx context.Context, organisation string, bytes int64) error
 }
 
 // Handler executes the operations of peers on this daemon's direct path to the store,
@@ -178,6 +180,8 @@
 		return resultFrame(frame.ID, l.store.Commit(ctx, conditions, writes))
 	case opState:
 		return textFrame(frame, l.dispatcher.JobState(ctx, frame.Key))
+	case opGrant:
+		return textFrame(frame, grantText(l.dispatcher.GrantJob(ctx, frame.Key, frame.Since)))
 	case opEndTerm:
 		// Another daemon may have got the address of the one that is meant.
 		if frame.Key == l.self && l.dispatcher.EndTermBefore(ctx, frame.Since) {
--- a/internal/relay/store.go
+++ b/internal/relay/store.go
@@ -14,6 +14,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/samphirepath/samphirepath/api"
+	"github.com/samphirepath/samphirepath/internal/admission"
 	"github.com/samphirepath/samphirepath/internal/telemetry"
 	"github.com/samphirepath/samphirepath/table"
 )
@@ -398,6 +399,47 @@
 	return answer == termEnded, err
 }
 
+// GrantJob asks the dispatcher of another daemon to admit a job.
+func (s *Store) GrantJob(ctx context.Context, daemon, organisation string, bytes int64) error {
+	answer, err := s.askDaemon(ctx, daemon, &api.RelayFrame{Operation: opGrant, Key: organisation, Since: bytes})
+	if err != nil {
+		return err
+	}
+	return parseGrant(answer)
+}
+
+// Results of opGrant.
+const (
+	granted          = "granted"
+	organisationFull = "organisation_full"
+	full             = "full"
+	notGranted       = "not_granted"
+)
+
+func grantText(err error) string {
+	switch {
+	case err == nil:
+		return granted
+	case eris.Is(err, admission.ErrOrganisation):
+		return organisationFull
+	case eris.Is(err, admission.ErrFull):
+		return full
+	}
+	return notGranted
+}
+
+func parseGrant(text string) error {
+	switch text {
+	case granted:
+		return nil
+	case organisationFull:
+		return admission.ErrOrganisation
+	case full:
+		return admission.ErrFull
+	}
+	return eris.Errorf("relay: the dispatcher does not admit the job: %q", text)
+}
+
 // askDaemon sends an operation to a certain daemon and returns the text of its result.
 func (s *Store) askDaemon(ctx context.Context, daemon string, frame *api.RelayFrame) (string, error) {
 	if !s.knowsPeer(daemon) {
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -55,6 +55,9 @@
 	// not, it neither renews nor acquires the lease, so that another process takes over.
 	// The default is always healthy.
 	Healthy func() bool
+	// Notice returns data that the holder publishes to the observers with its next renewal,
+	// or nil to leave it as it is. It must be short, because all of them read it.
+	Notice func() []byte
 	// Now returns the current time. Steps of the time of day must not affect it. The
 	// default also counts the time that the machine was suspended.
 	Now func() time.Time
@@ -71,6 +74,8 @@
 	// Former names earlier holders that may not have noticed yet that they lost the lease,
 	// while it is held. An empty name stands for any others.
 	Former []string
+	// Notice is what a holder has published last, in the row as last read or written.
+	Notice []byte
 }
 
 // Lease observes a leader lease, and acquires and renews it when possible.
@@ -129,6 +134,9 @@
 	if cfg.Healthy == nil {
 		cfg.Healthy = func() bool { return true }
 	}
+	if cfg.Notice == nil {
+		cfg.Notice = func() []byte { return nil }
+	}
 	if cfg.Log == nil {
 		cfg.Log = zap.NewNop()
 	}
@@ -189,7 +197,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	held := l.heldLocked()
-	s := Status{Held: held, Holder: l.row.Holder, Epoch: l.row.Epoch}
+	s := Status{Held: held, Holder: l.row.Holder, Epoch: l.row.Epoch, Notice: l.row.Notice}
 	if held {
 		s.AcquiredVersion, s.Former = l.acquiredVersion, slices.Clone(l.rowLocked().Former)
 	}
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -151,6 +151,32 @@
 		Expect(b.Status().Former).To(Equal([]string{"c"}))
 	})
 
+	// Guards against observers that act on what an earlier holder has published long ago, and
+	// against a takeover that takes it away before the new holder publishes its own.
+	It("publishes a notice of its holder until the next one has its own", func() {
+		publish := func(name, notice string) *lease.Lease {
+			l, err := lease.New(lease.Config{Store: store, Prefix: "planner/z/", Holder: name, Incarnation: name + "-1", Now: func() time.Time { return clk.now },
+				Notice: func() []byte { return []byte(notice) }})
+			Expect(err).NotTo(HaveOccurred())
+			return l
+		}
+		clk.advance(4 * time.Second)
+		h, next := publish("h", "first"), publish("i", "second")
+		h.Step(ctx)
+		clk.advance(4 * time.Second)
+		h.Step(ctx) // takes over
+		h.Step(ctx) // renews
+		next.Step(ctx)
+		Expect(next.Status().Notice).To(Equal([]byte("first")))
+		clk.advance(4 * time.Second)
+		next.Step(ctx)
+		Expect(next.Status().Held).To(BeTrue())
+		Expect(next.Status().Notice).To(Equal([]byte("first")))
+		next.Step(ctx)
+		h.Step(ctx)
+		Expect(h.Status().Notice).To(Equal([]byte("second")))
+	})
+
 	// Guards against a holder that does no work any more and keeps the lease.
 	It("is left by a holder that makes no progress", func() {
 		healthy := true
--- a/lease/round.go
+++ b/lease/round.go
@@ -20,6 +20,9 @@
 func (l *Lease) renew(ctx context.Context) {
 	row := l.currentRow()
 	row.Renewal = l.nextRenewal()
+	if notice := l.cfg.Notice(); notice != nil {
+		row.Notice = notice
+	}
 	result := l.write(ctx, row)
 	switch result.Status {
 	case table.Committed:
@@ -126,7 +129,7 @@
 			epoch = max(epoch, f.Epoch)
 		}
 	}
-	row := api.PlannerLease{Holder: l.cfg.Holder, Incarnation: l.cfg.Incarnation, Epoch: epoch + 1, Renewal: l.nextRenewal(), Former: formerHolders(old, l.cfg.Holder)}
+	row := api.PlannerLease{Holder: l.cfg.Holder, Incarnation: l.cfg.Incarnation, Epoch: epoch + 1, Renewal: l.nextRenewal(), Former: formerHolders(old, l.cfg.Holder), Notice: old.Notice}
 	result := l.commit(ctx, row, []table.Condition{{Key: l.fenceKey(), Version: fence.Version}},
 		[]table.Write{{Key: l.fenceKey(), Value: encode(api.PlannerFence{Epoch: row.Epoch})}})
 	version := result.Version
