Bound the runs of a dispatcher by its memory

Seen: 60 jobs of 1,500 tasks that need hardly any processor took a dispatcher of 300 workers from 71 to 186 MB, and with jobs of the largest size and crowds of clients beside them to 3.5 GB. Cause: tasks start as long as workers have capacity; each run takes about 1 KB of the dispatcher. Change: placements of a plan begin only while the runs fit into an eighth of the memory, and those of an organisation into what is free; the others wait for the next plan. Weighed: dividing the limits of callers on the daemon that dispatches.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -103,6 +103,8 @@
 	// JobBudget returns the memory for jobs that is published with their load. The default is
 	// that of the smallest machines.
 	JobBudget func() int64
+	// MaxRuns bounds the runs of a term; 0 means that there is no bound.
+	MaxRuns int
 	// Plan places the waiting tasks. The default is placement.Plan.
 	Plan     func(placement.Snapshot) placement.Result
 	Follower table.Follower
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -55,14 +55,19 @@
 	p.Observe = func(key placement.StepKey) { t.planning.Store(&key.Job) }
 	result := t.cfg.Plan(p.Snapshot)
 	t.planning.Store(nil)
-	started := 0
+	started, waiting, limit := 0, 0, t.newRunLimit()
 	for _, placed := range result.Placements {
+		if !limit.begin(p.Demands[placed.Demand].Organisation, len(placed.Tasks)) {
+			waiting += len(placed.Tasks)
+			continue
+		}
 		started += len(placed.Tasks)
 		isolated := p.Demands[placed.Demand].Isolated
 		for i, task := range placed.Tasks {
 			t.assign(p.jobs[placed.Demand], p.units[placed.Demand], task, p.workers[placed.Workers[i]], isolated)
 		}
 	}
+	t.noteRunLimit(limit, waiting)
 	t.noteWaits(p, result.Waits)
 	t.evict(p, result)
 	took := time.Since(start)
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -71,6 +71,7 @@
 	jobsVersion   int64 // version of the store up to which the jobs are known
 	loadCountedAt time.Time
 	loadLevel     int64 // part of the budget of jobs that was last logged
+	runsLimited   bool  // placements of the last plan wait because of the limit of runs
 
 	health           *workerhealth.Tracker
 	healthReportedAt time.Time
--- a/internal/node/memory.go
+++ b/internal/node/memory.go
@@ -19,6 +19,10 @@
 	// peerFrameDivisor is the divisor of the machine's memory for frames of other daemons. Most
 	// of their operations take less than a KB.
 	peerFrameDivisor = 16
+	// runDivisor is the divisor of the machine's memory for the runs of a dispatcher: 18,000 on
+	// the smallest machine, twice what a fleet of 1,104 workers has with a run for each
+	// accelerator.
+	runDivisor = 8
 )
 
 // memoryBytes returns the memory of the machine, that of the smallest one if it is not known.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -122,7 +122,7 @@
 	n.dispatcher = dispatch.New(dispatch.Config{
 		Store: deps.Store, Lease: leaderLease, Holder: settings.Name, Zone: settings.Zone, EndFormerTerm: deps.Store.EndTermBefore, Workers: deps.Workers, Client: deps.Client, Zones: deps.Current, Guarantees: deps.Current.Guarantees, OnTerm: n.tuneCollector,
 		MaxWorkerLease: settings.MaxWorkerLease, MaxStopTime: settings.MaxStopTime, ReclaimLimit: settings.ReclaimLimit, FinishedRetention: settings.FinishedRetention, Follower: n.follower(""),
-		JobBudget: func() int64 { return admission.Budget(n.MachineMemory()) },
+		JobBudget: func() int64 { return admission.Budget(n.MachineMemory()) }, MaxRuns: int(settings.memoryBytes() / runDivisor / dispatch.RunBytes),
 		Log: deps.Log, Scope: deps.Scope,
 	})
 	n.grants = admission.NewLedger(admission.Config{Notice: n.dispatcher.Load, Memory: n.MachineMemory, Log: deps.Log, Scope: deps.Scope.SubScope("grants")})
--- a/test/ingress/load_test.go
+++ b/test/ingress/load_test.go
@@ -24,6 +24,9 @@
 	// the listener.
 	dialers      = 64
 	writeTimeout = 10 * time.Second
+	// returningClients send their request again whenever it is refused, for returnTime.
+	returningClients = 500
+	returnTime       = 8 * time.Second
 )
 
 // load is a way in which the clients send their bodies. Unless they are complete, each
@@ -37,6 +40,7 @@
 	complete bool
 	reads    bool // reads the state of a job that does not exist, while the store is slow
 	header   bool // sends only a header of many short fields, which does not end
+	returns  bool // comes again at once after each refusal, for returnTime
 }
 
 var loads = []load{
@@ -51,6 +55,12 @@
 // slowReads is a load of the platform daemon: each of the clients makes it read the store.
 var slowReads = load{title: "reads of unknown jobs from a slow store", clients: manyClients, pieces: 1, reads: true}
 
+// returningLoads are loads of clients that do not wait after a refusal.
+var returningLoads = []load{
+	{title: "whole bodies that come again after each refusal", clients: returningClients, pieces: 1, returns: true},
+	{title: "chunks of 16 bytes that come again after each refusal", clients: returningClients, chunk: 16, pieces: 1, returns: true},
+}
+
 // request returns the header and the body, in the form in which they are sent.
 func (l load) request(t target, token string) (header, body string) {
 	header = fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nAuthorization: %s %s\r\nContent-Type: application/json\r\n", t.path, t.host, t.scheme, token)
@@ -97,22 +107,37 @@
 		header := headers[t.tokens[i%len(t.tokens)]]
 		c.sent.Add(1)
 		c.ended.Go(func() {
-			openings <- struct{}{}
-			connection, err := net.Dial("tcp", t.address)
-			<-openings
-			if err != nil { // refused by the daemon, which is allowed
-				c.sent.Done()
-				return
+			sent := sync.OnceFunc(c.sent.Done)
+			defer sent()
+			for end := time.Now().Add(returnTime); ; {
+				openings <- struct{}{}
+				connection, err := net.Dial("tcp", t.address)
+				<-openings
+				if err != nil { // refused by the daemon, which is allowed
+					return
+				}
+				l.send(connection, header, body)
+				if !l.returns || time.Now().After(end) {
+					defer connection.Close()
+					break
+				}
+				awaitRefusal(connection, end)
+				connection.Close()
 			}
-			defer connection.Close()
-			l.send(connection, header, body)
-			c.sent.Done()
+			sent()
 			<-c.leave
 		})
 	}
 	return c
 }
 
+// awaitRefusal waits until the daemon answers or closes the connection.
+func awaitRefusal(connection net.Conn, end time.Time) {
+	if connection.SetReadDeadline(end) == nil {
+		_, _ = connection.Read(make([]byte, 1))
+	}
+}
+
 // send sends the request. It ends early if the daemon closes the connection or stops
 // reading, which is allowed.
 func (l load) send(connection net.Conn, header, body string) {
