Use the pieces of frames from peers again

Cause: a frame that was given up left its buffer and the smaller ones before as garbage. 40 senders that come again at once produce it faster than it is collected. Change: what follows the first KB of a frame arrives in pieces of 32 KiB from a pool, which are joined once when the frame is complete.

--- a/internal/relay/limits.go
+++ b/internal/relay/limits.go
@@ -16,13 +16,15 @@
 	// maxRequestBytes bounds the frame of an operation. The largest one is a commit, which a
 	// table service accepts up to 1 MB.
 	maxRequestBytes = 1 << 20
-	// minFrameBytes is the least budget of frames: two of the largest, while their buffers grow.
+	// minFrameBytes is the least budget of frames: two of the largest, and their pieces.
 	minFrameBytes = 6 << 20
 	// frameTime is the time in which a frame must arrive. A peer sends the largest one in 0.8 s
 	// over 10 Mbit/s.
 	frameTime = 5 * time.Second
-	// firstBufferBytes is the size of the buffer of a frame at first. Most operations fit.
+	// firstBufferBytes is the size of the buffer of a frame at first. Most operations fit. The
+	// rest of a larger one arrives in pieces.
 	firstBufferBytes = 1 << 10
+	pieceBytes       = 32 << 10
 	// serverIdleTimeout is longer than peerIdleTimeout, after which a peer closes the connection.
 	serverIdleTimeout = 20 * time.Second
 	// maxPerAddress is the number of connections from the address of a daemon. A daemon has one,
@@ -279,30 +281,56 @@
 	return f, data, nil
 }
 
-// readAll reads a frame into a buffer that is charged before it grows.
+// piece is a part of a large frame while it arrives. Pieces are used again, because frames that
+// are given up would otherwise leave garbage faster than it is collected.
+type piece [pieceBytes]byte
+
+var pieces = sync.Pool{New: func() any { return new(piece) }}
+
+// readAll reads a frame. What it reads into is charged before it is allocated.
 func (f *inboundFrame) readAll(reader io.Reader) ([]byte, error) {
 	if err := f.charge(firstBufferBytes); err != nil {
 		return nil, err
 	}
-	data := make([]byte, 0, firstBufferBytes)
-	for {
-		if len(data) == cap(data) {
-			size := 2 * cap(data)
-			if err := f.charge(int64(size)); err != nil {
-				return nil, err
-			}
-			grown := make([]byte, len(data), size)
-			copy(grown, data)
-			f.release(int64(cap(data)))
-			data = grown
+	first := make([]byte, firstBufferBytes)
+	size, ended, err := readFull(reader, first)
+	if err != nil || ended {
+		return first[:size], err
+	}
+	var parts []*piece
+	defer func() {
+		for _, part := range parts {
+			pieces.Put(part)
+		}
+	}()
+	for !ended {
+		if err := f.charge(pieceBytes); err != nil {
+			return nil, err
 		}
-		n, err := reader.Read(data[len(data):cap(data)])
-		data = data[:len(data)+n]
-		switch {
-		case eris.Is(err, io.EOF):
-			return data, nil
-		case err != nil:
+		part := pieces.Get().(*piece)
+		parts = append(parts, part)
+		var n int
+		if n, ended, err = readFull(reader, part[:]); err != nil {
 			return nil, err
 		}
+		size += n
+	}
+	if err := f.charge(int64(size)); err != nil {
+		return nil, err
+	}
+	data := append(make([]byte, 0, size), first...)
+	for _, part := range parts {
+		data = append(data, part[:min(pieceBytes, size-len(data))]...)
+	}
+	f.release(int64(len(parts) * pieceBytes))
+	return data, nil
+}
+
+// readFull fills a buffer, and reports whether the frame has ended before.
+func readFull(reader io.Reader, buffer []byte) (n int, ended bool, err error) {
+	n, err = io.ReadFull(reader, buffer)
+	if eris.Is(err, io.EOF) || eris.Is(err, io.ErrUnexpectedEOF) {
+		return n, true, nil
 	}
+	return n, false, err
 }
