Let clients misbehave in the soak beside its other faults

Cause: the soak had no such clients, and its daemons no limit of memory in their settings. Change: two kinds of faults, at one daemon and at the dispatcher: 40 clients each leave bodies and frames to the port for peers unfinished and submit jobs of the largest size, and come again at once. They have an organisation of their own; the other callers are checked as before. The settings name the 284 MB that the soak checks.

--- a/test/soak/cluster.go
+++ b/test/soak/cluster.go
@@ -130,7 +130,7 @@
 	value, err := json.Marshal(map[string]any{
 		"version": cl.configurationVersion, "routes": routes, "services": []map[string]any{{"name": service}},
 		"limits":  map[string]int{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": []map[string]any{{"name": "callers", "api_keys": []string{token, fmt.Sprintf("added-%d", cl.configurationVersion)}}},
+		"tenants": []map[string]any{{"name": "callers", "api_keys": []string{token, fmt.Sprintf("added-%d", cl.configurationVersion)}}, {"name": "crowd", "api_keys": []string{crowdToken}}},
 	})
 	if err != nil {
 		panic(err) // cannot happen: the value consists of maps and slices of numbers and strings
--- a/test/soak/daemon.go
+++ b/test/soak/daemon.go
@@ -90,13 +90,14 @@
 limits.cpu_share=0.4
 limits.cores=1
 limits.link_mbps=1000
+limits.memory_mb=%d
 bounds.grace_s=%d
 bounds.status_s=120
 bounds.max_hold_ms=6000
 orders=rpc
 platform.address=%s
 platform.form=table
-`, d.name, d.ip, d.zone, d.ip, portFront, d.ip, portReady, firstPeerPort, firstPeerPort+13, int(gracePeriod/time.Second), proxy.Address())
+`, d.name, d.ip, d.zone, d.ip, portFront, d.ip, portReady, firstPeerPort, firstPeerPort+13, memoryLimit>>20, int(gracePeriod/time.Second), proxy.Address())
 	return d, os.WriteFile(cl.settingsFile(d.name), []byte(settings), 0o600)
 }
 
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -149,6 +149,8 @@
 	{"store away, workers crash, dispatcher stops", outage, shortestOutage, longestOutage, disruptDuringOutage((*cluster).stopDispatcher)},
 	{"store away, workers crash, dispatcher paused", outage, shortestOutage, longestOutage, disruptDuringOutage((*cluster).pauseDispatcher)},
 	{"workers crash and dispatcher stops after store away", outage, shortestOutage, longestOutage, (*cluster).disruptAfterOutage},
+	{"clients that misbehave", oneDaemon, 2 * time.Second, 8 * time.Second, func(cl *cluster, i int) func() { return cl.daemon(i).crowd() }},
+	{"clients that misbehave at the dispatcher", oneDaemon, 2 * time.Second, 8 * time.Second, func(cl *cluster, i int) func() { return cl.daemon(cl.dispatcher(i)).crowd() }},
 }
 
 // secondCut is how long the second of two cuts lasts, and secondKill is the time from the
