Bound the accepted jobs of the own API by the memory that they take

Seen: one caller submits 6,000 jobs with parameters of 16 KB, all are accepted, and the daemon grows from 40 to 266 MB. Each daemon keeps a copy of all job rows, so all of them grow alike. Cause: as on the platform, nothing bounded the jobs that have not ended. Change: the same rule (internal/admission), with a load that each daemon counts in its own copy of the rows, and a budget by limits.job_memory_bytes (default 64 MiB: some 7,500 jobs of 1 KB, where the design target has 4,500 tasks). 429 and 503 with Retry-After as problem documents with outcome not_run; the row is read first, as for refusals by the catalogue. The ledger takes budget, number of daemons and window as functions. Open: requests in hand with payloads of megabytes were not played.

--- a/api/api.gen.go
+++ b/api/api.gen.go
@@ -732,6 +732,9 @@
 	// BodyMemoryBytes Maximum number of bytes of all request bodies in flight; one caller may use a quarter of it. At least four of the largest bodies are always allowed. Default 25165824.
 	BodyMemoryBytes int64 `json:"body_memory_bytes" toml:"body_memory_bytes"`
 
+	// JobMemoryBytes Memory for the copy of the job rows that each daemon keeps; beyond it jobs are refused. An organisation may hold as much as is free. Default 67108864.
+	JobMemoryBytes int64 `json:"job_memory_bytes" toml:"job_memory_bytes"`
+
 	// MaxBodyBytes Maximum size of a request body in bytes. Default 1048576.
 	MaxBodyBytes int64 `json:"max_body_bytes" toml:"max_body_bytes"`
 
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -134,7 +134,7 @@
 
 // GrantWindow returns the window of the dispatcher, for jobs that do not fit into those of the
 // daemons.
-func GrantWindow(load Load) int64 { return freeBytes(load) / windowDivisor }
+func GrantWindow(load Load, _ int) int64 { return freeBytes(load) / windowDivisor }
 
 // FitsShare reports whether an organisation that holds a part of a limited amount may take n
 // more, if so much of it is free: afterwards it holds at most as much as is free now.
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -62,8 +62,8 @@
 		{"many daemons", admission.DaemonWindow(calm, 147), 128 << 10},
 		{"very many daemons", admission.DaemonWindow(calm, 480), 48 * mb / 2 / 480},
 		{"many daemons, most of the budget held", admission.DaemonWindow(busy, 64), 16 * mb / 4 / 64},
-		{"the dispatcher", admission.GrantWindow(calm), 12 * mb},
-		{"nothing left", admission.GrantWindow(admission.Load{BudgetBytes: mb, HeldBytes: 2 * mb}), 0},
+		{"the dispatcher", admission.GrantWindow(calm, 8), 12 * mb},
+		{"nothing left", admission.GrantWindow(admission.Load{BudgetBytes: mb, HeldBytes: 2 * mb}, 8), 0},
 	} {
 		if c.got != c.want {
 			t.Errorf("%s: %d, want %d", c.name, c.got, c.want)
@@ -87,12 +87,11 @@
 func newFleet(t *testing.T, daemons int) *fleet {
 	t.Helper()
 	f := &fleet{held: map[string]int64{}, now: time.Now()}
-	machines := make([]int64, daemons)
-	for i := range machines {
-		machines[i] = memory
-	}
-	config := admission.Config{Notice: func() []byte { return f.notice }, Memory: func() []int64 { return machines }, Now: func() time.Time { return f.now }}
-	f.grants = admission.NewLedger(config)
+	config := admission.Config{Notice: func() []byte { return f.notice }, Daemons: func() int { return daemons },
+		Budget: func() int64 { return admission.Budget([]int64{memory}) }, Now: func() time.Time { return f.now }}
+	grants := config
+	grants.Window = admission.GrantWindow
+	f.grants = admission.NewLedger(grants)
 	config.Ask = func(ctx context.Context, organisation string, bytes int64) error {
 		if f.away {
 			return eris.New("no answer")
--- a/internal/admission/ledger.go
+++ b/internal/admission/ledger.go
@@ -33,12 +33,17 @@
 	// Notice returns the encoded load that the dispatcher has published last, nil before the
 	// first one.
 	Notice func() []byte
-	// Memory returns the memory in bytes of each machine that may dispatch, with that of this
-	// daemon.
-	Memory func() []int64
+	// Load returns the load, for a daemon that counts it itself. It replaces Notice.
+	Load func() Load
+	// Daemons returns the number of daemons that accept jobs.
+	Daemons func() int
+	// Budget returns the budget that applies before the first load.
+	Budget func() int64
+	// Window is DaemonWindow by default.
+	Window func(load Load, daemons int) int64
 	// Ask asks the dispatcher for a job that does not fit into the window of this daemon. It
-	// returns one of the refusals, or another error if there is no answer. A ledger without it
-	// is that of the dispatcher itself.
+	// returns one of the refusals, or another error if there is no answer. Without it such a job
+	// is refused.
 	Ask   func(ctx context.Context, organisation string, bytes int64) error
 	Log   *zap.Logger
 	Scope tally.Scope
@@ -78,6 +83,9 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
+	if cfg.Window == nil {
+		cfg.Window = DaemonWindow
+	}
 	return &Ledger{cfg: cfg, log: telemetry.Named(cfg.Log, "admission"), scope: telemetry.ScopeOrNoop(cfg.Scope).SubScope("admission"), asks: rate.NewLimiter(askRate, askRate)}
 }
 
@@ -118,15 +126,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.updateLocked()
-	memory := l.cfg.Memory()
 	load := l.load
 	if !l.known {
-		load = Load{BudgetBytes: Budget(memory)}
-	}
-	window := GrantWindow(load)
-	if l.cfg.Ask != nil {
-		window = DaemonWindow(load, len(memory))
+		load = Load{BudgetBytes: l.cfg.Budget()}
 	}
+	window := l.cfg.Window(load, l.cfg.Daemons())
 	pending := l.pendingLocked(r.organisation)
 	l.scope.Gauge("pending_bytes").Update(float64(pending.All))
 	if r.granted {
@@ -176,11 +180,13 @@
 }
 
 // Daemons returns the number of daemons that accept jobs.
-func (l *Ledger) Daemons() int { return len(l.cfg.Memory()) }
+func (l *Ledger) Daemons() int { return l.cfg.Daemons() }
 
 // updateLocked reads the published load, and drops the reservations that it includes.
 func (l *Ledger) updateLocked() {
-	if notice := l.cfg.Notice(); len(notice) > 0 && !bytes.Equal(notice, l.notice) {
+	if l.cfg.Load != nil {
+		l.load, l.known = l.cfg.Load(), true
+	} else if notice := l.cfg.Notice(); len(notice) > 0 && !bytes.Equal(notice, l.notice) {
 		l.notice = notice
 		load, err := DecodeLoad(notice)
 		if err != nil {
@@ -215,7 +221,7 @@
 	r.expires = r.ledger.cfg.Now().Add(lateApplyTime)
 }
 
-// Release records that the job is not stored, or was before.
+// Release records that the job is not stored, was before, or is counted in the load.
 func (r *Reservation) Release() {
 	if r == nil {
 		return
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,6 +14,7 @@
 
 	"github.com/samphirepath/samphirepath/api"
 	"github.com/samphirepath/samphirepath/claim"
+	"github.com/samphirepath/samphirepath/internal/admission"
 	"github.com/samphirepath/samphirepath/internal/configuration"
 	"github.com/samphirepath/samphirepath/internal/control"
 	"github.com/samphirepath/samphirepath/internal/entry"
@@ -171,6 +172,11 @@
 	})
 	d.service = jobs.NewService(jobs.ServiceConfig{
 		Writer: d.writer, Follower: d.follower, View: d.configuration, CheckRunnable: d.checkRunnable,
+		Admission: admission.NewLedger(admission.Config{
+			Load:    func() admission.Load { return d.follower.Load(s.Limits.JobMemoryBytes) },
+			Daemons: func() int { return len(d.mesh.Members()) + 1 },
+			Log:     d.log, Scope: d.metrics.Scope,
+		}),
 		Log: telemetry.Named(d.log, "jobs"), Scope: d.metrics.Scope.SubScope("jobs"),
 	})
 	d.control = control.New(control.Config{
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"github.com/samphirepath/samphirepath/api"
+	"github.com/samphirepath/samphirepath/internal/admission"
 	"github.com/samphirepath/samphirepath/internal/jobs"
 	"github.com/samphirepath/samphirepath/internal/telemetry"
 )
@@ -107,6 +108,14 @@
 		return NewProblem(http.StatusUnprocessableEntity, api.OutcomeNotRun, r.Reason)
 	case jobs.NotRun:
 		return retryLater(api.OutcomeNotRun, r.Reason)
+	case jobs.OrganisationFull:
+		p := NewProblem(http.StatusTooManyRequests, api.OutcomeNotRun, r.Reason)
+		p.RetryAfterMs = admission.RetryAfter.Milliseconds()
+		return p
+	case jobs.Full:
+		p := retryLater(api.OutcomeNotRun, r.Reason)
+		p.RetryAfterMs = admission.RetryAfter.Milliseconds()
+		return p
 	}
 	return retryLater(api.OutcomeUnknown, r.Reason)
 }
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -144,7 +144,7 @@
 		}
 		newIntake := func(store table.Store) *intake.Intake {
 			in := intake.New(store, nil, nil)
-			in.SetAdmission(admission.NewLedger(admission.Config{Notice: func() []byte { return notice }, Memory: func() []int64 { return nil },
+			in.SetAdmission(admission.NewLedger(admission.Config{Notice: func() []byte { return notice }, Daemons: func() int { return 8 }, Budget: func() int64 { return admission.Budget(nil) },
 				Ask: func(context.Context, string, int64) error { return errors.New("no answer") }}))
 			return in
 		}
--- a/internal/jobs/submit.go
+++ b/internal/jobs/submit.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/samphirepath/samphirepath/api"
+	"github.com/samphirepath/samphirepath/internal/admission"
 	"github.com/samphirepath/samphirepath/internal/configuration"
 	"github.com/samphirepath/samphirepath/internal/telemetry"
 )
@@ -34,6 +35,10 @@
 	MalformedSpec
 	// Refused means that the catalogue does not allow the job.
 	Refused
+	// OrganisationFull means that the organisation has too many jobs to submit another, and
+	// Full that all have. The job certainly was not and will not be stored.
+	OrganisationFull
+	Full
 	// NotRun means that the job certainly was not and will not be stored.
 	NotRun
 	// Unknown means that the job may have been stored or may still be stored.
@@ -55,9 +60,11 @@
 	// CheckRunnable returns the reason why no zone can ever run the job, or "". nil
 	// means that this is not checked.
 	CheckRunnable func(api.Job) string
-	Now           func() time.Time
-	Log           *zap.Logger
-	Scope         tally.Scope
+	// Admission bounds the memory of the jobs; nil means that there is no bound.
+	Admission *admission.Ledger
+	Now       func() time.Time
+	Log       *zap.Logger
+	Scope     tally.Scope
 }
 
 // Service accepts and cancels jobs for callers.
@@ -89,16 +96,25 @@
 		reason = s.cfg.CheckRunnable(job)
 	}
 	if reason != "" {
-		return s.refuse(ctx, id, hash, reason)
+		return s.refuse(ctx, id, hash, Refused, reason)
+	}
+	reservation, err := s.cfg.Admission.Reserve(ctx, organisation, Weight(&job))
+	if err != nil {
+		return s.refuse(ctx, id, hash, refusalStatus(err), err.Error())
 	}
 	result := s.insert(ctx, job)
+	if result.Status == Unknown {
+		reservation.Unknown()
+	} else {
+		reservation.Release() // the follower has the row, if it was stored
+	}
 	s.cfg.Scope.Tagged(map[string]string{"outcome": result.Status.String()}).Counter("submissions").Inc(1)
 	return result
 }
 
 // refuse refuses a submission unless its key has already been accepted under an
 // earlier catalogue or by another daemon.
-func (s *Service) refuse(ctx context.Context, id, hash, reason string) SubmitResult {
+func (s *Service) refuse(ctx context.Context, id, hash string, status SubmitStatus, reason string) SubmitResult {
 	row, err := s.cfg.Follower.Fetch(ctx, id)
 	if err != nil {
 		return SubmitResult{Status: Unknown, Reason: "the submission is refused (" + reason + "), but whether it was accepted earlier cannot be read"}
@@ -106,7 +122,18 @@
 	if row != nil {
 		return existingResult(row, hash)
 	}
-	return SubmitResult{Status: Refused, Reason: reason}
+	s.cfg.Log.Info("Submission of a job refused.", zap.String("job", id), zap.Stringer("status", status), zap.String("reason", reason))
+	return SubmitResult{Status: status, Reason: reason}
+}
+
+func refusalStatus(err error) SubmitStatus {
+	switch {
+	case eris.Is(err, admission.ErrOrganisation):
+		return OrganisationFull
+	case eris.Is(err, admission.ErrFull):
+		return Full
+	}
+	return NotRun
 }
 
 // insert writes the row if it is absent. It repeats the same insert until the job
@@ -187,7 +214,7 @@
 // String returns the name of the status in metrics and traces.
 func (s SubmitStatus) String() string {
 	names := map[SubmitStatus]string{Accepted: "accepted", Existing: "existing", DifferentBody: "different_body",
-		MalformedSpec: "malformed", Refused: "refused", NotRun: "not_run", Unknown: "unknown"}
+		MalformedSpec: "malformed", Refused: "refused", OrganisationFull: "organisation_full", Full: "full", NotRun: "not_run", Unknown: "unknown"}
 	return names[s]
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -122,10 +122,10 @@
 	n.dispatcher = dispatch.New(dispatch.Config{
 		Store: deps.Store, Lease: leaderLease, Holder: settings.Name, Zone: settings.Zone, EndFormerTerm: deps.Store.EndTermBefore, Workers: deps.Workers, Client: deps.Client, Zones: deps.Current, Guarantees: deps.Current.Guarantees, OnTerm: n.tuneCollector,
 		MaxWorkerLease: settings.MaxWorkerLease, MaxStopTime: settings.MaxStopTime, ReclaimLimit: settings.ReclaimLimit, FinishedRetention: settings.FinishedRetention, Follower: n.follower(""),
-		JobBudget: func() int64 { return admission.Budget(n.MachineMemory()) }, MaxRuns: int(settings.memoryBytes() / runDivisor / dispatch.RunBytes),
+		JobBudget: n.JobBudget, MaxRuns: int(settings.memoryBytes() / runDivisor / dispatch.RunBytes),
 		Log: deps.Log, Scope: deps.Scope,
 	})
-	n.grants = admission.NewLedger(admission.Config{Notice: n.dispatcher.Load, Memory: n.MachineMemory, Log: deps.Log, Scope: deps.Scope.SubScope("grants")})
+	n.grants = admission.NewLedger(admission.Config{Notice: n.dispatcher.Load, Daemons: n.Daemons, Budget: n.JobBudget, Window: admission.GrantWindow, Log: deps.Log, Scope: deps.Scope.SubScope("grants")})
 	return n, nil
 }
 
@@ -180,8 +180,14 @@
 // errNoDispatcher means that no daemon is known to dispatch.
 var errNoDispatcher = eris.New("no daemon is known to dispatch")
 
-// MachineMemory returns the memory of the machines of this daemon and of its peers in bytes.
-func (n *Node) MachineMemory() []int64 {
+// Daemons returns the number of daemons that are known, with this one.
+func (n *Node) Daemons() int { return len(n.machineMemory()) }
+
+// JobBudget returns the memory for accepted jobs, by that of the smallest known machine.
+func (n *Node) JobBudget() int64 { return admission.Budget(n.machineMemory()) }
+
+// machineMemory returns the memory of the machines of this daemon and of its peers in bytes.
+func (n *Node) machineMemory() []int64 {
 	memory := []int64{n.settings.memoryBytes()}
 	for _, bytes := range n.deps.Store.PeerMemory() {
 		if bytes <= 0 {
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -34,6 +34,7 @@
 	"limits.store_writes_per_second": {1, 10000},
 	"limits.max_connections":         {16, 1 << 20},
 	"limits.body_memory_bytes":       {1 << 20, 1 << 40},
+	"limits.job_memory_bytes":        {12 << 20, 1 << 40},
 	"traces.sample_percent":          {0, 100},
 }
 
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -25,6 +25,7 @@
 			StoreWritesPerSecond: 20,
 			MaxConnections:       512,
 			BodyMemoryBytes:      25165824,
+			JobMemoryBytes:       67108864,
 		},
 		Timing: defaultTiming(),
 		Logs:   api.LogSettings{Level: "info", Format: "json"},
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -101,6 +101,7 @@
 		Entry("lost_after below two heartbeats", `[peers]`, "[peers]\nlost_after = \"300ms\"", "peers.lost_after", 13, "at least 2 times"),
 		Entry("too few connections", `[daemon]`, "[limits]\nmax_connections = 1\n[daemon]", "limits.max_connections", 2, "out of range"),
 		Entry("too little memory for bodies", `[daemon]`, "[limits]\nbody_memory_bytes = 1000\n[daemon]", "limits.body_memory_bytes", 2, "out of range"),
+		Entry("too little memory for jobs", `[daemon]`, "[limits]\njob_memory_bytes = 1000\n[daemon]", "limits.job_memory_bytes", 2, "out of range"),
 		Entry("body timeout of 0", `[daemon]`, "[timing]\nbody_timeout = \"0s\"\n[daemon]", "timing.body_timeout", 2, "out of range"),
 		Entry("unknown choice", `[daemon]`, "logs.level = \"loud\"\n[daemon]", "logs.level", 1, "not one of"),
 		Entry("file exporter without a file", `[daemon]`, "traces = {exporter = \"file\"}\n[daemon]", "traces.file", 1, "needed"),
--- a/test/ingress/api_test.go
+++ b/test/ingress/api_test.go
@@ -18,7 +18,11 @@
 	"github.com/samphirepath/samphirepath/test/harness"
 )
 
-const jobEntry = "survey"
+const (
+	jobEntry = "survey"
+	// otherEntry belongs to the second organisation.
+	otherEntry = "census"
+)
 
 var _ = Describe("Daemon of the own API", func() {
 	for _, l := range loads {
@@ -41,7 +45,7 @@
 	catalogue := api.Catalogue{
 		Teams:   []api.Team{},
 		Classes: []api.Class{{Name: "batch", Urgency: api.Batch, Adjacency: api.AdjacencyZone}},
-		Entries: []api.Entry{{Name: jobEntry, Kind: api.EntryKindJob, Owner: "callers-0", Class: "batch"}},
+		Entries: []api.Entry{{Name: jobEntry, Kind: api.EntryKindJob, Owner: "callers-0", Class: "batch"}, {Name: otherEntry, Kind: api.EntryKindJob, Owner: "callers-1", Class: "batch"}},
 	}
 	for i := range callerTokens {
 		t.tokens = append(t.tokens, fmt.Sprintf("token-%d", i))
@@ -51,16 +55,18 @@
 		return c.ApplyCatalogue(ctx, api.CatalogueApply{Catalogue: catalogue, ChangedBy: "test"})
 	})
 	Expect(err).NotTo(HaveOccurred())
-	t.submit = func() error {
+	submit := func(token, entry string) error {
 		key := fmt.Sprintf("small-%d", submissions.Add(1))
-		spec := api.JobSpec{Key: key, Name: key, Entry: jobEntry, Tasks: 1, Resources: api.Resources{Cores: 1, MemoryMb: 64},
+		spec := api.JobSpec{Key: key, Name: key, Entry: entry, Tasks: 1, Resources: api.Resources{Cores: 1, MemoryMb: 64},
 			Parameters: map[string]string{standin.ParamRunMs: "10"}}
-		status := client.Do(ctx, 5*time.Second, http.MethodPost, d.CallersURL()+"/v1/jobs", t.tokens[0], spec, nil)
+		status := client.Do(ctx, 5*time.Second, http.MethodPost, d.CallersURL()+"/v1/jobs", token, spec, nil)
 		if status != http.StatusCreated {
 			return eris.Errorf("the daemon answered with status %d", status)
 		}
 		return nil
 	}
+	t.submit = func() error { return submit(t.tokens[0], jobEntry) }
+	t.submitOther = func() error { return submit(t.tokens[1], otherEntry) }
 	t.healthCheck = func() error { return getOK(d.OperatorsURL() + "/readyz") }
 	Eventually(t.submit).WithTimeout(answerTimeout).Should(Succeed())
 	return t
--- a/test/ingress/suite_test.go
+++ b/test/ingress/suite_test.go
@@ -67,6 +67,7 @@
 	descriptors int
 	slowStore   *atomic.Bool // makes the store of the platform daemon take storeDelay for a call
 	peerAddress string
+	submitOther func() error // submit of the second organisation, on the own API
 	// settingsFile is set for a platform daemon.
 	settingsFile string
 }
