Let jobs go on while a dispatcher publishes no load

Cause: found by reading the diff: a dispatcher of an earlier version publishes no load, so a daemon that has used up its window would refuse all jobs until that dispatcher is replaced. Change: before the first load an accepted job counts for 10 s.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -193,6 +193,29 @@
 	}
 }
 
+// Guards against daemons that refuse all jobs until a dispatcher of an earlier version, which
+// publishes no load, is replaced.
+func TestJobsGoOnWithoutAnyLoad(t *testing.T) {
+	f := newFleet(t, 8)
+	f.notice, f.away = nil, true
+	accept := func() (accepted int) {
+		for range 1000 {
+			if f.submit(t.Context(), 0, "o", 10_000) == nil {
+				accepted++
+			}
+		}
+		return accepted
+	}
+	first := accept()
+	if first == 0 || first > 18*mb/4/8/10_000 {
+		t.Errorf("%d jobs were accepted", first)
+	}
+	f.now = f.now.Add(11 * time.Second)
+	if later := accept(); later != first {
+		t.Errorf("%d jobs were accepted later, %d at first", later, first)
+	}
+}
+
 // Guards against submissions of unknown outcome that count for ever, or not at all.
 func TestUnknownOutcomeCountsForAWhile(t *testing.T) {
 	f := newFleet(t, 8)
--- a/internal/admission/ledger.go
+++ b/internal/admission/ledger.go
@@ -24,9 +24,9 @@
 	askRate = 20
 )
 
-// lateApplyTime is how long a submission without an answer may take to be applied by the
-// store.
-const lateApplyTime = 10 * time.Second
+// uncountedTime is how long a job counts that no load will tell about: several times what the
+// store takes to apply a submission without an answer, and a load to include it.
+const uncountedTime = 10 * time.Second
 
 // Config holds what a Ledger reads.
 type Config struct {
@@ -73,8 +73,8 @@
 	granted      bool // by the dispatcher
 	// version is that of the commit of the job, 0 while it is not known.
 	version int64
-	// expires is when a job of which it is not known whether it was stored no longer counts;
-	// zero while it is being stored.
+	// expires is when the job no longer counts unless its version is known and a load is, which
+	// then decides; zero while it is being stored.
 	expires time.Time
 }
 
@@ -197,18 +197,22 @@
 	}
 	now := l.cfg.Now()
 	l.pending = slices.DeleteFunc(l.pending, func(r *Reservation) bool {
-		return r.version > 0 && l.known && r.version <= l.load.Version || !r.expires.IsZero() && now.After(r.expires)
+		if r.version > 0 && l.known {
+			return r.version <= l.load.Version
+		}
+		return !r.expires.IsZero() && now.After(r.expires)
 	})
 }
 
-// Stored records that the job was stored by the commit with a version.
+// Stored records that the job was stored by the commit with a version. Before the first load it
+// counts for a while only: a dispatcher of an earlier version publishes none.
 func (r *Reservation) Stored(version int64) {
 	if r == nil {
 		return
 	}
 	r.ledger.mu.Lock()
 	defer r.ledger.mu.Unlock()
-	r.version = version
+	r.version, r.expires = version, r.ledger.cfg.Now().Add(uncountedTime)
 }
 
 // Unknown records that the job may be stored.
@@ -218,7 +222,7 @@
 	}
 	r.ledger.mu.Lock()
 	defer r.ledger.mu.Unlock()
-	r.expires = r.ledger.cfg.Now().Add(lateApplyTime)
+	r.expires = r.ledger.cfg.Now().Add(uncountedTime)
 }
 
 // Release records that the job is not stored, was before, or is counted in the load.
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -59,11 +59,12 @@
 	Unknown
 	// NoSuchJob means that no job has this identifier.
 	NoSuchJob
-	// OrganisationFull means that the organisation has too many jobs to submit another, Full
-	// that all have, and Busy that this daemon has accepted too many in the last second. The
-	// call has not taken effect and never will.
+	// OrganisationFull means that the organisation has too many jobs to submit another. The call
+	// has not taken effect and never will, as with Full and Busy.
 	OrganisationFull
+	// Full means that there are too many jobs of all organisations.
 	Full
+	// Busy means that this daemon has accepted too many jobs in the last second.
 	Busy
 )
 
--- a/internal/jobs/submit.go
+++ b/internal/jobs/submit.go
@@ -35,9 +35,10 @@
 	MalformedSpec
 	// Refused means that the catalogue does not allow the job.
 	Refused
-	// OrganisationFull means that the organisation has too many jobs to submit another, and
-	// Full that all have. The job certainly was not and will not be stored.
+	// OrganisationFull means that the organisation has too many jobs to submit another. The job
+	// certainly was not and will not be stored.
 	OrganisationFull
+	// Full is the same for the jobs of all organisations.
 	Full
 	// NotRun means that the job certainly was not and will not be stored.
 	NotRun
