--- a/test/ingress/dispatching_test.go
+++ b/test/ingress/dispatching_test.go
@@ -2,10 +2,15 @@
 
 import (
 	"fmt"
+	"io"
+	"net/http"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/samphirepath/samphirepath/internal/standinfleet"
 )
 
 const (
@@ -21,6 +26,10 @@
 	// runs than any fleet has.
 	smallTaskJobs = 60
 	smallTasks    = 1500
+	// largeAnswerBytes is the largest answer that a daemon reads from the store, and more than a
+	// worker has reason to send. It consists of as many values as possible.
+	largeAnswerBytes   = 8 << 20
+	workersThatGoWrong = 3
 	// fillRounds is how often the jobs are submitted, so that what is refused at first may be
 	// accepted later.
 	fillRounds = 20
@@ -60,6 +69,28 @@
 		It("stays within its limits with "+l.title, func() { t := startDispatcher(); t.checkUnderLoad(l) })
 	}
 
+	// Guards against a dispatcher that ends because of the answers of a few workers.
+	It("stays within its limits with workers whose answers are large", func() {
+		s := startSystem(1)
+		s.addWorkers(rackSize)
+		answer := `{"clock_ms":1,"born":1,"running":[[]` + strings.Repeat(",[]", largeAnswerBytes/3-20) + `]}`
+		s.addWorkersThat(workersThatGoWrong, func(*standinfleet.Worker) http.Handler {
+			return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Content-Type", "application/json")
+				_, _ = io.WriteString(w, answer)
+			})
+		})
+		t := s.daemons[0]
+		descriptors := observeAll(s.daemons)
+		for range fleetJobs {
+			Eventually(t.submit).WithTimeout(answerTimeout).Should(Succeed())
+		}
+		time.Sleep(5 * settleTime)
+		Eventually(t.submit).WithTimeout(answerTimeout).Should(Succeed())
+		Eventually(t.healthCheck).WithTimeout(answerTimeout).Should(Succeed())
+		checkBounds(s.daemons, descriptors)
+	})
+
 	// Guards against limits that hold one by one and not together.
 	It("stays within its limits with jobs of many small tasks, many large jobs and several crowds", func() {
 		t := startDispatcher()
--- a/test/ingress/system_test.go
+++ b/test/ingress/system_test.go
@@ -27,6 +27,7 @@
 type system struct {
 	store   *standinfleet.Store
 	daemons []target
+	workers int
 }
 
 // startSystem starts daemons with the names edge-1, edge-2 and so on.
@@ -67,11 +68,16 @@
 
 // addWorkers adds idle workers that announce themselves until the test ends.
 func (s *system) addWorkers(n int) {
+	s.addWorkersThat(n, func(w *standinfleet.Worker) http.Handler { return w })
+}
+
+// addWorkersThat adds workers with the given way to answer.
+func (s *system) addWorkersThat(n int, answer func(*standinfleet.Worker) http.Handler) {
 	stop := make(chan struct{})
 	DeferCleanup(func() { close(stop) })
-	for i := range n {
+	for i := s.workers; i < s.workers+n; i++ {
 		w := standinfleet.NewWorker(fmt.Sprintf("worker-%d", i))
-		server := httptest.NewServer(w)
+		server := httptest.NewServer(answer(w))
 		DeferCleanup(server.Close)
 		DeferCleanup(server.CloseClientConnections)
 		announce := func() {
@@ -91,6 +97,7 @@
 			}
 		}()
 	}
+	s.workers += n
 }
 
 // submitJob submits a job with a new name on a connection of its own.
