Write lists of jobs one by one on the own API

Seen: 120 connections that ask for a list of 320 jobs with 16 KB each and do not read the answer took a daemon to 1,367 MB. Cause: the whole list was copied and encoded in memory for each caller before the first byte was sent.

--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/labstack/echo/v4"
+	"github.com/rotisserie/eris"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 	"go.uber.org/zap"
@@ -164,13 +165,36 @@
 		return WriteProblem(c, NewProblem(http.StatusBadRequest, api.OutcomeNotRun, fmt.Sprintf("%q is not a job state", params.State)))
 	}
 	visible := visibleTo(CallerOf(c))
-	list := api.JobList{Jobs: []api.Job{}}
+	var list []*jobs.Row
 	for _, row := range h.cfg.Rows.Rows() {
 		if visible(row.Job) && (params.State == "" || string(row.Job.State) == params.State) {
-			list.Jobs = append(list.Jobs, row.Job)
+			list = append(list, row)
 		}
 	}
-	return c.JSON(http.StatusOK, list)
+	c.Response().Header().Set(echo.HeaderContentType, echo.MIMEApplicationJSON)
+	c.Response().WriteHeader(http.StatusOK)
+	return writeJobList(c.Response(), list)
+}
+
+// writeJobList writes an api.JobList job by job, so that one job and not the whole list is in
+// memory while the caller does not read it.
+func writeJobList(w io.Writer, list []*jobs.Row) error {
+	if _, err := io.WriteString(w, `{"jobs":[`); err != nil {
+		return eris.Wrap(err, "write a list of jobs")
+	}
+	encoder := json.NewEncoder(w)
+	for i, row := range list {
+		if i > 0 {
+			if _, err := io.WriteString(w, ","); err != nil {
+				return eris.Wrap(err, "write a list of jobs")
+			}
+		}
+		if err := encoder.Encode(row.Job); err != nil {
+			return eris.Wrap(err, "write a list of jobs")
+		}
+	}
+	_, err := io.WriteString(w, "]}\n")
+	return eris.Wrap(err, "write a list of jobs")
 }
 
 // GetJob answers with one job. It reads the job from the table service if this daemon
