Accept a job of the largest weight in calm

Cause: found by reading the diff: a job of 1,500 tasks with 32 open occurrences weighs 11 MB, and the dispatcher of a system with a machine of 144 MB granted at most 4.7 MB, so it was refused for ever although it is within the limits of a job. Change: the ledger of the dispatcher admits a job beyond its window while no other is in it. One rule for the release of frames of peers, and one for the largest of them, stand once and by name. Evidence: TestLargestJobIsAcceptedInCalm with the largest weight: without the exception "this daemon has accepted too many jobs that are not counted yet" with 1 and with 147 daemons.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -15,8 +15,8 @@
 const (
 	// memoryDivisor is the divisor of the memory of the smallest machine for jobs.
 	memoryDivisor = 8
-	// minBudgetBytes has room for a job of the largest size: 32 open occurrences of 100 steps
-	// with 1,500 tasks.
+	// minBudgetBytes has room for a job of the largest weight, 11 MB: 32 open occurrences of 100
+	// steps with 1,500 tasks.
 	minBudgetBytes = 12 << 20
 	// noticeableDivisor is the divisor of the budget for the least part of an organisation that
 	// is published.
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/samphirepath/samphirepath/internal/admission"
+	"github.com/samphirepath/samphirepath/internal/batch"
 )
 
 const mb = 1 << 20
@@ -90,7 +91,7 @@
 	config := admission.Config{Notice: func() []byte { return f.notice }, Daemons: func() int { return daemons },
 		Budget: func() int64 { return admission.Budget([]int64{memory}) }, Now: func() time.Time { return f.now }}
 	grants := config
-	grants.Window = admission.GrantWindow
+	grants.Window, grants.BeyondWindow = admission.GrantWindow, true
 	f.grants = admission.NewLedger(grants)
 	config.Ask = func(ctx context.Context, organisation string, bytes int64) error {
 		if f.away {
@@ -162,14 +163,21 @@
 	}
 }
 
-// Guards against single jobs of the largest size that are refused in calm because the window
-// of a daemon is smaller.
+// Guards against single jobs of the largest size that are refused in calm because the windows of
+// a daemon and of the dispatcher are smaller.
 func TestLargestJobIsAcceptedInCalm(t *testing.T) {
+	largest := batch.Job{Repeats: 100}
+	for range batch.MaxSteps {
+		largest.Steps = append(largest.Steps, batch.Step{Tasks: batch.MaxTasks / batch.MaxSteps})
+	}
 	for _, daemons := range []int{1, 147} {
 		f := newFleet(t, daemons)
-		if err := f.submit(t.Context(), 0, "o", 4*mb); err != nil {
+		if err := f.submit(t.Context(), 0, "o", batch.Weight(&largest, batch.MaxRowBytes)); err != nil {
 			t.Errorf("%d daemons: %v", daemons, err)
 		}
+		if err := f.submit(t.Context(), 0, "o", batch.Weight(&largest, batch.MaxRowBytes)); err == nil {
+			t.Errorf("%d daemons: a second one is accepted at the same time", daemons)
+		}
 	}
 }
 
--- a/internal/admission/ledger.go
+++ b/internal/admission/ledger.go
@@ -41,6 +41,9 @@
 	Budget func() int64
 	// Window is DaemonWindow by default.
 	Window func(load Load, daemons int) int64
+	// BeyondWindow admits a job that does not fit into the window while no other is in it. Only
+	// one ledger of a system may do so, or each daemon would accept such a job at the same time.
+	BeyondWindow bool
 	// Ask asks the dispatcher for a job that does not fit into the window of this daemon. It
 	// returns one of the refusals, or another error if there is no answer. Without it such a job
 	// is refused.
@@ -133,8 +136,8 @@
 	window := l.cfg.Window(load, l.cfg.Daemons())
 	pending := l.pendingLocked(r.organisation)
 	l.scope.Gauge("pending_bytes").Update(float64(pending.All))
-	if r.granted {
-		pending.Window, window = Amount{}, r.bytes
+	if r.granted || l.cfg.BeyondWindow && pending.Window.All == 0 {
+		pending.Window, window = Amount{}, max(window, r.bytes)
 	}
 	if err := Check(load, pending, window, r.organisation, r.bytes); err != nil {
 		return err
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -125,7 +125,7 @@
 		JobBudget: n.JobBudget, MaxRuns: int(settings.memoryBytes() / runDivisor / dispatch.RunBytes),
 		Log: deps.Log, Scope: deps.Scope,
 	})
-	n.grants = admission.NewLedger(admission.Config{Notice: n.dispatcher.Load, Daemons: n.Daemons, Budget: n.JobBudget, Window: admission.GrantWindow, Log: deps.Log, Scope: deps.Scope.SubScope("grants")})
+	n.grants = admission.NewLedger(admission.Config{Notice: n.dispatcher.Load, Daemons: n.Daemons, Budget: n.JobBudget, Window: admission.GrantWindow, BeyondWindow: true, Log: deps.Log, Scope: deps.Scope.SubScope("grants")})
 	return n, nil
 }
 
--- a/internal/relay/framebudget.go
+++ b/internal/relay/framebudget.go
@@ -57,10 +57,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for !f.evicted && b.used+n > b.limit {
-		largest := f
+		largest, size := f, f.held+n
 		for other := range b.arriving {
-			if other.held > largest.held+n {
-				largest = other
+			if other.held > size {
+				largest, size = other, other.held
 			}
 		}
 		b.evictLocked(largest)
@@ -81,16 +81,26 @@
 	go f.close()
 }
 
-// release gives back n bytes of the frame, or all if n is 0.
+// release gives back n bytes of the frame.
 func (f *inboundFrame) release(n int64) {
-	b := f.budget
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if n == 0 || n > f.held {
-		n = f.held
-	}
+	f.budget.mu.Lock()
+	defer f.budget.mu.Unlock()
+	f.releaseLocked(n)
+}
+
+// releaseAll gives back the bytes of a frame that is no longer used.
+func (f *inboundFrame) releaseAll() {
+	f.budget.mu.Lock()
+	defer f.budget.mu.Unlock()
+	delete(f.budget.arriving, f)
+	f.releaseLocked(f.held)
+}
+
+// releaseLocked gives back n bytes, unless the frame was given up and holds none.
+func (f *inboundFrame) releaseLocked(n int64) {
+	n = min(n, f.held)
 	f.held -= n
-	b.used -= n
+	f.budget.used -= n
 }
 
 // complete makes a frame stay charged until it is released.
@@ -121,8 +131,7 @@
 		err = errFrames
 	}
 	if err != nil {
-		f.complete()
-		f.release(0)
+		f.releaseAll()
 		return nil, nil, err
 	}
 	return f, data, nil
--- a/internal/relay/limits_test.go
+++ b/internal/relay/limits_test.go
@@ -59,7 +59,7 @@
 		if err := late.charge(limit); !eris.Is(err, errFrames) {
 			t.Errorf("a frame beyond the budget is accepted: %v", err)
 		}
-		complete.release(0)
+		complete.releaseAll()
 		if b.used != 0 {
 			t.Errorf("%d bytes: %d are charged after the end", size, b.used)
 		}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -101,7 +101,7 @@
 		done := func() {
 			s.conns.unuse(admitted, time.Now())
 			if charged != nil {
-				charged.release(0)
+				charged.releaseAll()
 			}
 		}
 		if err != nil {
