Refuse grants of a negative size

Cause: found by reading the diff: an operation of a peer names the size of a job and its organisation, and a negative size would have made room for others. Change: sizes of 0 and less, and names of more than 1 KB, are not granted. Evidence: the spec of the grants in internal/relay, which failed before.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -392,6 +392,9 @@
 		Eventually(func() error { return grant("o", 1000) }).WithTimeout(3 * time.Second).Should(Succeed())
 		Expect(eris.Is(grant("o", 1001), admission.ErrFull)).To(BeTrue())
 		Expect(eris.Is(grant("full", 1), admission.ErrOrganisation)).To(BeTrue())
+		By("refusing what would make room for others, or takes memory itself")
+		Expect(grant("o", -1)).To(HaveOccurred())
+		Expect(grant(strings.Repeat("o", 2000), 1)).To(HaveOccurred())
 		Expect(a.GrantJob(withTimeout(), "nobody", "o", 1)).To(MatchError(ContainSubstring("not reached")))
 	})
 
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -21,6 +21,8 @@
 	// maxConcurrentListings bounds the listings for all peers. One of a large deployment takes
 	// some MB.
 	maxConcurrentListings = 2
+	// maxOrganisationBytes bounds the name of an organisation in an operation.
+	maxOrganisationBytes = 1 << 10
 	// writeTimeout bounds a write to a peer that does not read.
 	writeTimeout = time.Second
 )
@@ -181,7 +183,7 @@
 	case opState:
 		return textFrame(frame, l.dispatcher.JobState(ctx, frame.Key))
 	case opGrant:
-		return textFrame(frame, grantText(l.dispatcher.GrantJob(ctx, frame.Key, frame.Since)))
+		return textFrame(frame, l.grant(ctx, frame.Key, frame.Since))
 	case opEndTerm:
 		// Another daemon may have got the address of the one that is meant.
 		if frame.Key == l.self && l.dispatcher.EndTermBefore(ctx, frame.Since) {
@@ -192,6 +194,14 @@
 	return &api.RelayFrame{ID: frame.ID, Failure: "unknown operation " + frame.Operation, Status: int(table.Unavailable)}
 }
 
+// grant returns the result of opGrant. A peer may send any text and number.
+func (l local) grant(ctx context.Context, organisation string, bytes int64) string {
+	if len(organisation) > maxOrganisationBytes || bytes <= 0 {
+		return notGranted
+	}
+	return grantText(l.dispatcher.GrantJob(ctx, organisation, bytes))
+}
+
 // termEnded is the result of opEndTerm if no term before the epoch runs.
 const termEnded = "ended"
 
