--- a/review/kit-3/deployment.go
+++ b/review/kit-3/deployment.go
@@ -14,13 +14,16 @@
 	"time"
 )
 
-// Names of the configuration. Queues are urgent (priority 0) or batch (priority 1).
+// Names of the configuration. The queues Urgent (priority 0) and Batch (priority 1) belong to
+// Service, Other (priority 1) belongs to OtherService.
 const (
-	Service = "huvo11a"
-	host    = "nony24.example"
-	token   = "d4a3hwrr6x73d3zji9n7"
-	Urgent  = "/pufi791/"
-	Batch   = "/lohu930/"
+	Service      = "huvo11a"
+	OtherService = "dele69a"
+	Urgent       = "/pufi791/"
+	Batch        = "/lohu930/"
+	Other        = "/pule252/"
+	host         = "nony24.example"
+	token        = "d4a3hwrr6x73d3zji9n7"
 )
 
 // Zones are the zones of the deployment.
@@ -99,30 +102,38 @@
 	d.Printf("logs: %s", filepath.Base(d.dir))
 }
 
-// AddMinions starts minions, by turns in the zones, in racks of six.
+// AddMinions starts minions of Service, by turns in the zones, in racks of six.
 func (d *Deployment) AddMinions(n int, kind string) error {
 	for range n {
 		i := len(d.Minions)
 		zone := i % len(Zones)
-		m, err := StartMinion(d.Store, d.Record, fmt.Sprintf("i-%02d", i), kind, Zones[zone], fmt.Sprintf("r%d-%d", zone, i/24))
-		if err != nil {
+		if err := d.AddMinion(Place{Service: Service, Kind: kind, Zone: Zones[zone], Rack: fmt.Sprintf("r%d-%d", zone, i/24)}); err != nil {
 			return err
 		}
-		d.Minions = append(d.Minions, m)
 	}
 	return nil
 }
 
+// AddMinion starts a minion.
+func (d *Deployment) AddMinion(place Place) error {
+	m, err := StartMinion(d.Store, d.Record, fmt.Sprintf("i-%02d", len(d.Minions)), place)
+	d.Minions = append(d.Minions, m)
+	return err
+}
+
 // Start writes the configuration and starts the store and so many daemons.
 func (d *Deployment) Start(daemons int) error {
 	type object = map[string]any
-	queue := func(name, prefix string, priority int) object {
+	queue := func(name, prefix, service string, priority int) object {
 		return object{"name": name, "host": host, "path_prefix": prefix, "type": "non_idempotent", "timeout_ms": 3000, "target_duration_ms": 1000,
-			"priority": priority, "backend": Service, "max_attempts": 3, "stretch": 3.0, "public": false}
+			"priority": priority, "backend": service, "max_attempts": 3, "stretch": 3.0, "public": false}
+	}
+	service := func(name string) object {
+		return object{"name": name, "health_path": "/health", "max_conns": 64, "protocol": "h1", "rejects_overload": false, "standby": false}
 	}
 	config, err := json.Marshal(object{
-		"version": 1, "routes": []object{queue("r-urgent", Urgent, 0), queue("r-batch", Batch, 1)},
-		"services": []object{{"name": Service, "health_path": "/health", "max_conns": 64, "protocol": "h1", "rejects_overload": false, "standby": false}},
+		"version": 1, "routes": []object{queue("r-urgent", Urgent, Service, 0), queue("r-batch", Batch, Service, 1), queue("r-other", Other, OtherService, 1)},
+		"services": []object{service(Service), service(OtherService)},
 		"limits":   object{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 		"tenants":  []object{{"name": "kaje80", "api_keys": []string{token}, "priority": 1, "guaranteed": object{"gpu": 72}}},
 	})
--- a/review/kit-3/minion.go
+++ b/review/kit-3/minion.go
@@ -16,12 +16,9 @@
 // daemons that can be cut.
 type Minion struct {
 	*standinfleet.Worker
-	Link  *Link
-	Kind  string
-	Zone  string
-	Rack  string
-	State string
+	Link *Link
 
+	place  Place
 	store  *Store
 	record *Record
 	name   string
@@ -31,13 +28,16 @@
 	calls  int
 }
 
+// Place is where a minion runs and what it is.
+type Place struct{ Service, Kind, Zone, Rack string }
+
 // StartMinion starts a minion.
-func StartMinion(store *Store, record *Record, id, kind, zone, rack string) (*Minion, error) {
+func StartMinion(store *Store, record *Record, id string, place Place) (*Minion, error) {
 	link, err := NewLink()
 	if err != nil {
 		return nil, err
 	}
-	m := &Minion{Worker: standinfleet.NewWorker(id), Link: link, Kind: kind, Zone: zone, Rack: rack, State: "ready", store: store, record: record, name: id}
+	m := &Minion{Worker: standinfleet.NewWorker(id), Link: link, place: place, store: store, record: record, name: id}
 	server := &http.Server{Handler: m, ReadHeaderTimeout: time.Minute}
 	go func() { _ = server.Serve(link) }()
 	go func() {
@@ -76,10 +76,10 @@
 	}
 	m.seq++
 	var entry map[string]any
-	if err := json.Unmarshal(m.Entry(Service, m.Zone, m.Rack, m.Link.Addr().String(), m.State), &entry); err != nil {
+	if err := json.Unmarshal(m.Entry(m.place.Service, m.place.Zone, m.place.Rack, m.Link.Addr().String(), "ready"), &entry); err != nil {
 		panic(err) // cannot happen: the stand-in has encoded it
 	}
-	entry["seq"], entry["labels"] = m.seq, []string{m.Kind, m.Rack}
+	entry["seq"], entry["labels"] = m.seq, []string{m.place.Kind, m.place.Rack}
 	value, err := json.Marshal(entry)
 	if err != nil {
 		panic(err) // cannot happen: it was decoded from JSON
--- a/review/kit-3/store.go
+++ b/review/kit-3/store.go
@@ -52,10 +52,10 @@
 	}
 	part := s.part(body)
 	part.Lock()
+	defer part.Unlock()
 	time.Sleep(transactionTime * factor)
 	r.Body = io.NopCloser(bytes.NewReader(body))
 	s.Store.ServeHTTP(w, r)
-	part.Unlock()
 }
 
 // part returns the lock of the part that a transaction writes to.
