--- a/review/kit-3/deployment.go
+++ b/review/kit-3/deployment.go
@@ -121,8 +121,8 @@
 	return err
 }
 
-// Start writes the configuration and starts the store and so many daemons.
-func (d *Deployment) Start(daemons int) error {
+// Configure writes a version of the configuration, in which Batch belongs to a service.
+func (d *Deployment) Configure(version int, batch string) error {
 	type object = map[string]any
 	queue := func(name, prefix, service string, priority int) object {
 		return object{"name": name, "host": host, "path_prefix": prefix, "type": "non_idempotent", "timeout_ms": 3000, "target_duration_ms": 1000,
@@ -132,7 +132,7 @@
 		return object{"name": name, "health_path": "/health", "max_conns": 64, "protocol": "h1", "rejects_overload": false, "standby": false}
 	}
 	config, err := json.Marshal(object{
-		"version": 1, "routes": []object{queue("r-urgent", Urgent, Service, 0), queue("r-batch", Batch, Service, 1), queue("r-other", Other, OtherService, 1)},
+		"version": version, "routes": []object{queue("r-urgent", Urgent, Service, 0), queue("r-batch", Batch, batch, 1), queue("r-other", Other, OtherService, 1)},
 		"services": []object{service(Service), service(OtherService)},
 		"limits":   object{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 		"tenants":  []object{{"name": "kaje80", "api_keys": []string{token}, "priority": 1, "guaranteed": object{"gpu": 72}}},
@@ -141,6 +141,15 @@
 		return err
 	}
 	d.Store.Put("op", "", "config", config)
+	d.Printf("operator: configuration %d, %s belongs to %s", version, Batch, batch)
+	return nil
+}
+
+// Start writes the configuration and starts the store and so many daemons.
+func (d *Deployment) Start(daemons int) error {
+	if err := d.Configure(1, Service); err != nil {
+		return err
+	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
--- a/review/kit-3/minion.go
+++ b/review/kit-3/minion.go
@@ -9,8 +9,12 @@
 	"github.com/samphirepath/samphirepath/internal/standinfleet"
 )
 
-// heartbeat is how often a minion writes its entry.
-const heartbeat = 1500 * time.Millisecond
+// heartbeat is how often a minion writes its entry, and expiry after which silence the platform
+// removes it.
+const (
+	heartbeat = 1500 * time.Millisecond
+	expiry    = 3 * heartbeat
+)
 
 // Minion is the project's stand-in for a worker, with an entry in the store and a link to the
 // daemons that can be cut.
@@ -24,8 +28,12 @@
 	name   string
 	mu     sync.Mutex
 	seq    int
-	gone   bool
 	calls  int
+	// leavesAt is when a draining minion leaves; zero if it does not drain.
+	leavesAt time.Time
+	gone     bool
+	down     bool // has crashed and is not back
+	beatAt   time.Time
 }
 
 // Place is where a minion runs and what it is.
@@ -71,15 +79,23 @@
 func (m *Minion) Beat() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.gone {
+	if m.gone || m.down {
 		return
 	}
 	m.seq++
+	m.beatAt = time.Now()
+	state := "ready"
+	if !m.leavesAt.IsZero() {
+		state = "draining"
+	}
 	var entry map[string]any
-	if err := json.Unmarshal(m.Entry(m.place.Service, m.place.Zone, m.place.Rack, m.Link.Addr().String(), "ready"), &entry); err != nil {
+	if err := json.Unmarshal(m.Entry(m.place.Service, m.place.Zone, m.place.Rack, m.Link.Addr().String(), state), &entry); err != nil {
 		panic(err) // cannot happen: the stand-in has encoded it
 	}
 	entry["seq"], entry["labels"] = m.seq, []string{m.place.Kind, m.place.Rack}
+	if state == "draining" {
+		entry["remaining_ms"] = max(0, time.Until(m.leavesAt).Milliseconds())
+	}
 	value, err := json.Marshal(entry)
 	if err != nil {
 		panic(err) // cannot happen: it was decoded from JSON
@@ -87,10 +103,48 @@
 	m.store.Put("servers", "", m.name, value)
 }
 
-// Leave removes the entry of the minion for good.
-func (m *Minion) Leave() {
+// Crash ends all that runs on the minion, which is back under its identifier after a time.
+func (m *Minion) Crash(down time.Duration) {
 	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.gone = true
-	m.store.Remove("servers", "", m.name)
+	m.down = true
+	expires := time.Until(m.beatAt.Add(expiry))
+	m.mu.Unlock()
+	m.Link.Set(Reset)
+	m.Restart()
+	m.record.Printf("minion %s crashes", m.name)
+	time.AfterFunc(expires, func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		if m.down {
+			m.store.Remove("servers", "", m.name)
+		}
+	})
+	time.AfterFunc(down, func() {
+		m.Restart()
+		m.Link.Set(Open)
+		m.mu.Lock()
+		m.down = false
+		m.mu.Unlock()
+		m.record.Printf("minion %s is back", m.name)
+		m.Beat()
+	})
+}
+
+// Drain makes the minion report that it drains, and leave for good after a time. All that runs
+// there then ends.
+func (m *Minion) Drain(after time.Duration) {
+	m.mu.Lock()
+	m.leavesAt = time.Now().Add(after)
+	m.mu.Unlock()
+	m.record.Printf("minion %s drains", m.name)
+	m.Beat()
+	time.AfterFunc(after, func() {
+		m.mu.Lock()
+		m.gone = true
+		m.mu.Unlock()
+		m.Link.Set(Reset)
+		m.Restart()
+		m.store.Remove("servers", "", m.name)
+		m.record.Printf("minion %s has left", m.name)
+	})
 }
