--- a/review/14/main.go
+++ b/review/14/main.go
@@ -1,4 +1,4 @@
-// Command 14 shows accepted jobs that never run after their queue got another service.
+// Command 14 shows workers that get no tasks for up to two minutes after a short cut.
 package main
 
 import (
@@ -10,72 +10,82 @@
 )
 
 const (
-	daemons = 4
-	// newMinions are those of the service that the queue gets, beside one of the old service.
-	newMinions = 23
-	// drainTime is drain_ms and "a little longer".
-	drainTime = 2500 * time.Millisecond
+	daemons  = 4
+	ordinary = 20 // minions of kind a
+	special  = 4  // minions of kind b, 17 % of all
+	// slowFactor and slowTime are those of platform_slow in the site file.
+	slowFactor = 60
+	slowTime   = 4500 * time.Millisecond
+	// cutTime is within the 5.5 s of node_cut in the site file, and within the three heartbeats
+	// after which the entry of a minion that cannot reach the store would be removed.
+	cutTime = 4 * time.Second
 	// finish is finish_s, and span the time for which a job must have nothing running.
 	finish = 14 * time.Second
 	span   = 3 * time.Second
 )
 
-// job returns a job of one task that takes a whole minion.
-func job(ms int) string {
-	return fmt.Sprintf(`{"spec":"{\"ms\":%[1]d}","steps":[{"count":1,"cpu":52000,"mem_mb":100000,"gpu":8,"estimate_ms":%[1]d}]}`, ms)
+func job(tasks int) string {
+	return fmt.Sprintf(`{"spec":"{\"ms\":1000}","steps":[{"count":%d,"cpu":26000,"mem_mb":38000,"gpu":8,"estimate_ms":1000,"requires":"b"}]}`, tasks)
 }
 
 func play(ctx context.Context, d *kit.Deployment) (broken bool, err error) {
-	for i := range 1 + newMinions {
-		service := kit.OtherService
-		if i == 0 {
-			service = kit.Service
-		}
-		zone := i % len(kit.Zones)
-		if err := d.AddMinion(kit.Place{Service: service, Kind: "a", Zone: kit.Zones[zone], Rack: fmt.Sprintf("r%d", zone)}); err != nil {
-			return false, err
-		}
+	if err := d.AddMinions(ordinary, "a"); err != nil {
+		return false, err
 	}
-	if err := d.Start(daemons); err != nil {
+	if err := d.AddMinions(special, "b"); err != nil {
 		return false, err
 	}
-	kit.Sleep(ctx, 3*time.Second)
-	jobs := map[string]string{kit.Batch + "00000000000000d0": job(11_000), kit.Batch + "00000000000000d1": job(2_500)}
-	for _, id := range []string{"00000000000000d0", "00000000000000d1"} {
-		if err := d.Submit(ctx, kit.Batch+id, jobs[kit.Batch+id]); err != nil {
-			return false, err
-		}
+	if err := d.Start(daemons); err != nil {
+		return false, err
 	}
-	kit.Sleep(ctx, 2*time.Second)
+	kit.Sleep(ctx, 4*time.Second)
+	minions := d.Minions[ordinary:]
 	if d.Trouble {
-		if err := d.Configure(2, kit.OtherService); err != nil {
-			return false, err
+		d.Printf("the store is slow, and the %d minions of kind b are cut off", special)
+		d.Store.Slow(slowFactor)
+		time.AfterFunc(slowTime, func() {
+			d.Store.Slow(1)
+			d.Printf("the store is no longer slow")
+		})
+		for _, m := range minions {
+			m.Link.Set(kit.Reset)
+			time.AfterFunc(cutTime, func() { m.Link.Set(kit.Open) })
 		}
-		kit.Sleep(ctx, 3*time.Second)
-		d.Minions[0].Drain(drainTime)
+		time.AfterFunc(cutTime, func() { d.Printf("the minions are reachable again") })
+	}
+	first, second := kit.Batch+"00000000000000a1", kit.Batch+"00000000000000a2"
+	if err := d.Submit(ctx, first, job(special)); err != nil {
+		return false, err
 	}
-	kit.Sleep(ctx, drainTime+time.Second)
-	later := kit.Batch + "00000000000000d2"
-	if err := d.Submit(ctx, later, job(1_000)); err != nil {
+	kit.Sleep(ctx, 9*time.Second)
+	if err := d.Submit(ctx, second, job(1)); err != nil {
 		return false, err
 	}
+	kit.Sleep(ctx, time.Second)
 	d.Printf("end of the traffic")
 	kit.Sleep(ctx, finish)
-	for path := range jobs {
-		if state := d.State(ctx, path); state != "completed" && idle(ctx, d) {
-			d.Printf("%s is %q, and all %d minions of %s have been idle for %s", path, state, newMinions, kit.OtherService, span)
+	for _, path := range []string{first, second} {
+		state := d.State(ctx, path)
+		if state == "" {
+			return true, nil
+		}
+		if state != "completed" && idle(ctx, d, minions) {
+			d.Printf("%s is %s, and the minions that it needs have been idle for %s", path, state, span)
 			broken = true
 		}
 	}
-	d.State(ctx, later)
+	for _, m := range minions {
+		d.Printf("minion %s: %d calls, %d runs", m.ID, m.Calls(), len(m.Records()))
+	}
 	return broken, ctx.Err()
 }
 
 // idle reports whether no minion runs anything for a span.
-func idle(ctx context.Context, d *kit.Deployment) bool {
+func idle(ctx context.Context, d *kit.Deployment, minions []*kit.Minion) bool {
 	for end := time.Now().Add(span); time.Now().Before(end); kit.Sleep(ctx, 50*time.Millisecond) {
-		for _, m := range d.Minions {
-			if len(m.Running()) > 0 {
+		for _, m := range minions {
+			if running := m.Running(); len(running) > 0 {
+				d.Printf("minion %s runs %v", m.ID, running)
 				return false
 			}
 		}
