--- a/review/kit-3/deployment.go
+++ b/review/kit-3/deployment.go
@@ -77,6 +77,7 @@
 	}
 	defer d.end()
 	broken, err := play(ctx, d)
+	d.printRuns()
 	switch {
 	case err != nil:
 		record.Printf("not run: %v", err)
@@ -89,6 +90,19 @@
 	return Held
 }
 
+// printRuns records what the minions have run.
+func (d *Deployment) printRuns() {
+	for _, m := range d.Minions {
+		for _, r := range m.Records() {
+			end := "at work"
+			if !r.Ended.IsZero() {
+				end = fmt.Sprintf("%s at %.3f", r.EndReason, r.Ended.Sub(d.start).Seconds())
+			}
+			d.Printf("minion %s ran %s, run %d, from %.3f, %s", m.name, r.Task, r.Run, r.Started.Sub(d.start).Seconds(), end)
+		}
+	}
+}
+
 // end ends all processes. The logs of the daemons are kept if KEEP_LOGS is set.
 func (d *Deployment) end() {
 	for _, daemon := range d.Daemons {
