--- a/review/kit-3/minion.go
+++ b/review/kit-3/minion.go
@@ -1,8 +1,11 @@
 package kit
 
 import (
+	"bytes"
 	"encoding/json"
+	"io"
 	"net/http"
+	"net/http/httptest"
 	"sync"
 	"time"
 
@@ -34,6 +37,8 @@
 	gone     bool
 	down     bool // has crashed and is not back
 	beatAt   time.Time
+	delays   bool // the next start is to be carried out late
+	late     *http.Request
 }
 
 // Place is where a minion runs and what it is.
@@ -61,13 +66,42 @@
 func (m *Minion) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	m.mu.Lock()
 	m.calls++
+	delayed := m.delays && r.URL.Path == "/run-start"
+	if delayed {
+		m.delays = false
+		m.late = copyOf(r)
+	}
 	m.mu.Unlock()
+	if delayed {
+		m.record.Printf("minion %s leaves %s without an answer", m.name, r.URL.Path)
+		<-r.Context().Done()
+		return
+	}
 	if r.URL.Path != "/hold" {
 		m.record.Printf("minion %s gets %s", m.name, r.URL.Path)
 	}
 	m.Worker.ServeHTTP(w, r)
 }
 
+// copyOf returns a request that can be carried out after its connection has ended.
+func copyOf(r *http.Request) *http.Request {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return nil
+	}
+	copied := httptest.NewRequest(r.Method, r.URL.Path, bytes.NewReader(body))
+	copied.Header = r.Header.Clone()
+	return copied
+}
+
+// DelayStart makes the minion leave the next start without an answer. The start is carried out as
+// soon as the minion is back after a crash.
+func (m *Minion) DelayStart() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.delays = true
+}
+
 // Calls returns the number of calls that have reached the minion.
 func (m *Minion) Calls() int {
 	m.mu.Lock()
@@ -121,11 +155,18 @@
 	})
 	time.AfterFunc(down, func() {
 		m.Restart()
-		m.Link.Set(Open)
+		m.record.Printf("minion %s is back", m.name)
 		m.mu.Lock()
 		m.down = false
+		late := m.late
+		m.late = nil
 		m.mu.Unlock()
-		m.record.Printf("minion %s is back", m.name)
+		if late != nil {
+			answer := httptest.NewRecorder()
+			m.Worker.ServeHTTP(answer, late)
+			m.record.Printf("minion %s carries out the start without an answer: %d", m.name, answer.Code)
+		}
+		m.Link.Set(Open)
 		m.Beat()
 	})
 }
