Simplify the kit of the review's scripts

Removes what no script uses, and keeps the ports of daemons that do not listen yet from being drawn again.

--- a/review/14/main.go
+++ b/review/14/main.go
@@ -48,8 +48,8 @@
 			d.Printf("the store is no longer slow")
 		})
 		for _, m := range minions {
-			m.Link.Set(kit.Reset)
-			time.AfterFunc(cutTime, func() { m.Link.Set(kit.Open) })
+			m.Link.Cut()
+			time.AfterFunc(cutTime, func() { m.Link.Restore() })
 		}
 		time.AfterFunc(cutTime, func() { d.Printf("the minions are reachable again") })
 	}
--- a/review/kit-3/daemon.go
+++ b/review/kit-3/daemon.go
@@ -2,13 +2,13 @@
 
 import (
 	"fmt"
+	"math/rand"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"syscall"
 	"time"
 )
 
@@ -86,7 +86,7 @@
 	}
 	address := func(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
 	d := &Daemon{Name: name, Front: address(first), ready: address(first + 1), settings: filepath.Join(dir, name+".conf")}
-	text := fmt.Sprintf(settingsText, name, zone, d.Front, d.ready, first+2, first+9, storeAddress)
+	text := fmt.Sprintf(settingsText, name, zone, d.Front, d.ready, first+2, first+portsOfDaemon-1, storeAddress)
 	if err := os.WriteFile(d.settings, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
@@ -94,23 +94,29 @@
 	return d, err
 }
 
-// freePorts returns the first of some ports in a row that are free.
+// portsOfDaemon is the number of ports of a daemon, and nextPort where the search for those of the
+// next one begins, so that daemons that do not listen yet keep theirs. It is 0 at first.
+const portsOfDaemon = 10
+
+var nextPort int
+
+// freePorts returns the first of some ports in a row that are free. They are below those that the
+// system gives to connections.
 func freePorts() (int, error) {
-	const wanted = 10
-	for try := 0; try < 100; try++ {
-		probe, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return 0, err
+	const lowest, number, tries = 12000, 18000, 500
+	if nextPort == 0 {
+		nextPort = lowest + rand.Intn(number)
+	}
+	for range tries {
+		first := nextPort
+		if nextPort += portsOfDaemon; nextPort >= lowest+number {
+			nextPort = lowest
 		}
-		first := probe.Addr().(*net.TCPAddr).Port
-		_ = probe.Close()
-		// Ports below the range that the system gives out are not taken by connections.
-		first = 12000 + (first*7+try*131)%18000
-		if portsFree(first, wanted) {
+		if portsFree(first, portsOfDaemon) {
 			return first, nil
 		}
 	}
-	return 0, fmt.Errorf("no %d free ports in a row", wanted)
+	return 0, fmt.Errorf("no %d free ports in a row", portsOfDaemon)
 }
 
 func portsFree(first, n int) bool {
@@ -146,19 +152,12 @@
 	return nil
 }
 
-// Signal sends a signal to the process.
-func (d *Daemon) Signal(signal syscall.Signal) {
-	if d.cmd != nil && d.cmd.Process != nil {
-		_ = d.cmd.Process.Signal(signal)
-	}
-}
-
 // Kill kills the process and waits for its end.
 func (d *Daemon) Kill() {
 	if d.exited == nil {
 		return
 	}
-	d.Signal(syscall.SIGKILL)
+	_ = d.cmd.Process.Kill()
 	<-d.exited
 }
 
@@ -177,9 +176,3 @@
 	}
 	return fmt.Errorf("%s is not ready after %s", d.Name, limit)
 }
-
-// Logged reports whether the daemon has logged a text.
-func (d *Daemon) Logged(text string) bool {
-	data, err := os.ReadFile(d.log.Name())
-	return err == nil && strings.Contains(string(data), text)
-}
--- a/review/kit-3/deployment.go
+++ b/review/kit-3/deployment.go
@@ -106,7 +106,6 @@
 // end ends all processes. The logs of the daemons are kept if KEEP_LOGS is set.
 func (d *Deployment) end() {
 	for _, daemon := range d.Daemons {
-		daemon.Signal(syscall.SIGCONT)
 		daemon.Kill()
 	}
 	if os.Getenv("KEEP_LOGS") == "" {
@@ -189,23 +188,6 @@
 	return nil
 }
 
-// Leader returns the daemon that holds the lease, by the lease row, or nil.
-func (d *Deployment) Leader() *Daemon {
-	value, found := d.Store.Value("leader", "control", "lease")
-	var lease struct {
-		Holder string `json:"holder"`
-	}
-	if !found || json.Unmarshal(value, &lease) != nil {
-		return nil
-	}
-	for _, daemon := range d.Daemons {
-		if lease.Holder == daemon.Name {
-			return daemon
-		}
-	}
-	return nil
-}
-
 // Call is one call of a client to a daemon. It returns status 0 without an answer.
 func (d *Deployment) Call(ctx context.Context, daemon *Daemon, method, path, body string) (status int, answer string) {
 	ctx, cancel := context.WithTimeout(ctx, 3*time.Second)
--- a/review/kit-3/link.go
+++ b/review/kit-3/link.go
@@ -4,28 +4,12 @@
 	"net"
 	"sync"
 	"sync/atomic"
-	"time"
 )
 
-// Mode is the state of a link.
-type Mode int32
-
-const (
-	// Open links pass everything.
-	Open Mode = iota
-	// Reset links reset each connection.
-	Reset
-	// Silent links deliver nothing and report no error.
-	Silent
-)
-
-// silentPoll is how often a silent connection looks whether its link passes bytes again.
-const silentPoll = 20 * time.Millisecond
-
 // Link is a listener whose connections can be cut.
 type Link struct {
 	net.Listener
-	mode atomic.Int32
+	cut atomic.Bool
 
 	mu    sync.Mutex
 	conns map[*linkConn]struct{}
@@ -37,12 +21,9 @@
 	return &Link{Listener: listener, conns: map[*linkConn]struct{}{}}, err
 }
 
-// Set changes the mode. Connections that were open are reset when the mode becomes Reset.
-func (l *Link) Set(mode Mode) {
-	l.mode.Store(int32(mode))
-	if mode != Reset {
-		return
-	}
+// Cut resets all connections, and each new one until Restore.
+func (l *Link) Cut() {
+	l.cut.Store(true)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c := range l.conns {
@@ -50,6 +31,9 @@
 	}
 }
 
+// Restore lets connections pass again.
+func (l *Link) Restore() { l.cut.Store(false) }
+
 // Accept returns the next connection that is not reset.
 func (l *Link) Accept() (net.Conn, error) {
 	for {
@@ -57,7 +41,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if Mode(l.mode.Load()) == Reset {
+		if l.cut.Load() {
 			reset(conn)
 			continue
 		}
@@ -81,25 +65,6 @@
 	link *Link
 }
 
-func (c *linkConn) awaitOpen() {
-	for Mode(c.link.mode.Load()) == Silent {
-		time.Sleep(silentPoll)
-	}
-}
-
-// Read delivers nothing while the link is silent.
-func (c *linkConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.awaitOpen()
-	return n, err
-}
-
-// Write sends nothing while the link is silent.
-func (c *linkConn) Write(p []byte) (int, error) {
-	c.awaitOpen()
-	return c.Conn.Write(p)
-}
-
 // Close closes the connection.
 func (c *linkConn) Close() error {
 	c.link.mu.Lock()
--- a/review/kit-3/minion.go
+++ b/review/kit-3/minion.go
@@ -143,7 +143,7 @@
 	m.down = true
 	expires := time.Until(m.beatAt.Add(expiry))
 	m.mu.Unlock()
-	m.Link.Set(Reset)
+	m.Link.Cut()
 	m.Restart()
 	m.record.Printf("minion %s crashes", m.name)
 	time.AfterFunc(expires, func() {
@@ -166,7 +166,7 @@
 			m.Worker.ServeHTTP(answer, late)
 			m.record.Printf("minion %s carries out the start without an answer: %d", m.name, answer.Code)
 		}
-		m.Link.Set(Open)
+		m.Link.Restore()
 		m.Beat()
 	})
 }
@@ -183,7 +183,7 @@
 		m.mu.Lock()
 		m.gone = true
 		m.mu.Unlock()
-		m.Link.Set(Reset)
+		m.Link.Cut()
 		m.Restart()
 		m.store.Remove("servers", "", m.name)
 		m.record.Printf("minion %s has left", m.name)
