Say why a worker gets no tasks

Change: unavailability names the one reason for which a worker gets no tasks. The line of a dropped run and the gauge workers_unavailable have it. "Worker does not answer." and "Worker answers again." come once for each silence of every worker, with the outcome, the error and the duration; before, only for workers with runs. Config.Zones has a default, because the gauge asks it. No decision changes.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -65,6 +65,11 @@
 	OutOfService(zone string) bool
 }
 
+// allInService is the default of Config.Zones.
+type allInService struct{}
+
+func (allInService) OutOfService(string) bool { return false }
+
 // Config holds the dependencies and bounds of a Dispatcher.
 type Config struct {
 	Store  table.Watcher
@@ -76,7 +81,7 @@
 	EndFormerTerm func(ctx context.Context, daemon string, epoch int64) (bool, error)
 	Workers       Discovery
 	Client        fleet.Client
-	Zones         Zones
+	Zones         Zones // all are in service if it is nil
 	// Guarantees returns the accelerators that belong to each organisation for its jobs of
 	// priority 0, or nil if there are no guarantees; all such jobs are then equal.
 	Guarantees     func() map[string]int64
@@ -154,6 +159,9 @@
 	if cfg.JobBudget == nil {
 		cfg.JobBudget = func() int64 { return admission.Budget(nil) }
 	}
+	if cfg.Zones == nil {
+		cfg.Zones = allInService{}
+	}
 	if cfg.Guarantees == nil {
 		cfg.Guarantees = func() map[string]int64 { return nil }
 	}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -9,7 +9,6 @@
 
 	"github.com/samphirepath/samphirepath/internal/batch"
 	"github.com/samphirepath/samphirepath/internal/placement"
-	"github.com/samphirepath/samphirepath/internal/workerhealth"
 )
 
 // isolationWait is how long a task under suspicion waits for a worker to itself. After
@@ -19,17 +18,6 @@
 // taskNeed returns the capacity that a task of the step occupies on its worker.
 func taskNeed(step *batch.Step) batch.Need { return placement.ChargedNeed(step) }
 
-// schedulable reports whether a worker may get new tasks now.
-func (t *term) schedulable(w *workerState) bool {
-	return t.available(w) && w.health != workerhealth.Quarantined
-}
-
-// available reports whether a worker of any health may get new tasks now.
-func (t *term) available(w *workerState) bool {
-	described := w.describedMs == w.info.StartedMs
-	return w.listed && described && !w.unproved() && !w.info.Draining && w.misses == 0 && !t.cfg.Zones.OutOfService(w.info.Zone)
-}
-
 // planInput is the snapshot for one plan, with the objects that its indices refer to.
 type planInput struct {
 	placement.Snapshot
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -120,8 +120,9 @@
 	applied := false
 	defer func() {
 		if !applied {
-			w.misses++
-			w.nextCall = time.Now().Add(probeInterval)
+			now := time.Now()
+			t.noteMiss(w, now, "answer that cannot be applied", nil)
+			w.nextCall = now.Add(probeInterval)
 		}
 	}()
 	defer telemetry.LogPanic(t.log, "answer of a worker", zap.String("worker", w.info.ID))
@@ -142,7 +143,7 @@
 		return
 	case fleet.OtherIncarnation:
 		if worker.Address == w.info.Address && !t.canJudge(w, now) {
-			w.misses++
+			t.noteMiss(w, now, report.Outcome.String(), nil)
 			w.nextCall = now.Add(probeInterval)
 			return
 		}
@@ -150,19 +151,15 @@
 			t.reportLostEnds(w, lossAddressReused)
 			t.loseRuns(w, lossAddressReused)
 			w.ackedEnd, w.unreadUntil = w.storedEnd, time.Time{}
-			w.misses++
+			t.noteMiss(w, now, report.Outcome.String(), nil)
 			w.nextCall = now.Add(unstoredEndsDelay)
 		}
 		return
 	default:
-		w.misses++
+		t.noteMiss(w, now, report.Outcome.String(), report.Err)
 		if w.misses == 1 {
 			t.noteSilence(w, now)
 		}
-		if w.misses == 1 && len(w.runs) > 0 {
-			t.log.Warn("Worker does not answer.", zap.String("worker", w.info.ID), zap.Stringer("outcome", report.Outcome),
-				zap.Int("runs", len(w.runs)), telemetry.ErrorField(report.Err))
-		}
 		w.nextCall = now.Add(probeInterval)
 		if len(w.runs) == 0 {
 			w.nextCall = now.Add(idleProbeInterval)
@@ -173,9 +170,6 @@
 		}
 		return
 	}
-	if w.misses > 0 && len(w.runs) > 0 {
-		t.log.Info("Worker answers again.", zap.String("worker", w.info.ID), zap.Int("misses", w.misses))
-	}
 	if report.StartedMs != 0 && report.StartedMs < w.info.StartedMs {
 		t.log.Info("Answer of an earlier incarnation ignored.", zap.String("worker", w.info.ID), zap.Int64("born", report.StartedMs))
 		w.nextCall = now.Add(probeInterval)
@@ -195,7 +189,8 @@
 	t.noteAnswer(w, now)
 	t.retractLosses(w)
 	t.noteFenced(w, now)
-	w.misses, w.lostEndsReported = 0, false
+	t.clearMisses(w, now)
+	w.lostEndsReported = false
 	w.unread = !t.canReadEnds() || report.MoreEnds
 	w.lastAnswered, w.answeredAt = sent, now
 	if order.AckedEnds <= w.storedEnd {
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -102,13 +102,14 @@
 
 // startObstacle returns why a planned run may no longer be started, or "".
 func (t *term) startObstacle(r *run) string {
+	bar := t.startBar(r.worker)
 	switch {
 	case !t.holdsLease():
 		return "lease lost before the start"
 	case r.stopReason != "":
 		return r.stopReason
-	case !t.schedulable(r.worker):
-		return "worker may no longer get tasks"
+	case bar != "":
+		return "worker may no longer get tasks: " + string(bar)
 	case !r.fitsNow():
 		return "worker no longer has the capacity"
 	}
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -75,8 +75,10 @@
 
 	health           *workerhealth.Tracker
 	healthReportedAt time.Time
-	hungCheckedAt    time.Time
-	hungStops        []time.Time // within the last hungStopWindow
+	// availabilityReportedAt is when the gauges of unavailable workers were last updated.
+	availabilityReportedAt time.Time
+	hungCheckedAt          time.Time
+	hungStops              []time.Time // within the last hungStopWindow
 
 	unreadCalls int // calls in this tick to workers that may keep unread ends
 
@@ -361,6 +363,7 @@
 	}
 	t.stopDrainingRuns(now)
 	t.checkHealth(now)
+	t.reportAvailability(now)
 	t.checkHung(now)
 	t.forgetFinished(now)
 	t.forgetLosses(now)
--- a/internal/dispatch/workers.go
+++ b/internal/dispatch/workers.go
@@ -111,6 +111,7 @@
 	lastAnswered time.Time // when the last answered call was sent
 	answeredAt   time.Time // when its answer was applied
 	misses       int       // unanswered calls since the last answer
+	silentSince  time.Time // when the first of them was noted
 
 	orders         []order // orders that wait
 	ordersInFlight int
