Call an idle worker again until it has answered

Cause: one call without an answer bars a worker from new tasks, and only an answered call clears that. A worker without runs is called only to read ends or, every two minutes, its clock. One whose last run went away after a missed call (here: its record was still being stored) waited for an answer to a call that nobody sent.

Change: needsCall also holds for a listed worker with a missed call. It is called 0.4 s after each unanswered call, within the bound of 50 calls in 0.1 s that workers without runs share. An answer that cannot be applied and one of an earlier incarnation are followed by the same delay as any other miss.

Why this works: what bars the worker now causes the call that clears it, on every path.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -271,6 +271,25 @@
 		Eventually(f.state("j")).WithTimeout(5 * time.Second).Should(Equal(batch.Completed))
 	})
 
+	// Guards against accepted jobs that wait for minutes beside an idle worker: it missed a call
+	// while its only run was being stored, the run was dropped, and nothing called it again.
+	It("starts a task on a worker that has missed a call before the start was sent", func() {
+		f := newFixture(1)
+		f.startDispatcher("a")
+		f.submit(batch.Job{ID: "first", Spec: `{"ms":10}`, Steps: []batch.Step{task(1)}})
+		Eventually(f.state("first")).WithTimeout(timeout).Should(Equal(batch.Completed))
+		Eventually(f.workers[0].Running).WithTimeout(timeout).Should(BeEmpty())
+		f.store.setCommitDelay(500 * time.Millisecond)
+		f.workers[0].SetFault(faultOnPath("/hold", standinfleet.Busy, 1<<20))
+		f.submit(batch.Job{ID: "j", Spec: `{"ms":10}`, Steps: []batch.Step{task(1)}})
+		Eventually(f.state("j")).WithTimeout(timeout).Should(Equal(batch.Running))
+		time.Sleep(500 * time.Millisecond)
+		Expect(f.starts()["j.0.0.0"]).To(BeZero(), "the start is not sent to a silent worker")
+		f.store.setCommitDelay(0)
+		f.workers[0].SetFault(nil)
+		Eventually(f.state("j")).WithTimeout(timeout).Should(Equal(batch.Completed))
+	})
+
 	// Guards against work that is done and runs again to its end: the worker completed it
 	// while it was cut off, its lease expired, and nobody asked the worker when it was
 	// reachable again. The worker also stayed without work.
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -70,16 +70,20 @@
 
 // needsCall reports whether a worker without runs is called: to acknowledge stored ends,
 // while it keeps ends that are not stored, which are lost if the worker is, to read ends
-// that nobody has read, or its clock, and to see whether it still exists after an outage of
-// the store. It counts the calls for unread ends and clocks.
+// that nobody has read, or its clock, to see whether it still exists after an outage of the
+// store, and after a call without an answer, until which it gets no tasks. It counts the calls
+// that many workers may need at once.
 func (t *term) needsCall(w *workerState, now time.Time) bool {
 	switch {
 	case w.unproved(), w.ackedEnd != w.storedEnd:
 		return true
+	case w.listed && w.misses > 0 && !w.info.Draining && t.idleCalls < maxIdleCalls:
+		t.idleCalls++
+		return true
 	case len(w.pendingAcks) > 0:
 		return now.Sub(w.lastAnswered) >= unstoredEndsDelay
-	case (w.mayKeepEnds(now) || w.listed && (w.unread || now.Sub(w.clockReadAt) > clockReadInterval)) && t.canReadEnds() && t.unreadCalls < maxUnreadCalls:
-		t.unreadCalls++
+	case (w.mayKeepEnds(now) || w.listed && (w.unread || now.Sub(w.clockReadAt) > clockReadInterval)) && t.canReadEnds() && t.idleCalls < maxIdleCalls:
+		t.idleCalls++
 		return true
 	}
 	return false
@@ -122,7 +126,7 @@
 		if !applied {
 			now := time.Now()
 			t.noteMiss(w, now, "answer that cannot be applied", nil)
-			w.nextCall = now.Add(probeInterval)
+			w.nextCall = now.Add(w.probeDelay())
 		}
 	}()
 	defer telemetry.LogPanic(t.log, "answer of a worker", zap.String("worker", w.info.ID))
@@ -160,19 +164,15 @@
 		if w.misses == 1 {
 			t.noteSilence(w, now)
 		}
-		w.nextCall = now.Add(probeInterval)
-		if len(w.runs) == 0 {
-			w.nextCall = now.Add(idleProbeInterval)
-		}
+		w.nextCall = now.Add(w.probeDelay())
 		if len(w.runs) == 0 && !w.listed {
-			w.nextCall = now.Add(unlistedProbeInterval)
 			w.ackedEnd = w.storedEnd
 		}
 		return
 	}
 	if report.StartedMs != 0 && report.StartedMs < w.info.StartedMs {
 		t.log.Info("Answer of an earlier incarnation ignored.", zap.String("worker", w.info.ID), zap.Int64("born", report.StartedMs))
-		w.nextCall = now.Add(probeInterval)
+		w.nextCall = now.Add(w.probeDelay())
 		return
 	}
 	if report.StartedMs != 0 && report.StartedMs > w.info.StartedMs {
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -80,7 +80,7 @@
 	hungCheckedAt          time.Time
 	hungStops              []time.Time // within the last hungStopWindow
 
-	unreadCalls int // calls in this tick to workers that may keep unread ends
+	idleCalls int // calls in this tick to workers without runs, see maxIdleCalls
 
 	stalls   map[string]int         // how often a term has stalled on a job, by job
 	planning atomic.Pointer[string] // job that is being placed
@@ -357,7 +357,7 @@
 		}
 	}
 	t.endReentry(now)
-	t.unreadCalls = 0
+	t.idleCalls = 0
 	for _, w := range t.workers {
 		t.checkWorker(w, now)
 	}
--- a/internal/dispatch/workers.go
+++ b/internal/dispatch/workers.go
@@ -36,16 +36,17 @@
 	// is short so that the lease of a worker that is reachable again is renewed
 	// before it expires.
 	probeInterval = 100 * time.Millisecond
-	// idleProbeInterval is that delay for a worker without runs.
+	// idleProbeInterval is that delay for a worker without runs. It bounds how long one that
+	// answers again waits for tasks.
 	idleProbeInterval = 400 * time.Millisecond
 	// unlistedProbeInterval is that delay for a worker that is no longer listed and may keep
 	// unread ends. It is called for unlistedReadTime after its runs were dropped: a worker
 	// that has drained goes on for some seconds after its entry is gone.
 	unlistedProbeInterval = time.Second
 	unlistedReadTime      = 10 * time.Second
-	// maxUnreadCalls bounds the calls in one tick to workers without runs that may keep
-	// unread ends. A new term calls all workers once, 1,100 of them in 2 s.
-	maxUnreadCalls = 50
+	// maxIdleCalls bounds the calls in one tick to workers without runs that may keep
+	// unread ends or do not answer. A new term calls all workers once, 1,100 of them in 2 s.
+	maxIdleCalls = 50
 	// unstoredEndsDelay is the delay of the next call after an answer with ends that
 	// are not stored yet; the call would return the same ends.
 	unstoredEndsDelay = 400 * time.Millisecond
@@ -335,6 +336,17 @@
 	t.pollWorker(w, now)
 }
 
+// probeDelay returns the delay until the next call to a worker after one without an answer.
+func (w *workerState) probeDelay() time.Duration {
+	switch {
+	case len(w.runs) > 0:
+		return probeInterval
+	case w.listed:
+		return idleProbeInterval
+	}
+	return unlistedProbeInterval
+}
+
 // mayKeepEnds reports whether a worker that is not listed is still called for unread ends.
 func (w *workerState) mayKeepEnds(now time.Time) bool {
 	return w.unread && now.Before(w.unreadUntil)
