Name what bars a worker ineligibility

Cause: startBar says neither what it returns nor how it differs from unavailability, which leaves the health of the worker out. Change: it is ineligibility now, and its comment names the difference. No behaviour changes; internal/dispatch passes.

--- a/internal/dispatch/availability.go
+++ b/internal/dispatch/availability.go
@@ -49,8 +49,8 @@
 // available reports whether a worker of any health may get new tasks now.
 func (t *term) available(w *workerState) bool { return t.unavailability(w) == "" }
 
-// startBar returns why a worker may get no new tasks now, or "".
-func (t *term) startBar(w *workerState) unavailability {
+// ineligibility returns why a worker may get no new tasks now, also because of its health, or "".
+func (t *term) ineligibility(w *workerState) unavailability {
 	if reason := t.unavailability(w); reason != "" {
 		return reason
 	}
@@ -71,7 +71,7 @@
 	t.availabilityReportedAt = now
 	counts := map[unavailability]int{}
 	for _, w := range t.workers {
-		counts[t.startBar(w)]++
+		counts[t.ineligibility(w)]++
 	}
 	for _, reason := range unavailabilities {
 		t.scope.Tagged(map[string]string{"reason": string(reason)}).Gauge("workers_unavailable").Update(float64(counts[reason]))
--- a/internal/dispatch/availability_test.go
+++ b/internal/dispatch/availability_test.go
@@ -198,7 +198,7 @@
 				g := gomega.NewWithT(t)
 				i := newIdleWorkers(g, 1)
 				w := i.workers["w0"]
-				g.Expect(i.startBar(w)).To(gomega.BeEmpty())
+				g.Expect(i.ineligibility(w)).To(gomega.BeEmpty())
 				test.fault(i, w)
 				i.advance(2 * time.Second)
 				i.client.set("w0", fleet.Accepted)
@@ -206,7 +206,7 @@
 					test.heal(i, w)
 				}
 				i.advance(maxIdleWait)
-				g.Expect(i.startBar(i.workers["w0"])).To(gomega.BeEmpty())
+				g.Expect(i.ineligibility(i.workers["w0"])).To(gomega.BeEmpty())
 			})
 		})
 	}
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -102,14 +102,14 @@
 
 // startObstacle returns why a planned run may no longer be started, or "".
 func (t *term) startObstacle(r *run) string {
-	bar := t.startBar(r.worker)
+	reason := t.ineligibility(r.worker)
 	switch {
 	case !t.holdsLease():
 		return "lease lost before the start"
 	case r.stopReason != "":
 		return r.stopReason
-	case bar != "":
-		return "worker may no longer get tasks: " + string(bar)
+	case reason != "":
+		return "worker may no longer get tasks: " + string(reason)
 	case !r.fitsNow():
 		return "worker no longer has the capacity"
 	}
