Tell the number of waiting jobs only while its age is known

Cause: the dispatcher stores the counts when they change, and the row tells neither its age nor its writer. Every daemon told it as recent. Whatever kept the dispatcher from storing counts made it untrue without a sign: dispatchers lost one after the other, an outage followed by a takeover, failing commits, a row that is too large, jobs that cannot be read.

Evidence: the simulation now asks all machines for the number and compares it with what its workers have begun and with jobs that only wait. Not found: a run that no worker has seen and that is taken for confirmed.

Change: with each renewal of its lease the dispatcher states how long ago the stored counts were last seen to be true. A lease that was released goes on being observed, so that a daemon that stops can still tell. A row that cannot be stored no longer counts as stored.

Why this works: the age is an upper bound, the sum of two spans that are each measured by one steady clock. It costs no call to the store.

--- a/api/api.gen.go
+++ b/api/api.gen.go
@@ -557,6 +557,15 @@
 	Heads []ConfigurationHead `json:"heads"`
 }
 
+// CountsStatement How old the stored counts of waiting jobs are, stated by the dispatcher with its lease.
+type CountsStatement struct {
+	// AgeMs Time since the counts in the row were last seen to be true.
+	AgeMs int64 `cbor:"2,keyasint" json:"age_ms"`
+
+	// Version Version of the row counts/pending; a later one is at least as recent.
+	Version int64 `cbor:"1,keyasint" json:"version"`
+}
+
 // DaemonSettings Identity and location of this daemon.
 type DaemonSettings struct {
 	// Region Region of this daemon.
@@ -1023,6 +1032,9 @@
 
 	// Renewal Incremented by each renewal, so that observers see a change.
 	Renewal int64 `json:"renewal"`
+
+	// Statement What the holder states with this renewal only. The next holder does not take it over.
+	Statement []byte `json:"statement,omitempty"`
 }
 
 // PlatformSettings URLs and request timeout of the services of the platform.
--- a/cmd/samphirepathd/platform.go
+++ b/cmd/samphirepathd/platform.go
@@ -67,6 +67,7 @@
 		return err
 	}
 	jobs.SetDispatcher(n.JobState)
+	jobs.SetCountsAge(n.CountsAge)
 	jobs.SetAdmission(admission.NewLedger(admission.Config{Notice: n.JobLoad, Daemons: n.Daemons, Budget: n.JobBudget, Ask: n.GrantJob, Log: log, Scope: metrics.Scope}))
 	return n.Run(ctx)
 }
--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -31,9 +30,6 @@
 	commitTimeout = 2500 * time.Millisecond
 	// commitRetryDelay is the delay after a failed commit.
 	commitRetryDelay = 60 * time.Millisecond
-	// countsInterval is the minimum time between two writes of the counts of waiting
-	// jobs. Callers accept counts that are 2 s old.
-	countsInterval = 700 * time.Millisecond
 )
 
 // markChanged schedules the changed progress of a job to be stored.
@@ -97,28 +93,13 @@
 			t.committing = false
 			if withCounts && result.Status == table.Committed {
 				t.storedCounts, t.countsVersion = counts, result.Version
+				t.noteCountsTrue(now)
 			}
 			t.handleCommitResult(result, commit.jobs, versions, fence.Key, epoch)
 		})
 	}()
 }
 
-// encodeCounts returns the row of the counts of waiting jobs and whether it can be stored.
-// Counts that cannot are not tried again until they change.
-func (t *term) encodeCounts(counts map[string]int64) ([]byte, bool) {
-	value, err := batch.EncodeCounts(counts)
-	switch {
-	case err != nil:
-		t.log.Error("Failed to encode the counts of waiting jobs.", telemetry.ErrorField(err))
-	case len(value) > batch.MaxRowBytes:
-		t.log.Error("Counts of waiting jobs not stored because the row is too large.", zap.Int("queues", len(counts)), zap.Int("bytes", len(value)))
-	default:
-		return value, true
-	}
-	t.storedCounts = counts
-	return nil, false
-}
-
 // collectProgress returns the changed progress that the next commit stores, and takes its
 // jobs from changedJobs. A job that was in a commit which the store rejected is alone in
 // its commit.
@@ -313,23 +294,6 @@
 	return j.tracker.Started && j.storedRevision >= j.startedRevision
 }
 
-// pendingCounts counts the jobs of each queue of which no start is stored, and reports
-// whether the counts are to be stored now. A job has started when a worker has confirmed a run
-// of it: a run that was only assigned may never be carried out.
-func (t *term) pendingCounts(now time.Time) (map[string]int64, bool) {
-	if !t.jobsListed || now.Sub(t.countedAt) < countsInterval {
-		return nil, false
-	}
-	t.countedAt = now
-	counts := map[string]int64{}
-	for _, j := range t.jobs {
-		if !j.startStored() && !j.tracker.State.Final() {
-			counts[j.tracker.Job.Queue]++
-		}
-	}
-	return counts, t.storedCounts == nil || !maps.Equal(counts, t.storedCounts)
-}
-
 // deleteExpired deletes the rows of jobs whose retention time has passed. A later
 // tick repeats a failed attempt.
 func (t *term) deleteExpired(ids []string) {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -132,6 +132,9 @@
 	// lower fence than the highest that they have seen.
 	maxFence  int64
 	shareTags shareTags
+	// counts is what the running term knows of the stored counts of waiting jobs; nil if it
+	// has stored none.
+	counts atomic.Pointer[countsState]
 	// load is the encoded load of jobs of the running term.
 	load atomic.Pointer[[]byte]
 }
@@ -267,6 +270,7 @@
 	defer close(t.done)
 	defer d.current.Store(nil)
 	defer d.load.Store(nil)
+	defer d.counts.Store(nil)
 	go t.watchProgress(status.Epoch) //nolint:contextcheck // as t.run
 	if status.Epoch < d.minEpoch.Load() {
 		return
--- a/internal/dispatch/simulation_callers_test.go
+++ b/internal/dispatch/simulation_callers_test.go
@@ -52,6 +52,7 @@
 		s.store.Commit(context.WithoutCancel(ctx), nil, []table.Write{{Key: dispatch.JobsPrefix + job.ID, Value: value}})
 		s.mu.Lock()
 		s.jobs = append(s.jobs, job)
+		s.accepted[job.ID] = s.acceptsJobs()
 		s.mu.Unlock()
 		if random.IntN(6) == 0 {
 			delay, first := time.Duration(random.Int64N(int64(simMaxCancelDelay))), random.IntN(simDispatchers)
--- a/internal/dispatch/simulation_nodes_test.go
+++ b/internal/dispatch/simulation_nodes_test.go
@@ -80,6 +80,7 @@
 	var err error
 	n.lease, err = lease.New(lease.Config{Store: path, Prefix: dispatch.LeasePrefix, Holder: name, Incarnation: name, LeaseTime: 2 * time.Second,
 		RenewEvery: 500 * time.Millisecond, PollEvery: 680 * time.Millisecond, Now: time.Now,
+		Statement: func() []byte { return n.d.CountsStatement() },
 		Healthy: func() bool {
 			wait()
 			return n.d.Progressing()
@@ -102,6 +103,7 @@
 	})
 	n.intake = intake.New(path, s.log.Named(name), nil)
 	n.intake.SetDispatcher(func(ctx context.Context, job string) batch.State { return s.jobState(ctx, n, job) })
+	n.intake.SetCountsAge(func() (int64, time.Duration, error) { return dispatch.CountsAge(n.lease) })
 	n.serving, n.stopServing = context.WithCancel(s.t.Context())
 	ctx, cancel := context.WithCancel(s.t.Context())
 	n.stop = cancel
--- a/internal/dispatch/simulation_test.go
+++ b/internal/dispatch/simulation_test.go
@@ -63,6 +63,11 @@
 	answers    []simJobAnswer
 	newest     map[string]batch.State // latest state of each job that callers were told
 	cancels    map[string]*simCancel
+	// disturbed is when a fault last acted on each machine, see watchMachines.
+	disturbed   [simDispatchers]time.Time
+	accepted    map[string]bool // jobs that a machine could accept when they were stored
+	waitingJobs []*simWaitingJob
+	pendings    []simPending
 }
 
 func (s *simulation) note(format string, args ...any) {
@@ -74,7 +79,7 @@
 func simulate(t *testing.T, seed uint64) {
 	s := &simulation{t: t, random: rand.New(rand.NewPCG(seed, 0)), store: table.NewMemory(), log: zap.NewNop(), nodes: make([]*simNode, simDispatchers),
 		down: map[string]int{}, cut: map[[2]string]int{}, oneWay: map[[2]string]int{},
-		lateStarts: map[simStart]bool{}, newest: map[string]batch.State{}, cancels: map[string]*simCancel{}}
+		lateStarts: map[simStart]bool{}, newest: map[string]batch.State{}, cancels: map[string]*simCancel{}, accepted: map[string]bool{}}
 	if *simulationLog {
 		s.log = zap.Must(zap.NewDevelopment())
 	}
@@ -97,6 +102,9 @@
 	queries.Go(func() { s.queryJobs(queriesCtx, rand.New(rand.NewPCG(seed, 2))) })
 	callers.Go(func() { s.submitJobs(ctx, rand.New(rand.NewPCG(seed, 1))) })
 	callers.Go(func() { s.heartbeat(ctx) })
+	callers.Go(func() { s.submitWaitingJobs(ctx, rand.New(rand.NewPCG(seed, 3))) })
+	queries.Go(func() { s.watchMachines(queriesCtx) })
+	queries.Go(func() { s.queryPending(queriesCtx, rand.New(rand.NewPCG(seed, 4))) })
 	time.Sleep(5 * time.Second)
 	s.injectFaults()
 	stopSubmitting()
@@ -108,6 +116,7 @@
 	queries.Wait()
 	s.queryAllJobs()
 	violations := append(s.violations(), s.answerViolations()...)
+	violations = append(violations, s.pendingViolations()...)
 	for _, id := range s.unfinished() {
 		violations = append(violations, "job "+id+" has not ended")
 	}
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -52,6 +52,7 @@
 	jobsListed    bool           // a full listing of the jobs has been applied
 	workersListed bool           // a full listing of the workers has been applied
 	workersUnread bool           // the last read of the workers' entries failed
+	jobsUnread    bool           // the last read of the jobs failed
 	// reentryEnd is when workers whose entry is missing count as gone after an outage.
 	reentryEnd time.Time
 
@@ -65,6 +66,7 @@
 	deletingCancels bool
 	commitRetryAt   time.Time
 	storedCounts    map[string]int64 // stored counts of waiting jobs; nil if they are not known
+	oversizeCounts  map[string]int64 // counts that could not be stored; nil if there are none
 	countsVersion   int64            // version of their row
 	countedAt       time.Time
 
@@ -411,7 +413,8 @@
 // handleJobUpdate applies new jobs and cancellation requests. The daemon's own follower
 // logs failed reads.
 func (t *term) handleJobUpdate(update table.Update, progress map[string]storedProgress) {
-	if update.Err != nil {
+	t.jobsUnread = update.Err != nil
+	if t.jobsUnread {
 		return
 	}
 	cancelled := map[string]table.Row{}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -43,6 +43,11 @@
 	// resubmissionRate bounds the reads for refused jobs of all daemons, per second. The store of
 	// the smallest deployment serves 2,000 reads a second.
 	resubmissionRate = 800
+	// maxCountsAge is the age of the counts of waiting jobs that callers accept.
+	maxCountsAge = 2 * time.Second
+	// countsWait is how long a call waits for recent counts: a renewal and a read of the lease.
+	// If the dispatcher has been lost, a takeover takes longer, and the caller may come back.
+	countsWait = 1200 * time.Millisecond
 	// RetryAfter is the delay after which a refused caller should try again.
 	RetryAfter = time.Second
 )
@@ -92,6 +97,7 @@
 type Intake struct {
 	store      table.Store
 	dispatcher StateFunc
+	countsAge  CountsAgeFunc     // nil takes any counts for recent ones
 	admission  *admission.Ledger // nil admits all jobs
 	// resubmissions limits the reads for refused jobs, which may have been accepted before.
 	resubmissions *rate.Limiter
@@ -115,6 +121,14 @@
 // must be called before the intake serves callers.
 func (in *Intake) SetDispatcher(dispatcher StateFunc) { in.dispatcher = dispatcher }
 
+// CountsAgeFunc returns how old the stored counts of waiting jobs of a version, and of later
+// ones, are at most. It fails if that is not known.
+type CountsAgeFunc func() (version int64, age time.Duration, err error)
+
+// SetCountsAge sets the source of the age of counts. It must be called before the intake serves
+// callers.
+func (in *Intake) SetCountsAge(age CountsAgeFunc) { in.countsAge = age }
+
 // SetAdmission sets what admits jobs. It must be called before the intake serves callers.
 func (in *Intake) SetAdmission(ledger *admission.Ledger) { in.admission = ledger }
 
@@ -358,28 +372,75 @@
 	return batch.Queued, Done, nil
 }
 
-// Pending returns the number of jobs of a queue that have not started any task.
+// Pending returns the number of jobs of a queue that have not started any task, as it was at
+// most maxCountsAge ago. It returns NotDone if that is not known within countsWait: without a
+// dispatcher, the stored counts may be of any age.
 func (in *Intake) Pending(ctx context.Context, queue string) (int64, Outcome) {
+	start := time.Now()
 	for {
-		row, found, err := in.get(ctx, dispatch.PendingKey)
-		if err == nil && !found {
-			return 0, Done
-		}
+		counts, err := in.recentCounts(ctx)
 		if err == nil {
-			counts, err := batch.DecodeCounts(row.Value)
-			if err != nil {
-				in.log.Error("Failed to decode the counts of waiting jobs.", zap.Int64("version", row.Version), telemetry.ErrorField(err))
-				return 0, NotDone
-			}
 			return counts[queue], Done
 		}
-		if !waitForRetry(ctx) {
-			in.log.Warn("Failed to read the counts of waiting jobs.", telemetry.ErrorField(err))
+		giveUp := eris.Is(err, errInvalidCounts) || eris.Is(err, errOldCounts) && time.Since(start) >= countsWait
+		if giveUp || !waitForRetry(ctx) {
+			in.log.Warn("Number of waiting jobs not known.", zap.String("queue", queue), zap.Duration("after", time.Since(start)), telemetry.ErrorField(err))
+			in.count("counts", NotDone)
 			return 0, NotDone
 		}
 	}
 }
 
+var (
+	// errOldCounts means that the stored counts may be older than maxCountsAge.
+	errOldCounts = eris.New("the counts of waiting jobs may be too old")
+	// errInvalidCounts means that the stored counts cannot be decoded.
+	errInvalidCounts = eris.New("the counts of waiting jobs cannot be decoded")
+)
+
+// recentCounts reads the stored counts, and fails if they may be older than maxCountsAge. It
+// does not ask the store for counts that are known to be old.
+func (in *Intake) recentCounts(ctx context.Context) (map[string]int64, error) {
+	if _, err := in.recentVersion(); err != nil {
+		return nil, err
+	}
+	row, found, err := in.get(ctx, dispatch.PendingKey)
+	if err != nil {
+		return nil, err
+	}
+	// The read may have taken long.
+	recent, err := in.recentVersion()
+	switch {
+	case err != nil:
+		return nil, err
+	case row.Version < recent:
+		return nil, eris.Wrapf(errOldCounts, "version %d before %d", row.Version, recent)
+	case !found:
+		return nil, nil
+	}
+	counts, err := batch.DecodeCounts(row.Value)
+	if err != nil {
+		return nil, eris.Wrapf(errInvalidCounts, "version %d: %v", row.Version, err)
+	}
+	return counts, nil
+}
+
+// recentVersion returns the version from which on the stored counts are at most maxCountsAge
+// old.
+func (in *Intake) recentVersion() (int64, error) {
+	if in.countsAge == nil {
+		return 0, nil
+	}
+	version, age, err := in.countsAge()
+	if err == nil && age > maxCountsAge {
+		err = eris.Errorf("%s at version %d", age, version)
+	}
+	if err != nil {
+		return 0, eris.Wrapf(errOldCounts, "%v", err)
+	}
+	return version, nil
+}
+
 func (in *Intake) count(name string, outcome Outcome) {
 	in.scope.Tagged(map[string]string{"outcome": outcome.String()}).Counter(name).Inc(1)
 }
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -44,6 +44,17 @@
 	return table.CommitResult{Status: status, Err: errors.New("scripted commit failure")}
 }
 
+// countingStore counts the reads of rows.
+type countingStore struct {
+	*table.Memory
+	reads int
+}
+
+func (s *countingStore) Get(ctx context.Context, key string) (table.Row, bool, error) {
+	s.reads++
+	return s.Memory.Get(ctx, key)
+}
+
 // silentStore applies commits and never answers them.
 type silentStore struct{ *table.Memory }
 
@@ -123,6 +134,46 @@
 		Expect(state).To(Equal(batch.Cancelled))
 	})
 
+	// Guards against a caller that is told that no job waits while many do: the stored counts
+	// were those of a dispatcher that had been lost.
+	DescribeTable("tells counts of waiting jobs that are recent only", func(ctx SpecContext, stated int64, age time.Duration, unknown error, want intake.Outcome) {
+		store := table.NewMemory()
+		counts, err := batch.EncodeCounts(map[string]int64{"q": 3})
+		Expect(err).NotTo(HaveOccurred())
+		stored := store.Commit(ctx, nil, []table.Write{{Key: dispatch.PendingKey, Value: counts}})
+		in := intake.New(store, nil, nil)
+		in.SetCountsAge(func() (int64, time.Duration, error) { return stored.Version + stated, age, unknown })
+		start := time.Now()
+		count, outcome := in.Pending(ctx, "q")
+		Expect(outcome).To(Equal(want))
+		if want == intake.Done {
+			Expect(count).To(Equal(int64(3)))
+			return
+		}
+		Expect(time.Since(start)).To(BeNumerically("<", 2*time.Second), "a caller is told soon")
+	},
+		Entry("recent", int64(0), time.Second, nil, intake.Done),
+		Entry("recent, and replaced since", int64(-1), time.Second, nil, intake.Done),
+		Entry("old", int64(0), 3*time.Second, nil, intake.NotDone),
+		Entry("of unknown age", int64(0), time.Duration(0), dispatch.ErrCountsAgeUnknown, intake.NotDone),
+		Entry("before those that are recent", int64(1), time.Second, nil, intake.NotDone),
+	)
+
+	It("waits for counts that become recent, and does not ask the store meanwhile", func(ctx SpecContext) {
+		store := &countingStore{Memory: table.NewMemory()}
+		in := intake.New(store, nil, nil)
+		start := time.Now()
+		in.SetCountsAge(func() (int64, time.Duration, error) {
+			if time.Since(start) < 300*time.Millisecond {
+				return 0, 0, dispatch.ErrCountsAgeUnknown
+			}
+			return 0, 0, nil
+		})
+		_, outcome := in.Pending(ctx, "q")
+		Expect(outcome).To(Equal(intake.Done))
+		Expect(store.reads).To(Equal(1))
+	})
+
 	// Guards against a store that a client fills with cancellations of random jobs.
 	It("records a limited number of cancellations of unknown jobs", func(ctx SpecContext) {
 		in := intake.New(table.NewMemory(), nil, nil)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -113,7 +113,8 @@
 	leaderLease, err := lease.New(lease.Config{
 		Store: deps.Store, Prefix: dispatch.LeasePrefix, Holder: settings.Name, Incarnation: settings.Name,
 		LeaseTime: leaseTime, RenewEvery: leaseRenew, PollEvery: leasePoll, TakeoverDelay: takeoverDelay(settings),
-		Healthy: func() bool { return n.dispatcher.Progressing() }, Notice: func() []byte { return n.dispatcher.Load() }, Log: telemetry.Named(deps.Log, "lease"),
+		Healthy: func() bool { return n.dispatcher.Progressing() }, Notice: func() []byte { return n.dispatcher.Load() },
+		Statement: func() []byte { return n.dispatcher.CountsStatement() }, Log: telemetry.Named(deps.Log, "lease"),
 	})
 	if err != nil {
 		return nil, err
@@ -165,6 +166,11 @@
 // JobLoad returns the encoded load of jobs that the dispatcher has published last.
 func (n *Node) JobLoad() []byte { return n.lease.Status().Notice }
 
+// CountsAge returns the age of the stored counts of waiting jobs, see dispatch.CountsAge.
+func (n *Node) CountsAge() (version int64, age time.Duration, err error) {
+	return dispatch.CountsAge(n.lease)
+}
+
 // GrantJob asks the dispatcher, on this or another daemon, to admit a job.
 func (n *Node) GrantJob(ctx context.Context, organisation string, bytes int64) error {
 	if n.dispatcher.Leading() {
@@ -252,7 +258,7 @@
 	group.Go(func() error {
 		return n.deps.Store.Run(servingCtx, api.RelayPeer{Address: n.settings.PeerAddress, Zone: n.settings.Zone, MemoryBytes: n.settings.memoryBytes()})
 	})
-	group.Go(func() error { return n.lease.Run(leadingCtx) })
+	group.Go(func() error { return n.lease.Run(servingCtx) })
 	group.Go(func() error { return n.dispatcher.Run(leadingCtx) })
 	<-ctx.Done()
 	n.stop(context.WithoutCancel(ctx), front, stopLeading)
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -58,6 +58,9 @@
 	// Notice returns data that the holder publishes to the observers with its next renewal,
 	// or nil to leave it as it is. It must be short, because all of them read it.
 	Notice func() []byte
+	// Statement returns what the holder states with its next renewal, or nil for nothing. It
+	// holds for that renewal only: a later one, or one of another holder, replaces it.
+	Statement func() []byte
 	// Now returns the current time. Steps of the time of day must not affect it. The
 	// default also counts the time that the machine was suspended.
 	Now func() time.Time
@@ -85,12 +88,15 @@
 	// roundMu serialises rounds and releases, which call the store.
 	roundMu  sync.Mutex
 	observed observation
+	lastRead answeredRead
 	sentAt   map[int64]time.Time // when this process sent each renewal number
 
-	mu              sync.Mutex
-	row             api.PlannerLease
-	acquired        bool
-	validUntil      time.Time // the lease counts as held before this time
+	mu         sync.Mutex
+	row        api.PlannerLease
+	acquired   bool
+	validUntil time.Time // the lease counts as held before this time
+	// renewedAfter is not after the renewal of row; zero if no such time is known.
+	renewedAfter    time.Time
 	fence           table.Condition
 	acquiredVersion int64
 	forgottenBefore int64 // epoch up to which the earlier holders are forgotten
@@ -108,6 +114,12 @@
 	valid   bool
 }
 
+// answeredRead is the last read by an observer that was answered.
+type answeredRead struct {
+	sent    time.Time
+	version int64
+}
+
 // New checks the configuration and returns a lease that is not held.
 func New(cfg Config) (*Lease, error) {
 	if cfg.Store == nil || cfg.Holder == "" || cfg.Incarnation == "" {
@@ -137,6 +149,9 @@
 	if cfg.Notice == nil {
 		cfg.Notice = func() []byte { return nil }
 	}
+	if cfg.Statement == nil {
+		cfg.Statement = func() []byte { return nil }
+	}
 	if cfg.Log == nil {
 		cfg.Log = zap.NewNop()
 	}
@@ -204,6 +219,14 @@
 	return s
 }
 
+// Statement returns what the holder has stated with the renewal in the row as last read or
+// written, and a time by Now that is not after that renewal, zero if none is known.
+func (l *Lease) Statement() (statement []byte, renewedAfter time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.row.Statement, l.renewedAfter
+}
+
 func (l *Lease) heldLocked() bool {
 	return l.acquired && !l.released && l.cfg.Now().Before(l.validUntil)
 }
@@ -277,7 +300,7 @@
 }
 
 // Release releases the lease, so that an observer acquires it at its first read after
-// its TakeoverDelay. This Lease does not acquire it again.
+// its TakeoverDelay. This Lease does not acquire it again; Run goes on to observe it.
 func (l *Lease) Release(ctx context.Context) error {
 	l.mu.Lock()
 	held := l.heldLocked()
@@ -290,7 +313,7 @@
 		return nil
 	}
 	row := l.currentRow()
-	row.Holder = ""
+	row.Holder, row.Statement = "", nil
 	row.Renewal++
 	result := l.write(ctx, row)
 	if result.Status != table.Committed {
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -177,6 +177,51 @@
 		Expect(h.Status().Notice).To(Equal([]byte("second")))
 	})
 
+	// Guards against a statement that an observer takes for a recent one: it was made with an
+	// earlier renewal or by an earlier holder, or the observer knows no time before it.
+	It("carries a statement for one renewal of its holder", func() {
+		statement := []byte("now")
+		join := func(name string, state func() []byte) *lease.Lease {
+			l, err := lease.New(lease.Config{Store: store, Prefix: "planner/s/", Holder: name, Incarnation: name, Now: func() time.Time { return clk.now }, Statement: state})
+			Expect(err).NotTo(HaveOccurred())
+			return l
+		}
+		h, o := join("h", func() []byte { return statement }), join("o", nil)
+		h.Step(ctx)
+		clk.advance(time.Second)
+		h.Step(ctx)
+		o.Step(ctx)
+		stated, after := o.Statement()
+		Expect(stated).To(Equal(statement))
+		Expect(after.IsZero()).To(BeTrue(), "the first read shows no time before the renewal")
+		read := clk.now
+		clk.advance(time.Second)
+		h.Step(ctx)
+		_, after = h.Statement()
+		Expect(after).To(Equal(clk.now))
+		o.Step(ctx)
+		_, after = o.Statement()
+		Expect(after).To(Equal(read))
+		clk.advance(time.Second)
+		o.Step(ctx)
+		_, after = o.Statement()
+		Expect(after).To(Equal(read), "nothing was renewed since")
+		statement = nil
+		h.Step(ctx)
+		o.Step(ctx)
+		stated, _ = o.Statement()
+		Expect(stated).To(BeEmpty())
+		statement = []byte("later")
+		clk.advance(time.Second)
+		h.Step(ctx)
+		for !o.Status().Held {
+			clk.advance(time.Second)
+			o.Step(ctx)
+		}
+		stated, _ = o.Statement()
+		Expect(stated).To(BeEmpty(), "the next holder has stated nothing")
+	})
+
 	// Guards against a holder that does no work any more and keeps the lease.
 	It("is left by a holder that makes no progress", func() {
 		healthy := true
--- a/lease/round.go
+++ b/lease/round.go
@@ -23,6 +23,7 @@
 	if notice := l.cfg.Notice(); notice != nil {
 		row.Notice = notice
 	}
+	row.Statement = l.cfg.Statement()
 	result := l.write(ctx, row)
 	switch result.Status {
 	case table.Committed:
@@ -87,15 +88,27 @@
 		l.extendValidity(row)
 		return
 	}
-	l.markNotHeld(row)
+	l.markNotHeld(row, time.Time{})
+}
+
+// noteRead records an answered read of the row and returns a time that is not after its last
+// renewal: that of the last read that showed an earlier one, or zero.
+func (l *Lease) noteRead(version int64, sent time.Time) time.Time {
+	previous := l.lastRead
+	l.lastRead = answeredRead{sent: sent, version: version}
+	if version == previous.version {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return l.renewedAfter
+	}
+	return previous.sent
 }
 
 // observe reads the row and takes over when the row belongs to this incarnation, has
-// been free for TakeoverDelay, or has not changed for LeaseTime + TakeoverDelay.
+// been free for TakeoverDelay, or has not changed for LeaseTime + TakeoverDelay. After a
+// release it only reads.
 func (l *Lease) observe(ctx context.Context) {
-	if l.isReleased() {
-		return
-	}
+	sent := l.cfg.Now()
 	row, version, ok := l.read(ctx)
 	l.mu.Lock()
 	l.readFailed = !ok
@@ -105,8 +118,8 @@
 		return
 	}
 	l.observeVersion(version)
-	l.markNotHeld(row)
-	if !l.cfg.Healthy() {
+	l.markNotHeld(row, l.noteRead(version, sent))
+	if l.isReleased() || !l.cfg.Healthy() {
 		return
 	}
 	unchanged := l.cfg.Now().Sub(l.observed.since)
@@ -193,21 +206,25 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.row = row
+	if known {
+		l.renewedAfter = sent
+	}
 	if until := sent.Add(l.cfg.LeaseTime - l.cfg.Margin); known && until.After(l.validUntil) {
 		l.validUntil = until
 	}
 }
 
-// markNotHeld records a row that does not give the lease to this process.
-func (l *Lease) markNotHeld(row api.PlannerLease) {
+// markNotHeld records a row that does not give the lease to this process, and a time that is
+// not after its renewal.
+func (l *Lease) markNotHeld(row api.PlannerLease, renewedAfter time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.acquired {
+	if l.acquired && !l.released {
 		l.acquired, l.validUntil = false, time.Time{}
 		l.cfg.Log.Warn("Lease lost.", zap.Int64("epoch", l.row.Epoch), zap.String("holder", row.Holder))
 		l.signalLocked()
 	}
-	l.row = row
+	l.row, l.renewedAfter = row, renewedAfter
 }
 
 // observeVersion records the version of the row and when it was first observed.
