Split the check of the waiting jobs in the simulation

Cause: pendingViolations computed when each job began, ended or was cancelled and judged the answers in one function, which was hard to read. Change: waits returns for how long each accepted job waited, and pendingViolations compares the answers with it. A cancellation no longer replaces an earlier start as the end of a wait, which counts the same jobs.

--- a/internal/dispatch/simulation_pending_test.go
+++ b/internal/dispatch/simulation_pending_test.go
@@ -126,24 +126,7 @@
 // pendingViolations returns the numbers of waiting jobs that were too low, or not known without
 // a fault that explains it.
 func (s *simulation) pendingViolations() (found []string) {
-	begun := map[string]time.Time{}
-	for _, w := range s.workers {
-		for _, r := range w.Records() {
-			id, _, _ := strings.Cut(r.Task, ".")
-			if at, known := begun[id]; !known || r.Started.Before(at) {
-				begun[id] = r.Started
-			}
-		}
-	}
-	ended := map[string]time.Time{}
-	for _, a := range s.answers {
-		if at, known := ended[a.job]; a.state.Final() && (!known || a.answered.Before(at)) {
-			ended[a.job] = a.answered
-		}
-	}
-	for id, c := range s.cancels {
-		ended[id] = c.sent
-	}
+	waits := s.waits()
 	for _, p := range s.pendings {
 		if !p.known && p.answered.Sub(p.anyDisturbed) >= simCalmTime {
 			found = append(found, fmt.Sprintf("%s does not know the number of waiting jobs at %s, without a fault since %s", p.machine, simTime(p.answered), simTime(p.anyDisturbed)))
@@ -151,27 +134,54 @@
 		if !p.known || p.answered.Sub(p.disturbed) < simStableTime {
 			continue
 		}
-		latest := p.asked.Add(-simCountedAfter)
 		owed := int64(0)
-		for _, job := range s.jobs {
-			if !s.accepted[job.ID] {
-				continue
-			}
-			at, has := begun[job.ID]
-			end, over := ended[job.ID]
-			if p.queue == "q" && time.UnixMilli(job.AcceptedAtMs).Before(latest) && (!has || at.After(p.answered)) && (!over || end.After(p.answered)) {
-				owed++
-			}
-		}
-		for _, w := range s.waitingJobs {
-			if p.queue == simWaitingQueue && w.accepted.Before(latest) && (w.cancelled.IsZero() || w.cancelled.After(p.answered)) {
+		for _, w := range waits[p.queue] {
+			if w.from.Before(p.asked.Add(-simCountedAfter)) && (w.until.IsZero() || w.until.After(p.answered)) {
 				owed++
 			}
 		}
 		if 2*p.count < owed {
-			found = append(found, fmt.Sprintf("%s gives %d as the number of waiting jobs of queue %s at %s, undisturbed since %s; %d were accepted before %s and have not begun",
-				p.machine, p.count, p.queue, simTime(p.answered), simTime(p.disturbed), owed, simTime(latest)))
+			found = append(found, fmt.Sprintf("%s gives %d as the number of waiting jobs of queue %s at %s, undisturbed since %s; %d were accepted over %s before and have not begun",
+				p.machine, p.count, p.queue, simTime(p.answered), simTime(p.disturbed), owed, simCountedAfter))
 		}
 	}
 	return found
 }
+
+// simWait is the time for which an accepted job waited; until is zero if it did to the end.
+type simWait struct{ from, until time.Time }
+
+// waits returns the waits of all accepted jobs by queue. They end with the first start of a task,
+// with the cancellation, or when a caller was told that the job has ended.
+func (s *simulation) waits() map[string][]simWait {
+	until := map[string]time.Time{}
+	end := func(id string, at time.Time) {
+		if known, has := until[id]; !has || at.Before(known) {
+			until[id] = at
+		}
+	}
+	for _, w := range s.workers {
+		for _, r := range w.Records() {
+			id, _, _ := strings.Cut(r.Task, ".")
+			end(id, r.Started)
+		}
+	}
+	for _, a := range s.answers {
+		if a.state.Final() {
+			end(a.job, a.answered)
+		}
+	}
+	for id, c := range s.cancels {
+		end(id, c.sent)
+	}
+	waits := map[string][]simWait{}
+	for _, job := range s.jobs {
+		if s.accepted[job.ID] {
+			waits[job.Queue] = append(waits[job.Queue], simWait{from: time.UnixMilli(job.AcceptedAtMs), until: until[job.ID]})
+		}
+	}
+	for _, w := range s.waitingJobs {
+		waits[simWaitingQueue] = append(waits[simWaitingQueue], simWait{from: w.accepted, until: w.cancelled})
+	}
+	return waits
+}
